--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# Each public target does its own set-up; only Python 3.11 and make are needed.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := $(wildcard packages/*)
+
+.PHONY: setup demo test lint generate check-generated model soak bench slopes
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml) testing/pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c requirements.lock setuptools wheel
+	$(BIN)/pip install -q -c requirements.lock --no-build-isolation $(PACKAGES:%=-e ./%) -e ./testing
+	touch $(STAMP)
+
+$(VENV)/.tools: $(STAMP) requirements-dev.txt
+	$(BIN)/pip install -q -c requirements.lock -r requirements-dev.txt
+	touch $(VENV)/.tools
+
+demo: $(STAMP)
+	$(BIN)/python -m bendlead_testing.demo
+
+test: $(STAMP)
+	$(BIN)/python -m bendlead_testing.runner
+
+lint: $(VENV)/.tools
+	$(BIN)/ruff format --check packages testing tests
+	$(BIN)/ruff check packages testing tests
+	$(BIN)/flake8 packages testing tests
+
+generate: $(VENV)/.tools
+	$(BIN)/python tools/generate.py
+
+check-generated: $(VENV)/.tools
+	$(BIN)/python tools/generate.py --check
+
+model: $(STAMP)
+	$(BIN)/python -m bendlead_testing.model
+
+soak: $(STAMP)
+	$(BIN)/python -m bendlead_testing.soak --seconds $(or $(SECONDS),40) --seed $(or $(SEED),1)
+
+bench: $(STAMP)
+	$(BIN)/python -m bendlead_testing.bench $(NAME) --seconds $(or $(SECONDS),40)
+
+slopes: $(STAMP)
+	$(BIN)/python -m bendlead_testing.bench slopes
--- /dev/null
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
@@ -0,0 +1,134 @@
+"""Group commit: what arrives during one write goes out with the next."""
+
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+import gevent
+from bendlead_schema.records import Record
+from bendlead_store import Failure, FailureKind
+from gevent.event import AsyncResult, Event
+from result import Err, Ok, Result
+
+from bendlead_ledger._log import ShardLog
+from bendlead_ledger._state import ShardState
+
+#: While a write has been under way this long the store counts as away.
+_STALLED_SECONDS = 1.0
+_MAX_BATCH = 2000
+
+
+@dataclass(slots=True)
+class _Ticket:
+    records: Sequence[Record]
+    done: AsyncResult = field(default_factory=AsyncResult)
+
+
+class Committer:
+    """Let many tasks share one conditional update of a shard's head."""
+
+    def __init__(
+        self,
+        log: ShardLog,
+        state: ShardState,
+        interval: float,
+        on_lost: Callable[[], None],
+    ) -> None:
+        self._log = log
+        self._state = state
+        self._interval = interval
+        self._on_lost = on_lost
+        self._queue: list[_Ticket] = []
+        self._wake = Event()
+        self._lost = False
+        self._writing_since = 0.0
+        self._task = gevent.spawn(self._run)
+
+    @property
+    def stalled(self) -> bool:
+        """Tell whether the store has not answered a write for a while."""
+        if not self._writing_since:
+            return False
+        return time.monotonic() - self._writing_since > _STALLED_SECONDS
+
+    def commit(
+        self,
+        records: Sequence[Record],
+        timeout: float | None = None,
+    ) -> Result[Sequence[bool], Failure]:
+        """Make records durable and tell which of them took effect."""
+        if self._lost:
+            return self._failed(FailureKind.CONFLICT, 'shard lost')
+        if timeout and self.stalled:
+            return self._failed(FailureKind.NOT_DONE, 'object service away')
+        ticket = _Ticket(records)
+        self._queue.append(ticket)
+        self._wake.set()
+        try:
+            return ticket.done.get(timeout=timeout)
+        except gevent.Timeout:
+            return self._withdraw(ticket)
+
+    def close(self) -> None:
+        """Stop committing; what is queued fails as not done."""
+        self._lost = True
+        self._task.kill()
+        self._fail_queued()
+
+    def _withdraw(self, ticket: _Ticket) -> Err[Failure]:
+        if ticket in self._queue:
+            self._queue.remove(ticket)
+            return self._failed(FailureKind.NOT_DONE, 'object service away')
+        return self._failed(FailureKind.UNKNOWN, 'no answer in time')
+
+    def _run(self) -> None:
+        while not self._lost:
+            self._wake.wait()
+            self._wake.clear()
+            if self._queue:
+                self._commit_queued()
+                gevent.sleep(self._interval)
+
+    def _commit_queued(self) -> None:
+        batch = self._queue[:_MAX_BATCH]
+        self._queue = self._queue[_MAX_BATCH:]
+        if self._queue:
+            self._wake.set()
+        records = [record for ticket in batch for record in ticket.records]
+        self._writing_since = time.monotonic()
+        committed = self._log.commit(records)
+        self._writing_since = 0
+        if isinstance(committed, Err):
+            self._lose(batch, committed)
+            return
+        for ticket in batch:
+            effects = [self._state.apply(record) for record in ticket.records]
+            ticket.done.set(Ok(effects))
+        if self._log.fenced:
+            self._lose([])
+        elif self._log.needs_snapshot():
+            self._fold()
+
+    def _fold(self) -> None:
+        folded = self._log.fold(self._state)
+        if isinstance(folded, Err):
+            self._lose([])
+
+    def _lose(
+        self,
+        batch: Sequence[_Ticket],
+        failure: Err[Failure] | None = None,
+    ) -> None:
+        self._lost = True
+        for ticket in batch:
+            ticket.done.set(failure)
+        self._fail_queued()
+        self._on_lost()
+
+    def _fail_queued(self) -> None:
+        queued, self._queue = self._queue, []
+        for ticket in queued:
+            ticket.done.set(self._failed(FailureKind.CONFLICT, 'shard lost'))
+
+    def _failed(self, kind: FailureKind, detail: str) -> Err[Failure]:
+        return Err(Failure(kind, 'commit', 'object service', detail, 1))
--- /dev/null
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_jobs.py
@@ -0,0 +1,372 @@
+"""Answer the commands that concern batch jobs."""
+
+import time
+from collections import defaultdict
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+
+from bendlead_schema.messages import (
+    Acknowledged,
+    CancelJob,
+    DescribeJob,
+    FetchOutput,
+    GrantedItem,
+    GrantRun,
+    ItemReport,
+    JobList,
+    JobPhase,
+    JobView,
+    ListJobs,
+    NoWork,
+    OutputView,
+    Refusal,
+    RenewedRuns,
+    RenewRuns,
+    Reply,
+    ReportRun,
+    RunGrant,
+    SubmitJob,
+)
+from bendlead_schema.records import (
+    AttemptFailed,
+    JobAccepted,
+    JobCancelled,
+    ResultLine,
+)
+from bendlead_schema.settings import LedgerSettings
+from bendlead_store import Failure, FailureKind
+from result import Err
+
+from bendlead_ledger._committer import Committer
+from bendlead_ledger._grants import GrantOrder
+from bendlead_ledger._ids import ShardId
+from bendlead_ledger._input import BatchLine, ChunkReader
+from bendlead_ledger._results import ResultPacker
+from bendlead_ledger._runs import RunTable
+from bendlead_ledger._state import ItemStatus, JobState, ShardState
+
+#: The code of a refusal that sends the caller to another owner.
+NOT_OWNER = 'not_owner'
+_COMMIT_SECONDS = 5.0
+_ITEM_FAILED = 500
+_REFUSAL_CODES = {
+    FailureKind.CONFLICT: NOT_OWNER,
+    FailureKind.UNKNOWN: 'unknown',
+}
+_ITEM_FAILED_BODY = (
+    '{"error": {"message": "the item was given up after %d attempts whose '
+    'endpoint failed or was lost", "type": "server_error", '
+    '"code": "item_attempts_exhausted"}}'
+)
+
+
+@dataclass(slots=True)
+class _Cursor:
+    """Remember where the scan for waiting items of a job stands."""
+
+    position: int = 0
+    returned: list[int] = field(default_factory=list)
+
+
+class JobCommands:
+    """Own the jobs of one shard: accept, grant, record, cancel."""
+
+    def __init__(
+        self,
+        shard: ShardId,
+        address: str,
+        state: ShardState,
+        committer: Committer,
+        packer: ResultPacker,
+        reader: ChunkReader,
+        settings: LedgerSettings,
+        order: GrantOrder,
+    ) -> None:
+        self._shard = shard
+        self._address = address
+        self._state = state
+        self._committer = committer
+        self._packer = packer
+        self._reader = reader
+        self._settings = settings
+        self._order = order
+        self._runs = RunTable(settings.lease)
+        self._cursors: dict[str, _Cursor] = defaultdict(_Cursor)
+
+    def submit(self, command: SubmitJob) -> Reply:
+        """Accept a job, or show the one accepted earlier by this key."""
+        present = self._state.jobs.get(command.job)
+        if present is None:
+            record = _accepted(command)
+            done = self._committer.commit([record], _COMMIT_SECONDS)
+            if isinstance(done, Err):
+                return refusal(done.err_value)
+            present = self._state.jobs[command.job]
+        if present.accepted.fingerprint != command.fingerprint:
+            return Refusal(
+                code='idempotency_mismatch',
+                message='this key was used for another batch',
+            )
+        return view(present)
+
+    def cancel(self, command: CancelJob) -> Reply:
+        """Cancel a job; nothing of it is recorded afterwards."""
+        job = self._job(command.job, command.team)
+        if job is None:
+            return _missing(command.job)
+        if job.active:
+            record = JobCancelled(job=command.job, at=time.time())
+            done = self._committer.commit([record], _COMMIT_SECONDS)
+            if isinstance(done, Err):
+                return refusal(done.err_value)
+            self._runs.drop_job(command.job)
+        return view(job)
+
+    def describe(self, command: DescribeJob) -> Reply:
+        """Show one job."""
+        job = self._job(command.job, command.team)
+        return view(job) if job else _missing(command.job)
+
+    def list_jobs(self, command: ListJobs) -> Reply:
+        """Show the jobs of a team."""
+        jobs = self._state.jobs.values()
+        return JobList(
+            jobs=[
+                view(job) for job in jobs if job.accepted.team == command.team
+            ],
+        )
+
+    def output(self, command: FetchOutput) -> Reply:
+        """Tell where the results of a job are."""
+        job = self._job(command.job, command.team)
+        if job is None:
+            return _missing(command.job)
+        failed = [
+            position
+            for position, status in enumerate(job.status)
+            if status == ItemStatus.FAILED
+        ]
+        return OutputView(
+            job=view(job),
+            chunks=job.accepted.chunks,
+            packs=job.packs,
+            failed=failed,
+        )
+
+    def grant(self, command: GrantRun) -> Reply:
+        """Lease the next items of the job that is most in need."""
+        for job in self._order.ranked(self._state.jobs.values()):
+            if job.accepted.path not in command.paths:
+                continue
+            positions = self._next_positions(job, command.limit)
+            if positions:
+                return self._lease(job, command.endpoint, positions)
+        return NoWork()
+
+    def renew(self, command: RenewRuns) -> Reply:
+        """Renew leases; name the runs whose job needs them no more."""
+        stop = []
+        live = []
+        for lease in command.runs:
+            job = self._state.jobs.get(lease.job)
+            if job and job.active:
+                live.append(lease)
+            else:
+                stop.append(lease.run)
+        self._runs.renew(command.endpoint, live)
+        return RenewedRuns(stop=stop)
+
+    def report(self, command: ReportRun) -> Reply:
+        """Record results; take back what was not finished."""
+        job = self._state.jobs.get(command.job)
+        if job is None or not job.active:
+            return Acknowledged()
+        lines = [
+            _line(command.job, report)
+            for report in command.reports
+            if job.waits(report.position)
+        ]
+        if lines:
+            recorded = self._packer.record(lines)
+            if isinstance(recorded, Err):
+                return refusal(recorded.err_value)
+            self._order.charge(job, len(lines))
+        if command.failed:
+            self._count_failed(job, command.failed)
+        reported = [report.position for report in command.reports]
+        back = (*command.returned, *command.failed)
+        self._runs.release(command.run, (*reported, *back))
+        self._cursors[command.job].returned.extend(back)
+        if not job.active:
+            self._runs.drop_job(command.job)
+            self._cursors.pop(command.job, None)
+        return Acknowledged()
+
+    def expire(self) -> int:
+        """Take back lapsed runs and count an attempt for their items."""
+        lapsed = self._runs.expired()
+        for run in lapsed:
+            job = self._state.jobs.get(run.job)
+            if job and job.active:
+                positions = sorted(run.positions)
+                self._count_failed(job, positions)
+                self._cursors[run.job].returned.extend(positions)
+        return len(lapsed)
+
+    def hurries(self, lines: Sequence[ResultLine]) -> bool:
+        """Tell whether gathered results finish all that is out."""
+        out = sum(len(self._runs.held(job)) for job in self._state.jobs)
+        return len(lines) >= out
+
+    def _job(self, job_id: str, team: str) -> JobState | None:
+        job = self._state.jobs.get(job_id)
+        if job is None or job.accepted.team != team:
+            return None
+        return job
+
+    def _next_positions(self, job: JobState, limit: int) -> list[int]:
+        positions: list[int] = []
+        for position in self._candidates(job):
+            alone = position in job.attempts
+            if alone and positions:
+                self._cursors[job.accepted.job].returned.append(position)
+                break
+            positions.append(position)
+            if alone or len(positions) >= limit:
+                break
+        return positions
+
+    def _candidates(self, job: JobState) -> Iterator[int]:
+        held = self._runs.held(job.accepted.job)
+        cursor = self._cursors[job.accepted.job]
+        while cursor.returned:
+            position = cursor.returned.pop(0)
+            if job.waits(position) and position not in held:
+                yield position
+        while cursor.position < len(job.status):
+            position = cursor.position
+            cursor.position += 1
+            if job.waits(position) and position not in held:
+                yield position
+
+    def _lease(
+        self,
+        job: JobState,
+        endpoint: str,
+        positions: Sequence[int],
+    ) -> Reply:
+        job_id = job.accepted.job
+        run = self._runs.grant(job_id, endpoint, positions)
+        read = self._reader.positions(job.accepted.chunks, positions)
+        if isinstance(read, Err):
+            self._runs.release(run.run, positions)
+            self._cursors[job_id].returned.extend(positions)
+            return refusal(read.err_value)
+        return RunGrant(
+            run=run.run,
+            job=job_id,
+            shard=self._shard,
+            address=self._address,
+            lease_seconds=self._settings.lease,
+            deadline=job.accepted.deadline,
+            items=[
+                _granted(job, position, line)
+                for position, line in read.ok_value.items()
+            ],
+        )
+
+    def _count_failed(self, job: JobState, positions: Sequence[int]) -> None:
+        job_id = job.accepted.job
+        record = AttemptFailed(job=job_id, positions=list(positions))
+        self._committer.commit([record])
+        limit = self._settings.attempts
+        spent = [at for at in positions if job.attempts.get(at, 0) >= limit]
+        if spent:
+            body = _ITEM_FAILED_BODY % limit
+            self._packer.record(
+                [
+                    ResultLine(
+                        job=job_id,
+                        position=position,
+                        status=_ITEM_FAILED,
+                        body=body,
+                        attempts=limit,
+                    )
+                    for position in spent
+                ]
+            )
+
+
+def view(job: JobState) -> JobView:
+    """Show a job to callers."""
+    accepted = job.accepted
+    return JobView(
+        job=accepted.job,
+        team=accepted.team,
+        input_file=accepted.input_file,
+        path=accepted.path,
+        phase=_phase(job),
+        total=accepted.item_count,
+        completed=job.status.count(ItemStatus.SUCCEEDED),
+        failed=job.status.count(ItemStatus.FAILED),
+        accepted_at=accepted.accepted_at,
+        deadline=accepted.deadline,
+        finished_at=job.finished_at or job.cancelled_at,
+        metadata=accepted.metadata,
+    )
+
+
+def refusal(failure: Failure) -> Refusal:
+    """Tell a caller what a failed commit means for the command."""
+    code = _REFUSAL_CODES.get(failure.kind, 'not_accepted')
+    return Refusal(
+        code=code,
+        message=str(failure),
+        retry_after=failure.retry_after or 1,
+    )
+
+
+def _phase(job: JobState) -> JobPhase:
+    if job.cancelled_at:
+        return JobPhase.cancelled
+    return JobPhase.completed if job.finished_at else JobPhase.in_progress
+
+
+def _missing(job_id: str) -> Refusal:
+    return Refusal(code='not_found', message=f'no batch {job_id}')
+
+
+def _accepted(command: SubmitJob) -> JobAccepted:
+    return JobAccepted(
+        job=command.job,
+        team=command.team,
+        key=command.key,
+        fingerprint=command.fingerprint,
+        input_file=command.input_file,
+        path=command.path,
+        chunks=command.chunks,
+        rejected=command.rejected,
+        item_count=command.item_count,
+        accepted_at=time.time(),
+        deadline=command.deadline,
+        metadata=command.metadata,
+    )
+
+
+def _granted(job: JobState, position: int, line: BatchLine) -> GrantedItem:
+    return GrantedItem(
+        position=position,
+        path=line.url,
+        custom_id=line.custom_id,
+        body=bytes(line.body).decode(),
+        alone=position in job.attempts,
+    )
+
+
+def _line(job_id: str, report: ItemReport) -> ResultLine:
+    return ResultLine(
+        job=job_id,
+        position=report.position,
+        status=report.status,
+        body=report.body,
+    )
--- /dev/null
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_log.py
@@ -0,0 +1,320 @@
+"""The fenced log of one shard in the object service.
+
+The head is the only object that changes, and only by conditional update: its
+version is the fence. Everything else is immutable under a unique name and
+becomes part of the log when a head refers to it.
+"""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import gevent
+import msgspec
+from bendlead_schema.records import (
+    Head,
+    Record,
+    SegmentRef,
+    Snapshot,
+    SnapshotRef,
+)
+from bendlead_schema.settings import LedgerSettings
+from bendlead_store import (
+    ABSENT,
+    Entry,
+    Failure,
+    FailureKind,
+    ObjectStore,
+    Version,
+)
+from result import Err, Ok, Result
+
+from bendlead_ledger import _codec
+from bendlead_ledger._ids import ShardId, unique
+from bendlead_ledger._state import ShardState
+
+_SEGMENT = msgspec.json.Decoder(list[Record])
+_PART_BYTES = 900_000
+_FIRST_BACKOFF = 0.05
+_LAST_BACKOFF = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Owner:
+    """Name the process that writes a shard and where to reach it."""
+
+    node: str
+    address: str
+
+
+class ShardLog:
+    """Append records to a shard as long as no other owner has fenced us."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        shard: ShardId,
+        owner: Owner,
+        settings: LedgerSettings,
+    ) -> None:
+        self._store = store
+        self._shard = shard
+        self._owner = owner
+        self._settings = settings
+        self._head: Head | None = None
+        self._version = ABSENT
+        self._fenced = False
+
+    @property
+    def fenced(self) -> bool:
+        """Tell whether another owner has been seen at a higher epoch."""
+        return self._fenced
+
+    @property
+    def epoch(self) -> int:
+        """Tell the epoch at which this process owns the shard."""
+        return self._head.epoch if self._head else 0
+
+    @property
+    def sequence(self) -> int:
+        """Tell how many records are committed."""
+        return self._head.sequence if self._head else 0
+
+    def take_over(self) -> Result[ShardState, Failure]:
+        """Fence every earlier owner, then replay what it committed."""
+        found = self._read_head()
+        if isinstance(found, Err):
+            return found
+        entry = found.ok_value
+        head = self._claimed(entry)
+        version = entry.version if entry else ABSENT
+        written = self._write_head(head, version)
+        if isinstance(written, Err):
+            return written
+        return load_state(self._store, head)
+
+    def commit(self, records: Sequence[Record]) -> Result[None, Failure]:
+        """Make records durable; a conflict means the shard is lost."""
+        head = self._owned_head()
+        following = msgspec.structs.replace(
+            head,
+            commit=unique(),
+            sequence=head.sequence + len(records),
+            tail=[*head.tail, *records],
+        )
+        sealed = self._sealed(following)
+        if isinstance(sealed, Err):
+            return sealed
+        return self._write_head(sealed.ok_value, self._version)
+
+    def needs_snapshot(self) -> bool:
+        """Tell whether enough segments have gathered to fold them."""
+        return len(self._owned_head().segments) >= self._settings.segments
+
+    def fold(self, state: ShardState) -> Result[None, Failure]:
+        """Replace all records by a snapshot of the state they led to."""
+        head = self._owned_head()
+        parts = self._write_parts(_codec.encode(state.snapshot()))
+        if isinstance(parts, Err):
+            return parts
+        folded = msgspec.structs.replace(
+            head,
+            commit=unique(),
+            tail=[],
+            segments=[],
+            snapshot=SnapshotRef(
+                parts=parts.ok_value,
+                records=head.sequence,
+            ),
+        )
+        written = self._write_head(folded, self._version)
+        if isinstance(written, Ok):
+            self._delete_replaced(head)
+        return written
+
+    def _owned_head(self) -> Head:
+        if self._head is None:
+            raise RuntimeError(f'shard {self._shard} was not taken over')
+        return self._head
+
+    def _read_head(self) -> Result[Entry | None, Failure]:
+        return self._store.fetch(head_key(self._shard))
+
+    def _claimed(self, entry: Entry | None) -> Head:
+        claim = {
+            'owner': self._owner.node,
+            'address': self._owner.address,
+            'commit': unique(),
+        }
+        if entry is None:
+            return Head(
+                format=_codec.FORMAT,
+                shard=self._shard,
+                epoch=1,
+                sequence=0,
+                tail=[],
+                segments=[],
+                **claim,
+            )
+        head = _codec.decode(entry.body, Head, entry.key)
+        return msgspec.structs.replace(
+            head,
+            epoch=head.epoch + 1,
+            fenced=head.commit,
+            **claim,
+        )
+
+    def _write_head(
+        self,
+        head: Head,
+        expected: Version,
+    ) -> Result[None, Failure]:
+        # The same bytes go out until the outcome is known, so a write that
+        # lands late is either this commit or is refused by its version.
+        body = _codec.encode(head)
+        backoff = _FIRST_BACKOFF
+        uncertain = False
+        while True:
+            written = self._store.put(head_key(self._shard), body, expected)
+            if isinstance(written, Ok):
+                return self._adopt(head, written.ok_value)
+            if written.err_value.kind is FailureKind.CONFLICT:
+                settled = self._settle(head, uncertain=uncertain)
+                if settled is not None:
+                    return settled
+            if written.err_value.kind is FailureKind.UNKNOWN:
+                uncertain = True
+            gevent.sleep(
+                written.err_value.retry_after + backoff * random.random(),
+            )
+            backoff = min(_LAST_BACKOFF, backoff * 2)
+
+    def _settle(
+        self,
+        head: Head,
+        *,
+        uncertain: bool,
+    ) -> Result[None, Failure] | None:
+        """Look for our own commit id; nothing where the store is away."""
+        found = self._read_head()
+        if isinstance(found, Err) or found.ok_value is None:
+            return None
+        entry = found.ok_value
+        present = _codec.decode(entry.body, Head, entry.key)
+        if present.commit == head.commit:
+            return self._adopt(head, entry.version)
+        self._fenced = True
+        if present.fenced == head.commit:
+            return Ok(None)
+        kind = FailureKind.UNKNOWN if uncertain else FailureKind.CONFLICT
+        peer = f'{present.owner} at {present.address}'
+        detail = f'epoch {present.epoch} is above {head.epoch}'
+        return Err(Failure(kind, 'commit', peer, detail))
+
+    def _adopt(self, head: Head, version: Version) -> Result[None, Failure]:
+        self._head = head
+        self._version = version
+        return Ok(None)
+
+    def _sealed(self, head: Head) -> Result[Head, Failure]:
+        tail = msgspec.json.encode(head.tail)
+        if len(tail) < self._settings.tail_bytes:
+            return Ok(head)
+        key = f'ledger/{self._shard:04x}/segment/{unique()}'
+        written = self._write_once(key, _codec.compress(tail))
+        if isinstance(written, Err):
+            return written
+        segment = SegmentRef(
+            key=key,
+            first=head.sequence - len(head.tail),
+            count=len(head.tail),
+        )
+        return Ok(
+            msgspec.structs.replace(
+                head,
+                tail=[],
+                segments=[*head.segments, segment],
+            ),
+        )
+
+    def _write_parts(self, body: bytes) -> Result[list[str], Failure]:
+        packed = _codec.compress(body)
+        parts = []
+        for start in range(0, len(packed), _PART_BYTES):
+            key = f'ledger/{self._shard:04x}/snapshot/{unique()}'
+            part = packed[start : start + _PART_BYTES]
+            written = self._write_once(key, part)
+            if isinstance(written, Err):
+                return written
+            parts.append(key)
+        return Ok(parts)
+
+    def _write_once(self, key: str, body: bytes) -> Result[None, Failure]:
+        return write_once(self._store, key, body)
+
+    def _delete_replaced(self, head: Head) -> None:
+        replaced = [segment.key for segment in head.segments]
+        if head.snapshot:
+            replaced.extend(head.snapshot.parts)
+        for key in replaced:
+            found = self._store.fetch(key)
+            if isinstance(found, Ok) and found.ok_value:
+                self._store.delete(key, found.ok_value.version)
+
+
+def head_key(shard: ShardId) -> str:
+    """Name the head object of a shard."""
+    return f'ledger/{shard:04x}/head'
+
+
+def write_once(
+    store: ObjectStore,
+    key: str,
+    body: bytes,
+) -> Result[None, Failure]:
+    """Write an immutable object under a unique name until it is there."""
+    backoff = _FIRST_BACKOFF
+    while True:
+        written = store.put(key, body, ABSENT)
+        if isinstance(written, Ok):
+            return Ok(None)
+        if written.err_value.kind is FailureKind.CONFLICT:
+            # The name is unique: what is there is our own earlier attempt.
+            return Ok(None)
+        if written.err_value.kind is FailureKind.REFUSED:
+            return written
+        gevent.sleep(written.err_value.retry_after + backoff * random.random())
+        backoff = min(_LAST_BACKOFF, backoff * 2)
+
+
+def load_state(store: ObjectStore, head: Head) -> Result[ShardState, Failure]:
+    """Rebuild the state that a head refers to."""
+    state = ShardState()
+    if head.snapshot:
+        body = _read_all(store, head.snapshot.parts)
+        if isinstance(body, Err):
+            return body
+        plain = _codec.decompress(body.ok_value)
+        key = head_key(ShardId(head.shard))
+        state.restore(_codec.decode(plain, Snapshot, key))
+    for segment in head.segments:
+        body = _read_all(store, [segment.key])
+        if isinstance(body, Err):
+            return body
+        state.replay(_SEGMENT.decode(_codec.decompress(body.ok_value)))
+    state.replay(head.tail)
+    return Ok(state)
+
+
+def _read_all(
+    store: ObjectStore, keys: Sequence[str]
+) -> Result[bytes, Failure]:
+    bodies = []
+    for key in keys:
+        found = store.fetch(key)
+        if isinstance(found, Err):
+            return found
+        if found.ok_value is None:
+            return Err(Failure(FailureKind.NOT_DONE, 'replay', key, 'missing'))
+        bodies.append(found.ok_value.body)
+    return Ok(b''.join(bodies))
--- /dev/null
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_shard.py
@@ -0,0 +1,143 @@
+"""One owned shard: its log, its state and the commands it answers."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import gevent
+from bendlead_schema.messages import (
+    AcceptRequest,
+    CancelJob,
+    Command,
+    CompleteRequest,
+    DescribeJob,
+    FetchOutput,
+    FindRequest,
+    GrantRun,
+    ListJobs,
+    RefuseRequest,
+    RenewRuns,
+    Reply,
+    ReportRun,
+    SubmitJob,
+)
+from bendlead_schema.settings import LedgerSettings
+from bendlead_store import Failure, ObjectStore
+from result import Err, Ok, Result
+
+from bendlead_ledger._committer import Committer
+from bendlead_ledger._grants import GrantOrder
+from bendlead_ledger._ids import ShardId
+from bendlead_ledger._input import ChunkReader
+from bendlead_ledger._jobs import JobCommands
+from bendlead_ledger._log import Owner, ShardLog
+from bendlead_ledger._requests import RequestCommands
+from bendlead_ledger._results import ResultPacker
+from bendlead_ledger._state import ShardState
+
+_COMMIT_INTERVAL = 0.01
+_EXPIRY_SECONDS = 0.5
+
+
+class Shard:
+    """Answer commands for one shard while this process owns it."""
+
+    def __init__(
+        self,
+        log: ShardLog,
+        state: ShardState,
+        jobs: JobCommands,
+        requests: RequestCommands,
+        close: Callable[[], None],
+    ) -> None:
+        self._log = log
+        self._state = state
+        self._jobs = jobs
+        self._close = close
+        self._answers = _answers(jobs, requests)
+        self._expiry = gevent.spawn(self._expire)
+
+    @property
+    def epoch(self) -> int:
+        """Tell the epoch of this ownership."""
+        return self._log.epoch
+
+    @property
+    def state(self) -> ShardState:
+        """Show the durable state."""
+        return self._state
+
+    def answer(self, command: Command) -> Reply:
+        """Answer one command once its effect is durable."""
+        return self._answers[type(command)](command)
+
+    def close(self) -> None:
+        """Stop answering and committing."""
+        self._expiry.kill()
+        self._close()
+
+    def _expire(self) -> None:
+        while True:
+            gevent.sleep(_EXPIRY_SECONDS)
+            self._jobs.expire()
+
+
+def open_shard(
+    store: ObjectStore,
+    shard: ShardId,
+    owner: Owner,
+    settings: LedgerSettings,
+    reader: ChunkReader,
+    order: GrantOrder,
+    on_lost: Callable[[ShardId], None],
+) -> Result[Shard, Failure]:
+    """Take a shard over from whoever owned it."""
+    log = ShardLog(store, shard, owner, settings)
+    taken = log.take_over()
+    if isinstance(taken, Err):
+        return taken
+    state = taken.ok_value
+    committer = Committer(
+        log,
+        state,
+        _COMMIT_INTERVAL,
+        lambda: on_lost(shard),
+    )
+    packer = ResultPacker(store, shard, committer, settings)
+    jobs = JobCommands(
+        shard,
+        owner.address,
+        state,
+        committer,
+        packer,
+        reader,
+        settings,
+        order,
+    )
+    packer.hurry_when(jobs.hurries)
+
+    def close() -> None:  # noqa: WPS430
+        packer.close()
+        committer.close()
+
+    requests = RequestCommands(state, committer)
+    return Ok(Shard(log, state, jobs, requests, close))
+
+
+def _answers(
+    jobs: JobCommands,
+    requests: RequestCommands,
+) -> Mapping[type, Callable[[Any], Reply]]:
+    return {
+        SubmitJob: jobs.submit,
+        CancelJob: jobs.cancel,
+        DescribeJob: jobs.describe,
+        ListJobs: jobs.list_jobs,
+        FetchOutput: jobs.output,
+        GrantRun: jobs.grant,
+        RenewRuns: jobs.renew,
+        ReportRun: jobs.report,
+        AcceptRequest: requests.accept,
+        CompleteRequest: requests.complete,
+        RefuseRequest: requests.refuse,
+        FindRequest: requests.find,
+    }
--- /dev/null
+++ b/packages/bendlead-node/src/bendlead_node/__init__.py
@@ -0,0 +1,1 @@
+"""The bendleadd process."""
--- /dev/null
+++ b/packages/bendlead-node/src/bendlead_node/_common/__init__.py
@@ -0,0 +1,1 @@
+"""What both roles share."""
--- /dev/null
+++ b/packages/bendlead-node/src/bendlead_node/_common/telemetry.py
@@ -0,0 +1,127 @@
+"""One line of key=value pairs for each event, and metrics."""
+
+import sys
+import time
+from collections import deque
+from collections.abc import Mapping
+from typing import Any
+
+import eliot
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+from bendlead_node._common.web import Answer, Call
+
+_DECISIONS = 200
+_HIDDEN = frozenset(('task_uuid', 'task_level', 'message_type', 'timestamp'))
+_LATENCY_BUCKETS = (
+    0.005,
+    0.01,
+    0.02,
+    0.04,
+    0.07,
+    0.1,
+    0.2,
+    0.49,
+    1,
+    2,
+    5,
+    20,
+)
+
+
+class Journal:
+    """Write events as lines and keep the latest decisions for a dump."""
+
+    def __init__(self, node: str) -> None:
+        self._node = node
+        self._decisions: deque[str] = deque(maxlen=_DECISIONS)
+
+    @property
+    def decisions(self) -> list[str]:
+        """List the latest decisions, oldest first."""
+        return list(self._decisions)
+
+    def event(self, kind: str, **fields: Any) -> None:
+        """Log one event."""
+        eliot.log_message(message_type=kind, node=self._node, **fields)
+
+    def decide(self, kind: str, **fields: Any) -> None:
+        """Log a decision with its reason and keep it for the dump."""
+        self._decisions.append(_line({'event': kind, **fields}))
+        self.event(kind, **fields)
+
+
+class Metrics:
+    """Count and time what one process does."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            'bendlead_requests',
+            'Requests by service, class and outcome.',
+            ('service', 'traffic', 'outcome'),
+            registry=self.registry,
+        )
+        self.first_token = self._histogram('first_token')
+        self.between_tokens = self._histogram('between_tokens')
+        self.preemptions = self._counter('preemptions')
+        self.batch_items = self._counter('batch_items')
+        self.batch_tokens = self._counter('batch_tokens')
+        self.retries = self._counter('retries')
+        self.refused_peers = self._counter('refused_peers')
+        self.running = Gauge(
+            'bendlead_running',
+            'Requests running now, by class.',
+            ('traffic',),
+            registry=self.registry,
+        )
+
+    def page(self, _call: Call) -> Answer:
+        """Show all metrics."""
+        body = generate_latest(self.registry)
+        return Answer(200, body, {'Content-Type': CONTENT_TYPE_LATEST})
+
+    def _counter(self, name: str) -> Counter:
+        return Counter(
+            f'bendlead_{name}',
+            f'{name.replace("_", " ").capitalize()} so far.',
+            registry=self.registry,
+        )
+
+    def _histogram(self, name: str) -> Histogram:
+        return Histogram(
+            f'bendlead_{name}_seconds',
+            f'{name.replace("_", " ").capitalize()}, in seconds.',
+            ('service', 'traffic'),
+            buckets=_LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+
+
+def start_logging() -> None:
+    """Send events to standard error."""
+    eliot.add_destinations(_write_event)
+
+
+def _write_event(message: Mapping[str, Any]) -> None:
+    shown = {
+        name: text for name, text in message.items() if name not in _HIDDEN
+    }
+    kind = message.get('message_type', message.get('action_type', ''))
+    moment = f'{message.get("timestamp", time.time()):.6f}'
+    line = _line({'time': moment, 'event': kind, **shown})
+    sys.stderr.write(f'{line}\n')
+    sys.stderr.flush()
+
+
+def _line(fields: Mapping[str, Any]) -> str:
+    return ' '.join(f'{name}={_quoted(text)}' for name, text in fields.items())
+
+
+def _quoted(text: Any) -> str:
+    plain = str(text)
+    if ' ' in plain or '"' in plain or not plain:
+        escaped = plain.replace('"', "'").replace('\n', ' ')
+        return f'"{escaped}"'
+    return plain
--- /dev/null
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/__init__.py
@@ -0,0 +1,1 @@
+"""The small process beside one engine or plain service."""
--- /dev/null
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/engine.py
@@ -0,0 +1,48 @@
+"""Speak to the engine or plain service of this endpoint."""
+
+from collections.abc import Mapping, Sequence
+
+import gevent
+import msgspec
+from bendlead_store import Failure
+from geventhttpclient.response import HTTPSocketPoolResponse
+from result import Result
+
+from bendlead_node._common.upstream import Clients, read_body
+from bendlead_node._common.web import JSON_TYPE
+
+_ENGINE_SECONDS = 600.0
+ONLINE_PRIORITY = '0'
+BATCH_PRIORITY = '10'
+
+
+class _Cancel(msgspec.Struct):
+    requests: list[str]
+
+
+class Engine:
+    """Send requests to the one engine this process stands before."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._clients = Clients(_ENGINE_SECONDS)
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: Mapping[str, str],
+    ) -> Result[HTTPSocketPoolResponse, Failure]:
+        """Send one request and wait for the head of the answer."""
+        return self._clients.send(method, self._address, path, body, headers)
+
+    def cancel(self, requests: Sequence[str]) -> None:
+        """Have the engine stop requests at its next step."""
+        gevent.spawn(self._cancel_now, list(requests))
+
+    def _cancel_now(self, requests: list[str]) -> None:
+        body = msgspec.json.encode(_Cancel(requests))
+        headers = {'Content-Type': JSON_TYPE}
+        sent = self.send('POST', '/v1/cancel', body, headers)
+        sent.map(read_body)
--- /dev/null
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/item.py
@@ -0,0 +1,193 @@
+"""Run one batch item as a stream that can be stopped and resumed."""
+
+from collections.abc import Callable
+from enum import Enum
+from http import HTTPStatus
+
+import msgspec
+from bendlead_ledger import unique
+from bendlead_schema.messages import GrantedItem, ItemReport
+from geventhttpclient.response import HTTPSocketPoolResponse
+from result import Err
+
+from bendlead_node._common.upstream import abandon, events, read_body
+from bendlead_node._common.web import JSON_TYPE
+from bendlead_node._endpoint.engine import BATCH_PRIORITY, Engine
+
+_ID_FIELD = b'id: '
+_DATA_FIELD = b'data: '
+_DONE = b'[DONE]'
+_OBJECTS = {
+    '/v1/chat/completions': 'chat.completion',
+    '/v1/completions': 'text_completion',
+}
+
+
+class ItemState(Enum):
+    """Say how a run of an item ended."""
+
+    WAITING = 'waiting'
+    RUNNING = 'running'
+    PREEMPTED = 'preempted'
+    FINISHED = 'finished'
+    FAILED = 'failed'
+    DROPPED = 'dropped'
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta | None = None
+    text: str = ''
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct):
+    choices: list[_Choice] = []
+    model: str = ''
+
+
+_CHUNK = msgspec.json.Decoder(_Chunk)
+
+
+class BatchItem:
+    """Keep the tokens an item has so far across stops."""
+
+    def __init__(self, run: str, granted: GrantedItem) -> None:
+        self.run = run
+        self.granted = granted
+        self.request = f'item-{unique()}'
+        self.state = ItemState.WAITING
+        self.report: ItemReport | None = None
+        self._pieces: list[str] = []
+        self._tokens = 0
+        self._finish = 'stop'
+        self._model = ''
+        self._last_id = b''
+        self._response: HTTPSocketPoolResponse | None = None
+
+    @property
+    def tokens(self) -> int:
+        """Tell how many tokens the item has so far."""
+        return self._tokens
+
+    def preempt(self) -> None:
+        """Stop; what was done stays for a later resume."""
+        self._stop(ItemState.PREEMPTED)
+
+    def drop(self) -> None:
+        """Stop for good; the job needs the item no more."""
+        self._stop(ItemState.DROPPED)
+
+    def execute(self, engine: Engine, note: Callable[[], None]) -> ItemState:
+        """Run until the end, a stop or a failure."""
+        self.state = ItemState.RUNNING
+        sent = engine.send(
+            'POST',
+            self.granted.path,
+            _streamed(self.granted.body),
+            self._headers(),
+        )
+        if isinstance(sent, Err):
+            return self._ended(ItemState.FAILED)
+        self._response = sent.ok_value
+        if self._response.status_code != HTTPStatus.OK:
+            return self._refused(self._response)
+        try:
+            for event in events(self._response):
+                if self._take(event):
+                    return self._completed()
+                note()
+        except Exception:  # the library raises many kinds
+            return self._ended(ItemState.FAILED)
+        return self._ended(ItemState.FAILED)
+
+    def _stop(self, state: ItemState) -> None:
+        self.state = state
+        if self._response is not None:
+            abandon(self._response)
+
+    def _ended(self, state: ItemState) -> ItemState:
+        # A stop closes the stream, which looks like a failure here.
+        if self.state is ItemState.RUNNING:
+            self.state = state
+        return self.state
+
+    def _refused(self, response: HTTPSocketPoolResponse) -> ItemState:
+        status = response.status_code
+        body = read_body(response).unwrap_or(b'{}').decode()
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            return self._ended(ItemState.FAILED)
+        self.report = self._reported(status, body, failed=True)
+        return self._ended(ItemState.FINISHED)
+
+    def _headers(self) -> dict[str, str]:
+        headers = {
+            'Content-Type': JSON_TYPE,
+            'X-Priority': BATCH_PRIORITY,
+            'X-Request-Id': self.request,
+        }
+        if self._last_id:
+            headers['Last-Event-ID'] = self._last_id.decode()
+        return headers
+
+    def _take(self, event: bytes) -> bool:
+        for line in event.splitlines():
+            if line.startswith(_ID_FIELD):
+                self._last_id = line.removeprefix(_ID_FIELD)
+            elif line.startswith(_DATA_FIELD):
+                shown = line.removeprefix(_DATA_FIELD)
+                if shown == _DONE:
+                    return True
+                self._take_chunk(_CHUNK.decode(shown))
+        return False
+
+    def _take_chunk(self, chunk: _Chunk) -> None:
+        self._model = chunk.model or self._model
+        for choice in chunk.choices:
+            piece = choice.delta.content if choice.delta else choice.text
+            if piece:
+                self._pieces.append(piece)
+                self._tokens += 1
+            self._finish = choice.finish_reason or self._finish
+
+    def _completed(self) -> ItemState:
+        text = ''.join(self._pieces)
+        choice = {'index': 0, 'finish_reason': self._finish}
+        if self.granted.path == '/v1/completions':
+            choice['text'] = text
+        else:
+            choice['message'] = {'role': 'assistant', 'content': text}
+        body = msgspec.json.encode(
+            {
+                'id': self.request,
+                'object': _OBJECTS.get(self.granted.path, ''),
+                'model': self._model,
+                'choices': [choice],
+                'usage': {'completion_tokens': self._tokens},
+            }
+        )
+        self.report = self._reported(HTTPStatus.OK, body.decode())
+        return self._ended(ItemState.FINISHED)
+
+    def _reported(
+        self,
+        status: int,
+        body: str,
+        *,
+        failed: bool = False,
+    ) -> ItemReport:
+        return ItemReport(
+            position=self.granted.position,
+            status=status,
+            body=body,
+            failed=failed,
+        )
+
+
+def _streamed(body: str) -> bytes:
+    fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    fields['stream'] = msgspec.Raw(b'true')
+    return msgspec.json.encode(fields)
--- /dev/null
+++ b/packages/bendlead-node/src/bendlead_node/_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The thin entry: callers in, endpoint processes behind."""
--- /dev/null
+++ b/packages/bendlead-node/src/bendlead_node/_entry/dispatch.py
@@ -0,0 +1,293 @@
+"""Send an online request to an endpoint, and again only where that is safe."""
+
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+from bendlead_schema.messages import ErrorOutcome
+from bendlead_store import Failure, FailureKind
+from geventhttpclient.response import HTTPSocketPoolResponse
+from result import Err, Ok, Result
+
+from bendlead_node._common.telemetry import Journal, Metrics
+from bendlead_node._common.upstream import (
+    PEER_HEADER,
+    Clients,
+    abandon,
+    events,
+    read_body,
+)
+from bendlead_node._common.web import (
+    JSON_TYPE,
+    OUTCOME_HEADER,
+    Answer,
+    CallError,
+)
+from bendlead_node._entry.budget import RetryBudget
+from bendlead_node._entry.members import EndpointPeer, Members
+from bendlead_node._entry.routing import Router
+
+_DONE = b'data: [DONE]'
+_ATTEMPTS = 4
+_ID_FIELD = b'id: '
+_FAILED_KINDS = {
+    ErrorOutcome.not_run.value: FailureKind.REFUSED,
+    ErrorOutcome.unknown.value: FailureKind.UNKNOWN,
+}
+_KEPT_HEADERS = ('content-type', 'retry-after')
+
+
+@dataclass(slots=True)
+class OnlineRequest:
+    """Hold what every attempt of one online request needs."""
+
+    request: str
+    team: str
+    service: str
+    model: str
+    method: str
+    path: str
+    body: bytes
+    stream: bool
+    repeatable: bool
+    deadline: float
+    avoid: set[str] = field(default_factory=set)
+    may_have_run: bool = False
+
+
+@dataclass(slots=True)
+class _Sent:
+    peer: EndpointPeer
+    response: HTTPSocketPoolResponse
+
+
+class Dispatcher:
+    """Try endpoints until one answers, an attempt is unsafe, or time is up."""
+
+    def __init__(
+        self,
+        members: Members,
+        router: Router,
+        peer_key: str,
+        timeout: float,
+        journal: Journal,
+        metrics: Metrics,
+    ) -> None:
+        self._members = members
+        self._router = router
+        self._clients = Clients(timeout)
+        self._peer_key = peer_key
+        self._journal = journal
+        self._metrics = metrics
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def run(self, request: OnlineRequest) -> Answer:
+        """Answer a request, whole or as a stream."""
+        sent = self._send(request, b'')
+        headers = _kept_headers(sent.response)
+        if request.stream and sent.response.status_code == HTTPStatus.OK:
+            return Answer(HTTPStatus.OK, self._stream(request, sent), headers)
+        return self._whole(request, sent)
+
+    def _whole(self, request: OnlineRequest, sent: _Sent) -> Answer:
+        while True:
+            headers = _kept_headers(sent.response)
+            status = sent.response.status_code
+            body = read_body(sent.response)
+            sent.peer.sent -= 1
+            if isinstance(body, Ok):
+                self._count(request, 'complete')
+                return Answer(status, body.ok_value, headers)
+            self._note_cut(request, sent, body.err_value)
+            self._require_repeatable(request)
+            sent = self._send(request, b'')
+
+    def _stream(self, request: OnlineRequest, sent: _Sent) -> Iterator[bytes]:
+        last = b''
+        while True:
+            try:
+                for event in events(sent.response):
+                    last = event if event.startswith(_ID_FIELD) else last
+                    yield event
+                    if event.startswith(_DONE):
+                        self._count(request, 'complete')
+                        return
+            except GeneratorExit:
+                abandon(sent.response)
+                raise
+            except Exception as error:  # the library raises many kinds
+                failure = Failure(
+                    FailureKind.UNKNOWN,
+                    'read stream',
+                    sent.peer.heartbeat.address,
+                    f'{type(error).__name__}: {error}',
+                )
+                self._note_cut(request, sent, failure)
+            finally:
+                sent.peer.sent -= 1
+            try:
+                self._require_repeatable(request)
+                sent = self._send(request, _event_id(last))
+            except CallError as error:
+                yield b'data: ' + bytes(error.answer().body) + b'\n\n'
+                return
+
+    def _send(self, request: OnlineRequest, resume_after: bytes) -> _Sent:
+        budget = self._budgets.setdefault(request.service, RetryBudget())
+        budget.deposit()
+        refused: Failure | None = None
+        for attempt in range(_ATTEMPTS):
+            if time.monotonic() > request.deadline:
+                break
+            if attempt and not budget.withdraw():
+                self._journal.decide(
+                    'retry-refused',
+                    request=request.request,
+                    reason='retry budget spent',
+                )
+                break
+            peer = self._router.pick(
+                request.service,
+                request.model,
+                request.avoid,
+            )
+            if peer is None:
+                break
+            tried = self._try(request, peer, resume_after)
+            if isinstance(tried, Ok):
+                return tried.ok_value
+            refused = tried.err_value
+            request.avoid.add(peer.heartbeat.endpoint)
+            self._note_retry(request, peer, refused)
+            if not refused.had_no_effect:
+                request.may_have_run = True
+                self._require_repeatable(request)
+        raise self._given_up(request, refused)
+
+    def _try(
+        self,
+        request: OnlineRequest,
+        peer: EndpointPeer,
+        resume_after: bytes,
+    ) -> Result[_Sent, Failure]:
+        headers = {
+            'Content-Type': JSON_TYPE,
+            PEER_HEADER: self._peer_key,
+            'X-Request-Id': request.request,
+            'X-Bendlead-Team': request.team,
+        }
+        if resume_after:
+            headers['Last-Event-ID'] = resume_after.decode()
+        peer.sent += 1
+        sent = self._clients.send(
+            request.method,
+            peer.heartbeat.address,
+            request.path,
+            request.body,
+            headers,
+        )
+        if isinstance(sent, Err):
+            peer.sent -= 1
+            self._router.failed(peer)
+            return sent
+        response = sent.ok_value
+        outcome = response.get(OUTCOME_HEADER)
+        if outcome in _FAILED_KINDS:
+            peer.sent -= 1
+            return _refused(peer, response, _FAILED_KINDS[outcome])
+        self._router.succeeded(peer)
+        return Ok(_Sent(peer, response))
+
+    def _note_cut(
+        self,
+        request: OnlineRequest,
+        sent: _Sent,
+        failure: Failure,
+    ) -> None:
+        request.may_have_run = True
+        request.avoid.add(sent.peer.heartbeat.endpoint)
+        self._router.failed(sent.peer)
+        self._note_retry(request, sent.peer, failure)
+
+    def _note_retry(
+        self,
+        request: OnlineRequest,
+        peer: EndpointPeer,
+        failure: Failure,
+    ) -> None:
+        self._metrics.retries.inc()
+        self._journal.decide(
+            'attempt-failed',
+            request=request.request,
+            endpoint=peer.heartbeat.endpoint,
+            reason=failure,
+        )
+
+    def _require_repeatable(self, request: OnlineRequest) -> None:
+        if request.repeatable:
+            return
+        self._count(request, 'unknown')
+        raise CallError(
+            HTTPStatus.BAD_GATEWAY,
+            'outcome_unknown',
+            'the connection broke after the request was sent; '
+            'it may have run and will not be run again',
+            ErrorOutcome.unknown,
+        )
+
+    def _given_up(
+        self,
+        request: OnlineRequest,
+        refused: Failure | None,
+    ) -> CallError:
+        outcome = ErrorOutcome.not_run
+        if request.may_have_run:
+            outcome = ErrorOutcome.unknown
+        self._count(request, outcome.value)
+        reason = str(refused) if refused else 'no endpoint is available'
+        return CallError(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'overloaded',
+            f'service {request.service}: {reason}',
+            outcome,
+            retry_after=max(1, refused.retry_after if refused else 1),
+        )
+
+    def _count(self, request: OnlineRequest, outcome: str) -> None:
+        self._metrics.requests.labels(
+            request.service,
+            'online',
+            outcome,
+        ).inc()
+
+
+def _refused(
+    peer: EndpointPeer,
+    response: HTTPSocketPoolResponse,
+    kind: FailureKind,
+) -> Err[Failure]:
+    detail = read_body(response).unwrap_or(b'').decode(errors='replace')
+    return Err(
+        Failure(
+            kind,
+            'endpoint',
+            peer.heartbeat.address,
+            detail,
+            float(response.get('retry-after') or 1),
+        ),
+    )
+
+
+def _kept_headers(response: HTTPSocketPoolResponse) -> dict[str, str]:
+    kept = {OUTCOME_HEADER: ErrorOutcome.complete.value}
+    for name in _KEPT_HEADERS:
+        text = response.get(name)
+        if text:
+            kept[name.title()] = text
+    return kept
+
+
+def _event_id(event: bytes) -> bytes:
+    line = event.split(b'\n', 1)[0]
+    return line.removeprefix(_ID_FIELD).strip()
--- /dev/null
+++ b/packages/bendlead-node/src/bendlead_node/_entry/members.py
@@ -0,0 +1,90 @@
+"""Who is alive, as this entry last heard it."""
+
+import time
+from dataclasses import dataclass
+
+from bendlead_schema.messages import EndpointHeartbeat, EntryHeartbeat
+
+
+@dataclass(slots=True)
+class EntryPeer:
+    """Remember another entry and when it was last heard (monotonic)."""
+
+    heartbeat: EntryHeartbeat
+    heard: float
+
+
+@dataclass(slots=True)
+class EndpointPeer:
+    """Remember an endpoint process and what this entry has sent it."""
+
+    heartbeat: EndpointHeartbeat
+    first_heard: float
+    heard: float
+    sent: int = 0
+    failures: int = 0
+    ejected_until: float = 0
+
+
+class Members:
+    """Keep entries and endpoints that were heard lately."""
+
+    def __init__(self, node: str, suspect_after: float) -> None:
+        self._node = node
+        self._suspect_after = suspect_after
+        self._entries: dict[str, EntryPeer] = {}
+        self._endpoints: dict[str, EndpointPeer] = {}
+
+    def hear_entry(self, heartbeat: EntryHeartbeat) -> None:
+        """Note the heartbeat of another entry."""
+        if heartbeat.node != self._node:
+            peer = EntryPeer(heartbeat, time.monotonic())
+            self._entries[heartbeat.node] = peer
+
+    def hear_endpoint(self, heartbeat: EndpointHeartbeat) -> None:
+        """Note the heartbeat of an endpoint process."""
+        now = time.monotonic()
+        known = self._endpoints.get(heartbeat.endpoint)
+        if known is None or known.heartbeat.address != heartbeat.address:
+            known = EndpointPeer(heartbeat, now, now)
+            self._endpoints[heartbeat.endpoint] = known
+        known.heartbeat = heartbeat
+        known.heard = now
+
+    def entries(self) -> list[EntryHeartbeat]:
+        """List the other entries that are alive."""
+        since = time.monotonic() - self._suspect_after
+        return [
+            peer.heartbeat
+            for peer in self._entries.values()
+            if peer.heard > since
+        ]
+
+    def entry_alive(self, node: str) -> bool:
+        """Tell whether an entry was heard lately."""
+        return any(entry.node == node for entry in self.entries())
+
+    def endpoints(self) -> list[EndpointPeer]:
+        """List the endpoints that are alive."""
+        since = time.monotonic() - self._suspect_after
+        return [peer for peer in self._endpoints.values() if peer.heard > since]
+
+    def forget_endpoint(self, endpoint: str) -> None:
+        """Drop an endpoint whose process refuses connections."""
+        self._endpoints.pop(endpoint, None)
+
+    def owner_of(self, shard: int) -> EntryHeartbeat | None:
+        """Find the entry that claims a shard at the highest epoch."""
+        claims = [
+            (owned.epoch, entry)
+            for entry in self.entries()
+            for owned in entry.shards
+            if owned.shard == shard
+        ]
+        if not claims:
+            return None
+        return max(claims, key=_epoch)[1]
+
+
+def _epoch(claim: tuple[int, EntryHeartbeat]) -> int:
+    return claim[0]
--- /dev/null
+++ b/packages/bendlead-node/src/bendlead_node/_entry/process.py
@@ -0,0 +1,249 @@
+"""Put the parts of an entry together and run them."""
+
+import random
+import time
+
+import gevent
+from bendlead_ledger import GrantOrder, Owner, unique
+from bendlead_schema.messages import EntryHeartbeat, EntryState
+from bendlead_schema.settings import (
+    LedgerSettings,
+    LimitSettings,
+    NodeSettings,
+)
+from bendlead_store import open_store
+from result import Ok
+
+from bendlead_node._common.config import ConfigTable
+from bendlead_node._common.peer_gate import PeerGate
+from bendlead_node._common.telemetry import Journal, Metrics
+from bendlead_node._common.upstream import PeerClient
+from bendlead_node._common.web import (
+    Answer,
+    Call,
+    CallError,
+    Route,
+    WebApp,
+    WebServer,
+    json_answer,
+)
+from bendlead_node._entry.admin import AdminApi
+from bendlead_node._entry.batches import BatchApi
+from bendlead_node._entry.dispatch import Dispatcher
+from bendlead_node._entry.files import FileApi
+from bendlead_node._entry.gate import Gate
+from bendlead_node._entry.members import Members
+from bendlead_node._entry.online import OnlineApi
+from bendlead_node._entry.outputs import OutputReader
+from bendlead_node._entry.ownership import ShardTable
+from bendlead_node._entry.peer_api import PeerApi
+from bendlead_node._entry.policy import PolicyTable
+from bendlead_node._entry.recording import Recorder
+from bendlead_node._entry.recovery import Recovery
+from bendlead_node._entry.relay import Relay
+from bendlead_node._entry.routing import Router
+
+_PEER_SECONDS = 10.0
+_MEND_SECONDS = 1.0
+
+
+class EntryProcess:
+    """Be one thin entry: no entry is special and any may be lost."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        if settings.store is None:
+            raise ValueError('an entry needs store settings')
+        self._settings = settings
+        self._incarnation = unique()
+        self._leaving = False
+        self._journal = Journal(settings.node)
+        self._metrics = Metrics()
+        self._config = ConfigTable()
+        self._members = Members(settings.node, settings.suspect_after)
+        self._peers = PeerClient(settings.peer_key, _PEER_SECONDS)
+        self._store = open_store(settings.store)
+        self._relay = Relay(
+            settings.node,
+            self._config,
+            self._members.entries,
+            self._peers,
+            self._journal,
+        )
+        self._gate = Gate(self._config)
+        self._policy = PolicyTable(self._config)
+        self._server: WebServer | None = None
+
+    def run(self) -> None:
+        """Serve until the process is ended."""
+        self._server = WebServer(
+            self._settings.host,
+            self._settings.port,
+            WebApp([]),
+        )
+        self._shards = self._shard_table(self._server.address)
+        recorder, routes = self._callers_side()
+        self._server.use(WebApp(routes))
+        self._server.start()
+        self._journal.event('listening', address=self._server.address)
+        recovery = Recovery(
+            self._shards,
+            recorder,
+            self._config,
+            self._runner_alive,
+        )
+        tasks = [
+            gevent.spawn(self._relay.watch, self._store),
+            gevent.spawn(self._relay.mend, _MEND_SECONDS),
+            gevent.spawn(self._beat),
+            gevent.spawn(self._own_shards),
+            gevent.spawn(recovery.run),
+        ]
+        gevent.joinall(tasks, raise_error=True)
+
+    def leave(self) -> None:
+        """Hand over the shards, take no new connections, finish the rest."""
+        self._leaving = True
+        self._shards.leave()
+
+    def _shard_table(self, address: str) -> ShardTable:
+        return ShardTable(
+            self._store,
+            Owner(self._settings.node, address),
+            self._settings.ledger or LedgerSettings(),
+            self._members,
+            self._peers,
+            self._journal,
+            GrantOrder(self._policy.row),
+        )
+
+    def _callers_side(self) -> tuple[Recorder, list[Route]]:
+        limits = self._settings.limits or LimitSettings()
+        dispatcher = Dispatcher(
+            self._members,
+            Router(self._members),
+            self._settings.peer_key,
+            limits.request_seconds,
+            self._journal,
+            self._metrics,
+        )
+        runner = f'{self._settings.node}/{self._incarnation}'
+        recorder = Recorder(self._shards, dispatcher, runner, self._journal)
+        online = OnlineApi(
+            self._config,
+            self._gate,
+            dispatcher,
+            recorder,
+            limits,
+        )
+        files = FileApi(
+            self._store,
+            self._config,
+            self._gate,
+            self._shards.reader,
+            OutputReader(self._store, self._shards),
+            limits,
+        )
+        batches = BatchApi(self._gate, files, self._shards)
+        admin = AdminApi(
+            self._store,
+            self._config,
+            self._relay,
+            self._gate,
+            self._members,
+        )
+        apis = (online, files, batches, admin, self._peer_api())
+        routes = [route for api in apis for route in api.routes()]
+        return recorder, [*routes, *self._own_routes()]
+
+    def _peer_api(self) -> PeerApi:
+        return PeerApi(
+            PeerGate(self._settings.peer_key, self._metrics),
+            self._members,
+            self._shards,
+            self._relay,
+            self._config,
+            self._heartbeat,
+        )
+
+    def _own_routes(self) -> list[Route]:
+        return [
+            Route('GET', '/livez', _alive),
+            Route('GET', '/readyz', self._ready),
+            Route('GET', '/metrics', self._metrics.page),
+            Route('GET', '/debug/state', self._state),
+        ]
+
+    def _ready(self, _call: Call) -> Answer:
+        if self._relay.ready and not self._leaving:
+            return json_answer({'ready': True})
+        reason = 'leaving' if self._leaving else 'no configuration yet'
+        raise CallError(503, 'not_ready', reason, retry_after=1)
+
+    def _state(self, call: Call) -> Answer:
+        PeerGate(self._settings.peer_key, self._metrics).check(call)
+        shards = self._shards.local()
+        return json_answer(
+            EntryState(
+                node=self._settings.node,
+                leaving=self._leaving,
+                shards=self._shards.owned(),
+                entries=[entry.node for entry in self._members.entries()],
+                endpoints=[
+                    peer.heartbeat for peer in self._members.endpoints()
+                ],
+                revision=self._config.revision,
+                jobs=[job for shard in shards for job in shard.state.jobs],
+                decisions=self._journal.decisions,
+            ),
+        )
+
+    def _heartbeat(self) -> EntryHeartbeat:
+        return EntryHeartbeat(
+            node=self._settings.node,
+            address=self._server.address if self._server else '',
+            data_hall=self._settings.data_hall,
+            region=self._settings.region,
+            leaving=self._leaving,
+            shards=self._shards.owned(),
+            revision=self._config.revision,
+            digest=self._config.digest,
+            incarnation=self._incarnation,
+        )
+
+    def _beat(self) -> None:
+        while True:
+            known = {entry.address for entry in self._members.entries()}
+            known.update(self._settings.peers)
+            known.discard(self._server.address if self._server else '')
+            for address in known:
+                gevent.spawn(self._beat_one, address)
+            gevent.sleep(self._settings.heartbeat * (0.8 + random.random() / 5))
+
+    def _beat_one(self, address: str) -> None:
+        heard = self._peers.ask(
+            address,
+            '/peer/v1/heartbeat',
+            self._heartbeat(),
+            EntryHeartbeat,
+        )
+        if isinstance(heard, Ok):
+            self._members.hear_entry(heard.ok_value)
+
+    def _own_shards(self) -> None:
+        # Hear the others before claiming what may be theirs.
+        if self._settings.peers:
+            gevent.sleep(self._settings.heartbeat * 2)
+        self._shards.run()
+
+    def _runner_alive(self, runner: str) -> bool:
+        node, incarnation = runner.split('/', 1)
+        if incarnation == self._incarnation:
+            return True
+        return any(
+            entry.node == node and entry.incarnation == incarnation
+            for entry in self._members.entries()
+        )
+
+
+def _alive(_call: Call) -> Answer:
+    return json_answer({'alive': True, 'time': time.time()})
--- /dev/null
+++ b/packages/bendlead-schema/src/bendlead_schema/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, settings and stored records, generated from schemas."""
--- /dev/null
+++ b/packages/bendlead-store/src/bendlead_store/_opening.py
@@ -0,0 +1,14 @@
+"""Open the object service that the settings name."""
+
+from bendlead_schema.settings import StoreKind, StoreSettings
+
+from bendlead_store._embedded import EmbeddedStore
+from bendlead_store._http import HttpStore
+from bendlead_store._protocol import ObjectStore
+
+
+def open_store(settings: StoreSettings) -> ObjectStore:
+    """Open the embedded store or connect to the service."""
+    if settings.kind is StoreKind.embedded:
+        return EmbeddedStore(settings.path)
+    return HttpStore(settings.address, settings.timeout)
--- /dev/null
+++ b/packages/bendlead-store/src/bendlead_store/_protocol.py
@@ -0,0 +1,80 @@
+"""What the system needs of an object service."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final, NewType, Protocol
+
+from result import Result
+
+from bendlead_store._failure import Failure
+
+#: A version is the revision of the whole service at which a value was
+#: written, so that no key ever sees the same version twice.
+Version = NewType('Version', int)
+
+#: The expected version of a key that must not exist yet.
+ABSENT: Final = Version(0)
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """Hold a value together with the version a conditional update needs."""
+
+    key: str
+    version: Version
+    body: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Tell a watcher that a key was written or deleted at a version."""
+
+    key: str
+    version: Version
+    deleted: bool
+    body: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class VirtualMachine:
+    """Name a VM on the platform's lagging list."""
+
+    address: str
+    leaving: bool
+
+
+class ObjectStore(Protocol):
+    """Stand between the system and whichever object service is used."""
+
+    def fetch(self, key: str) -> Result[Entry | None, Failure]:
+        """Read one value, or nothing where the key is absent."""
+
+    def put(
+        self,
+        key: str,
+        body: bytes,
+        expected: Version,
+    ) -> Result[Version, Failure]:
+        """Write a value if the key is still at the expected version."""
+
+    def delete(self, key: str, expected: Version) -> Result[Version, Failure]:
+        """Delete a key if it is still at the expected version."""
+
+    def list_keys(
+        self,
+        prefix: str,
+        after: str,
+        limit: int,
+    ) -> Result[Sequence[Entry], Failure]:
+        """List a page of keys, without bodies, after the given key."""
+
+    def watch(
+        self,
+        prefix: str,
+        after: Version,
+        timeout: float,
+    ) -> Result[Sequence[Change], Failure]:
+        """Wait up to timeout seconds for changes after a revision."""
+
+    def machines(self) -> Result[Sequence[VirtualMachine], Failure]:
+        """Read the platform's lagging list of live and leaving VMs."""
--- /dev/null
+++ b/testing/src/bendlead_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, fault proxy, model and bench; not shipped."""
