--- /dev/null
+++ b/testing/src/bendlead_testing/model/__init__.py
@@ -0,0 +1,1 @@
+"""A small specification of the ledger and of the outcome rules."""
