--- /dev/null
+++ b/packages/bendlead-cli/src/bendlead_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The bendlead command line, for operators and callers."""
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/controller.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/controller.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from types import MappingProxyType
+from typing import Protocol
 
 from bendlead_schema.settings import Profile
 
@@ -80,7 +81,31 @@
         return self._weight * self._sum_nn - self._sum_n * self._sum_n
 
 
-class BatchLimit:
+class BatchLimit(Protocol):
+    """Decide how many batch items may run beside online requests."""
+
+    def learn(self, sequences: int, seconds: float) -> None:
+        """Take the time between two online tokens."""
+
+    def beside(self, online: int) -> int:
+        """Tell how many batch items may run beside online requests."""
+
+
+class FixedLimit:
+    """Keep a fixed number, for operators who want no controller."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+
+    def learn(self, sequences: int, seconds: float) -> None:
+        """Learn nothing."""
+
+    def beside(self, online: int) -> int:
+        """Tell the same number however many online requests run."""
+        return self._limit
+
+
+class LearntLimit:
     """Turn a profile and the learnt step time into a number of items."""
 
     def __init__(self, capacity: int, profile: Profile) -> None:
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/process.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/process.py
@@ -26,7 +26,11 @@
 )
 from bendlead_node._endpoint.admission import Admission
 from bendlead_node._endpoint.batch import BatchRunner
-from bendlead_node._endpoint.controller import BatchLimit
+from bendlead_node._endpoint.controller import (
+    BatchLimit,
+    FixedLimit,
+    LearntLimit,
+)
 from bendlead_node._endpoint.engine import Engine
 from bendlead_node._endpoint.online import OnlinePath
 
@@ -51,10 +55,7 @@
         self._peers = PeerClient(settings.peer_key, _PEER_SECONDS)
         self._known = list(settings.peers)
         self._engine = Engine(self._stands_before.address)
-        limit = BatchLimit(
-            self._stands_before.capacity,
-            self._stands_before.profile,
-        )
+        limit = _batch_limit(self._stands_before)
         self._admission = Admission(
             self._stands_before.capacity,
             self._stands_before.queue,
@@ -221,3 +222,9 @@
             revision=self._config.revision,
             versions=self._config.versions,
         )
+
+
+def _batch_limit(settings: EngineSettings) -> BatchLimit:
+    if settings.batch_limit:
+        return FixedLimit(settings.batch_limit)
+    return LearntLimit(settings.capacity, settings.profile)
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/settings.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/settings.py
@@ -176,6 +176,14 @@
     checks_fencing: Annotated[
         bool, Meta(description='Whether the engine refuses an old fencing number.')
     ] = False
+    batch_limit: Annotated[
+        int,
+        Meta(
+            description='Most batch items beside online requests; 0 lets the controller decide.',
+            ge=0,
+            le=100000,
+        ),
+    ] = 0
 
 
 class NodeSettings(Struct, kw_only=True):
--- /dev/null
+++ b/testing/src/bendlead_testing/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; every one ends with a line of JSON."""
--- a/testing/src/bendlead_testing/model/outcome_spec.py
+++ b/testing/src/bendlead_testing/model/outcome_spec.py
@@ -95,7 +95,10 @@
             if state.granted[runner]:
                 # The lease lapses while the runner may well go on.
                 lapsed = _set(state.granted, runner, False)
-                yield f'lease of {runner} lapses', state._replace(granted=lapsed)
+                yield (
+                    f'lease of {runner} lapses',
+                    state._replace(granted=lapsed),
+                )
             if state.running[runner]:
                 yield f'{runner} is lost', _stopped(state, runner)
                 yield f'{runner} reports', self._report(state, runner)
@@ -111,7 +114,10 @@
 
     def _report(self, state: State, runner: int) -> State:
         after = _stopped(state, runner)
-        if state.cancelled and self._mutation is not Mutation.RECORD_AFTER_CANCEL:
+        if (
+            state.cancelled
+            and self._mutation is not Mutation.RECORD_AFTER_CANCEL
+        ):
             return after
         if state.results and self._mutation is not Mutation.LAST_RESULT_WINS:
             return after
