Fault soak: callers who know the answers, while processes are broken

Ruled out: the entry's stream resume (chat texts were all right). Now: a stop that comes before the answer is sent again after it, and an item whose last token came with the stop counts as finished.

--- a/packages/bendlead-node/src/bendlead_node/_endpoint/engine.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/engine.py
@@ -1,5 +1,7 @@
 """Speak to the engine or plain service of this endpoint."""
 
+import time
+from collections import deque
 from collections.abc import Mapping, Sequence
 
 import gevent
@@ -14,6 +16,8 @@
 _ENGINE_SECONDS = 600.0
 ONLINE_PRIORITY = '0'
 BATCH_PRIORITY = '10'
+_YIELDS_KEPT = 1000
+_MILLISECONDS = 1000
 
 
 class _Cancel(msgspec.Struct):
@@ -26,6 +30,7 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._clients = Clients(_ENGINE_SECONDS)
+        self._yields: deque[float] = deque(maxlen=_YIELDS_KEPT)
 
     def send(
         self,
@@ -37,12 +42,19 @@
         """Send one request and wait for the head of the answer."""
         return self._clients.send(method, self._address, path, body, headers)
 
+    @property
+    def yields(self) -> list[float]:
+        """List the latest times, in ms, until the engine freed slots."""
+        return list(self._yields)
+
     def cancel(self, requests: Sequence[str]) -> None:
         """Have the engine stop requests at its next step."""
-        gevent.spawn(self._cancel_now, list(requests))
+        gevent.spawn(self._cancel_now, list(requests), time.monotonic())
 
-    def _cancel_now(self, requests: list[str]) -> None:
+    def _cancel_now(self, requests: list[str], started: float) -> None:
         body = msgspec.json.encode(_Cancel(requests))
         headers = {'Content-Type': JSON_TYPE}
         sent = self.send('POST', '/v1/cancel', body, headers)
         sent.map(read_body)
+        waited = time.monotonic() - started
+        self._yields.append(round(waited * _MILLISECONDS, 2))
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/item.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/item.py
@@ -93,6 +93,11 @@
         if isinstance(sent, Err):
             return self._ended(ItemState.FAILED)
         self._response = sent.ok_value
+        if self.state is not ItemState.RUNNING:
+            # Stopped before the engine answered: its cancel came too early.
+            abandon(self._response)
+            engine.cancel([self.request])
+            return self.state
         if self._response.status_code != HTTPStatus.OK:
             return self._refused(self._response)
         try:
@@ -170,7 +175,10 @@
             }
         )
         self.report = self._reported(HTTPStatus.OK, body.decode())
-        return self._ended(ItemState.FINISHED)
+        if self.state is not ItemState.DROPPED:
+            # Whole is whole, even where a stop came with the last token.
+            self.state = ItemState.FINISHED
+        return self.state
 
     def _reported(
         self,
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/process.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/process.py
@@ -174,6 +174,7 @@
                 batch_limit=self._admission.room_for_batch(),
                 runs=self._batch.runs,
                 held_results=self._batch.held_results,
+                yields_ms=self._engine.yields,
                 entries=self._entries(),
                 decisions=self._journal.decisions,
             ),
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/messages.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/messages.py
@@ -415,6 +415,9 @@
     held_results: Annotated[int, Meta(ge=0)]
     entries: list[str]
     decisions: list[str]
+    yields_ms: Annotated[
+        list[float], Meta(description='Latest times from a preemption to a free slot.')
+    ]
 
 
 class EntryState(Struct, kw_only=True):
--- a/testing/src/bendlead_testing/bench/harm.py
+++ b/testing/src/bendlead_testing/bench/harm.py
@@ -80,6 +80,9 @@
             'online_tokens_per_second': round(online),
             'idle_used': round(batch / (idle - online), 3),
             'yields': _yields(cluster),
+            'wasted_tokens': sum(
+                cluster.engine_stats(at)['wasted'] for at in range(_ENGINES)
+            ),
         }
 
 
@@ -167,17 +170,17 @@
 
 def _yields(cluster: Cluster) -> dict[str, float]:
     """Read how long engines took to free a slot after a preemption."""
-    seconds = sorted(
+    milliseconds = sorted(
         gap
-        for at in range(_ENGINES)
-        for gap in cluster.engine_stats(at).get('yields', ())
+        for endpoint in cluster.endpoints
+        for gap in cluster.state(endpoint)['yields_ms']
     )
-    if not seconds:
+    if not milliseconds:
         return {}
     return {
-        'count': len(seconds),
-        'p50_ms': round(seconds[len(seconds) // 2] * 1000, 2),
-        'p99_ms': round(seconds[int(len(seconds) * 0.99)] * 1000, 2),
+        'count': len(milliseconds),
+        'p50_ms': milliseconds[len(milliseconds) // 2],
+        'p99_ms': milliseconds[int(len(milliseconds) * 0.99)],
     }
 
 
--- a/testing/src/bendlead_testing/cluster.py
+++ b/testing/src/bendlead_testing/cluster.py
@@ -129,7 +129,11 @@
         ledger: dict[str, Any] | None = None,
         embedded: bool = False,
         plain: bool = False,
+        proxied: bool = False,
     ) -> None:
+        self._proxied = proxied
+        self._controls: list[int] = []
+        self.proxies: list[Daemon] = []
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='bendlead-'))
         self._settings = settings or {}
         self._engine_settings = engine_settings or {}
@@ -186,9 +190,15 @@
             *self.entries,
             *self.endpoints,
             *self.engines,
+            *self.proxies,
             *(daemon for daemon in single if daemon),
         ]
 
+    def store_link(self, entry: int, mode: str, delay: float = 0) -> None:
+        """Break the connections between an entry and the platform."""
+        url = f'http://127.0.0.1:{self._controls[entry]}/order'
+        http('POST', url, {'mode': mode, 'delay': delay})
+
     def faults(self, **faults: Any) -> None:
         """Set how the platform misbehaves."""
         http('POST', f'{self.platform.url}/faults', faults)
@@ -265,15 +275,13 @@
     def _module(self, name: str, module: str, *options: str) -> Daemon:
         port = free_port()
         command = [sys.executable, '-m', module, str(port), *options]
-        daemon = Daemon(name, port, command, self.folder / f'{name}.log')
-        wait_for(lambda: _listens(port))
-        return daemon
+        return Daemon(name, port, command, self.folder / f'{name}.log')
 
     def _entry(self, at: int, port: int) -> Daemon:
         path = str(self.folder / 'store.db')
         store = {'kind': 'embedded', 'path': path}
         if self.platform:
-            store = {'kind': 'http', 'address': self.platform.address}
+            store = {'kind': 'http', 'address': self._store_address(at)}
         return self._node(
             f'entry-{at}',
             port,
@@ -289,6 +297,20 @@
             },
         )
 
+    def _store_address(self, entry: int) -> str:
+        if not self._proxied:
+            return self.platform.address
+        control = free_port()
+        proxy = self._module(
+            f'proxy-{entry}',
+            'bendlead_testing.proxy',
+            self.platform.address,
+            str(control),
+        )
+        self._controls.append(control)
+        self.proxies.append(proxy)
+        return proxy.address
+
     def _endpoint(self, at: int, engine: Daemon) -> Daemon:
         return self._node(
             f'endpoint-{at}',
@@ -335,13 +357,13 @@
         )
         binary = pathlib.Path(sys.executable).parent / 'bendleadd'
         command = [str(binary), str(path)]
-        daemon = Daemon(name, port, command, self.folder / f'{name}.log')
-        wait_for(lambda: _listens(port))
-        return daemon
+        return Daemon(name, port, command, self.folder / f'{name}.log')
 
     def _configure(self, *, plain: bool) -> None:
         from bendlead_node._entry.gate import hash_key
 
+        for daemon in self.daemons():
+            wait_for(lambda port=daemon.port: _listens(port))
         wait_for(lambda: _ready(self.entries[0]))
         self.apply(
             'team',
--- a/testing/src/bendlead_testing/engine.py
+++ b/testing/src/bendlead_testing/engine.py
@@ -115,6 +115,9 @@
         self._reports: deque[tuple[float, dict]] = deque(maxlen=1000)
         self._work = Event()
         self._fence = 0
+        self._stepped = Event()
+        self._stopped_at: dict[str, int] = {}
+        self.wasted = 0
         self.starts: Counter[str] = Counter()
         self.tokens: Counter[str] = Counter()
         self.steps = 0
@@ -123,6 +126,8 @@
     def submit(self, sequence: Sequence) -> None:
         """Queue a request."""
         self.starts[sequence.name] += 1
+        stopped_at = self._stopped_at.pop(sequence.name, sequence.made)
+        self.wasted += max(0, stopped_at - sequence.made)
         sequence.prefill = self._uncached(sequence.prompt) + sequence.made
         self._waiting.append(sequence)
         self._work.set()
@@ -132,9 +137,14 @@
         for sequence in [*self._waiting, *self._running]:
             if sequence.name in names:
                 self.drop(sequence)
+        while any(one.name in names for one in self._running):
+            self._stepped.clear()
+            self._stepped.wait()
 
     def drop(self, sequence: Sequence) -> None:
         """Stop one request."""
+        if not sequence.cancelled and sequence.made < sequence.wanted:
+            self._stopped_at[sequence.name] = sequence.made
         sequence.cancelled = True
         sequence.tokens.put(None)
 
@@ -143,6 +153,7 @@
         while True:
             self._running = [one for one in self._running if not one.cancelled]
             self._waiting = [one for one in self._waiting if not one.cancelled]
+            self._stepped.set()
             self._admit()
             if not self._running:
                 self._work.clear()
@@ -176,6 +187,7 @@
             'starts': dict(self.starts),
             'tokens': dict(self.tokens),
             'steps': self.steps,
+            'wasted': self.wasted,
             'busy': self.busy,
             'running': len(self._running),
             'online': online,
@@ -287,7 +299,7 @@
         return json_answer(_completion(sequence, body, text, chat=chat))
 
     def cancel(self, call: Call) -> Answer:
-        """Stop requests by name."""
+        """Stop requests by name; answer when their slots are free."""
         body = call.body(_BODY_BYTES)
         asked = msgspec.json.decode(body, type=dict[str, list[str]])
         self._engine.cancel(frozenset(asked['requests']))
@@ -329,7 +341,7 @@
 
 
 class PlainApi:
-    """Serve a plain service that counts its calls by request id."""
+    """Serve a plain service that counts its calls by their body."""
 
     def __init__(self, seconds: float) -> None:
         self._seconds = seconds
@@ -346,7 +358,7 @@
     def answer(self, call: Call) -> Answer:
         """Count a call and echo its body."""
         body = call.body(_BODY_BYTES)
-        self._starts[call.header('X-Request-Id')] += 1
+        self._starts[body.decode()] += 1
         gevent.sleep(self._seconds)
         return json_answer({'path': call.path, 'echo': body.decode()})
 
