Relay and stops: one tree for all changes; a refusal is remembered at once

Cause (relay): with a tree for each of two watchers, a node could wait for two parents that had each got the change by the other tree. 60 of 200 nodes then waited for the digest exchange. Cause (stops): an entry went on choosing a leaving or ended endpoint until the next heartbeat, and spent the retry budget on its refusals.

--- a/packages/bendlead-node/src/bendlead_node/_common/web.py
+++ b/packages/bendlead-node/src/bendlead_node/_common/web.py
@@ -11,7 +11,10 @@
 from gevent.pywsgi import WSGIServer
 
 OUTCOME_HEADER: Final = 'X-Bendlead-Outcome'
+LEAVING_HEADER: Final = 'X-Bendlead-Leaving'
 JSON_TYPE: Final = 'application/json'
+#: The code of a refusal by an endpoint that is leaving.
+LEAVING: Final = 'leaving'
 _BACKLOG = 1024
 
 
@@ -67,6 +70,8 @@
             'Content-Type': JSON_TYPE,
             OUTCOME_HEADER: self.outcome.value,
         }
+        if self.code == LEAVING:
+            headers[LEAVING_HEADER] = 'yes'
         if self.retry_after:
             headers['Retry-After'] = f'{self.retry_after:.0f}'
         body = msgspec.json.encode(ErrorBody(detail))
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/admission.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/admission.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from bendlead_node._common.telemetry import Journal, Metrics
-from bendlead_node._common.web import CallError
+from bendlead_node._common.web import LEAVING, CallError
 from bendlead_node._endpoint.controller import BatchLimit
 
 
@@ -66,7 +66,7 @@
     def enter_online(self) -> None:
         """Admit an online request, or refuse it before it costs anything."""
         if self.leaving:
-            raise _refusal('leaving', 'the endpoint is leaving', 1)
+            raise _refusal(LEAVING, 'the endpoint is leaving', 1)
         if self._online >= self._capacity + self._queue:
             raise _refusal('overloaded', 'the endpoint is full', 1)
         self._online += 1
--- a/packages/bendlead-node/src/bendlead_node/_entry/dispatch.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/dispatch.py
@@ -20,6 +20,7 @@
 )
 from bendlead_node._common.web import (
     JSON_TYPE,
+    LEAVING_HEADER,
     OUTCOME_HEADER,
     Answer,
     CallError,
@@ -211,11 +212,17 @@
         if isinstance(sent, Err):
             peer.sent -= 1
             self._router.failed(peer)
+            if sent.err_value.kind is FailureKind.NOT_DONE:
+                # Nothing listens there: wait for its next heartbeat.
+                self._members.forget_endpoint(peer.heartbeat.endpoint)
             return sent
         response = sent.ok_value
         outcome = response.get(OUTCOME_HEADER)
         if outcome in _FAILED_KINDS:
             peer.sent -= 1
+            # Known from the refusal, not only from the next heartbeat.
+            leaving = response.get(LEAVING_HEADER) is not None
+            peer.heartbeat.leaving = peer.heartbeat.leaving or leaving
             return _refused(peer, response, _FAILED_KINDS[outcome])
         self._router.succeeded(peer)
         return Ok(_Sent(peer, response))
--- a/packages/bendlead-node/src/bendlead_node/_entry/relay.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/relay.py
@@ -19,7 +19,7 @@
     VersionedKey,
 )
 from bendlead_store import Change, ObjectStore, Version
-from result import Ok
+from result import Err, Ok
 
 from bendlead_node._common.config import CONFIG_PREFIX, ConfigTable
 from bendlead_node._common.telemetry import Journal
@@ -95,7 +95,7 @@
 
     def take_push(self, push: PushChanges) -> Acknowledged:
         """Take changes from a peer and pass on those that were new."""
-        self._apply(push.changes, push.hops + 1, push.root)
+        self._apply(push.changes, push.hops + 1)
         return Acknowledged()
 
     def answer_sync(self, request: SyncRequest) -> SyncReply:
@@ -103,18 +103,31 @@
         return SyncReply(changes=self._config.above(request.versions))
 
     def learn(self, changes: Sequence[VersionedKey]) -> None:
-        """Take changes this process made or was told of."""
-        self._apply(changes, 0, self._node)
+        """Take changes this process made, and send them to the top."""
+        self._apply(changes, 0)
+        push = PushChanges(changes=list(changes), hops=1)
+        by_name, ranked = self._ranked()
+        if ranked[0] != self._node:
+            gevent.spawn(self._push, by_name[ranked[0]], push)
 
     def _is_watcher(self) -> bool:
-        names = [peer.node for peer in self._alive()]
-        ranked = sorted([*names, self._node], key=_rank)
+        _by_name, ranked = self._ranked()
         return self._node in ranked[:_WATCHERS]
 
+    def _ranked(self) -> tuple[dict[str, PeerInfo], list[str]]:
+        """Put all nodes in the one order that makes the tree.
+
+        The tree is the same wherever a change enters: with a tree for each
+        watcher, a node could wait for two parents that had each got the
+        change by the other tree and passed it on there only.
+        """
+        by_name = {peer.node: peer for peer in self._alive()}
+        return by_name, sorted({*by_name, self._node}, key=_rank)
+
     def _learn(self, changes: Sequence[Change], seen: Version) -> Version:
         for change in changes:
             seen = max(seen, change.version)
-        self.learn([_versioned(change) for change in changes])
+        self._apply([_versioned(change) for change in changes], 0)
         return seen
 
     def _compare(self, peer: PeerInfo) -> None:
@@ -130,13 +143,12 @@
         )
         if isinstance(reply, Ok):
             self._in_sync = True
-            self._apply(reply.ok_value.changes, 0, self._node)
+            self._apply(reply.ok_value.changes, 0)
 
     def _apply(
         self,
         changes: Sequence[VersionedKey],
         hops: int,
-        root: str,
     ) -> None:
         fresh = self._config.merge(changes)
         if not fresh:
@@ -148,20 +160,27 @@
             hops=hops,
             at=f'{time.time():.3f}',
         )
-        push = PushChanges(changes=fresh, hops=hops, root=root)
-        for child in self._children(root):
+        push = PushChanges(changes=fresh, hops=hops)
+        self._push_below(self._node, push)
+
+    def _push_below(self, node: str, push: PushChanges) -> None:
+        for child in self._children(node):
             gevent.spawn(self._push, child, push)
 
-    def _children(self, root: str) -> list[PeerInfo]:
-        by_name = {peer.node: peer for peer in self._alive()}
-        others = sorted({*by_name, self._node} - {root}, key=_rank)
-        order = [root, *others]
-        first = order.index(self._node) * FANOUT + 1
-        names = order[first : first + FANOUT]
+    def _children(self, node: str) -> list[PeerInfo]:
+        by_name, ranked = self._ranked()
+        if node not in ranked:
+            return []
+        first = ranked.index(node) * FANOUT + 1
+        names = ranked[first : first + FANOUT]
         return [by_name[name] for name in names if name in by_name]
 
     def _push(self, peer: PeerInfo, push: PushChanges) -> None:
-        self._peers.ask(peer.address, '/peer/v1/push', push, Acknowledged)
+        path = '/peer/v1/push'
+        pushed = self._peers.ask(peer.address, path, push, Acknowledged)
+        if isinstance(pushed, Err):
+            # Whoever cannot reach a peer serves those below it as well.
+            self._push_below(peer.node, push)
 
 
 def _rank(node: str) -> int:
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/messages.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/messages.py
@@ -376,7 +376,6 @@
     """
 
     changes: list[VersionedKey]
-    root: Annotated[str, Meta(description='Node at which the push began.')]
     hops: Annotated[int, Meta(ge=0)] = 0
 
 
--- a/testing/src/bendlead_testing/bench/config.py
+++ b/testing/src/bendlead_testing/bench/config.py
@@ -1,34 +1,17 @@
 """The real relay over loopback: many logical nodes in a few processes."""
 
 import json
-import multiprocessing
-import os
+import pathlib
 import random
-import resource
+import subprocess
 import sys
+import tempfile
 import time
-from multiprocessing.connection import Connection
 from typing import Any
 
 import gevent
-from bendlead_node._common.config import ConfigTable, config_key
-from bendlead_node._common.telemetry import Journal
-from bendlead_node._common.upstream import PeerClient
-from bendlead_node._common.web import (
-    Answer,
-    Call,
-    Route,
-    WebApp,
-    WebServer,
-    json_answer,
-)
-from bendlead_node._entry.relay import Relay
-from bendlead_schema.messages import (
-    EntryHeartbeat,
-    PushChanges,
-    SyncRequest,
-    VersionedKey,
-)
+from bendlead_node._common.config import config_key
+from bendlead_schema.messages import VersionedKey
 from bendlead_store import ABSENT, HttpStore, Version
 
 from bendlead_testing.cluster import Daemon, free_port, http, wait_for
@@ -36,84 +19,10 @@
 NODES = 200
 _PROCESSES = 4
 _KEYS = 50
-_FORGET_SECONDS = 1.0
+_SLOW_SECONDS = 0.3
 _DRAIN_SECONDS = 4.0
 
 
-class LogicalNode:
-    """Run the real relay and its real messages for one node."""
-
-    def __init__(self, name: str, address: str, others: 'Directory') -> None:
-        self.name = name
-        self.config = ConfigTable()
-        self.seen: dict[str, float] = {}
-        self.reverts = 0
-        self.alive = True
-        self.received = 0
-        peers = PeerClient('logical-node-key', 5)
-        self.relay = Relay(
-            name,
-            self.config,
-            lambda: others.alive(name),
-            peers,
-            Journal(name),
-        )
-        host, port = address.rsplit(':', 1)
-        routes = [
-            Route('POST', '/peer/v1/push', self._push),
-            Route('POST', '/peer/v1/sync', self._sync),
-        ]
-        self.server = WebServer(host, int(port), WebApp(routes))
-
-    def note(self) -> None:
-        """Note the moment each version came in force."""
-        now = time.time()
-        for key, version in self.config.versions.items():
-            self.seen.setdefault(f'{key}@{version}', now)
-
-    def _push(self, call: Call) -> Answer:
-        body = call.body(10_000_000)
-        self.received += len(body)
-        before = self.config.versions
-        answer = self.relay.take_push(_decode(body, PushChanges))
-        self._check(before)
-        return json_answer(answer)
-
-    def _sync(self, call: Call) -> Answer:
-        body = call.body(10_000_000)
-        self.received += len(body)
-        return json_answer(self.relay.answer_sync(_decode(body, SyncRequest)))
-
-    def _check(self, before: dict[str, int]) -> None:
-        now = self.config.versions
-        self.reverts += sum(now[key] < old for key, old in before.items())
-        self.note()
-
-
-class Directory:
-    """Stand in for the membership: names, addresses and shown digests."""
-
-    def __init__(self, addresses: dict[str, str]) -> None:
-        self._peers = {
-            name: EntryHeartbeat(
-                node=name,
-                address=address,
-                data_hall='hall',
-                shards=[],
-            )
-            for name, address in addresses.items()
-        }
-        self.gone: set[str] = set()
-
-    def alive(self, but: str) -> list[EntryHeartbeat]:
-        """List the other nodes."""
-        return [
-            peer
-            for name, peer in self._peers.items()
-            if name != but and name not in self.gone
-        ]
-
-
 def measure(seconds: float) -> dict[str, Any]:
     """Change configuration once a second and time it on every node."""
     return relay_figures(NODES, min(seconds, 20))
@@ -142,34 +51,59 @@
     addresses = {
         name: f'127.0.0.1:{first + at}' for at, name in enumerate(names)
     }
-    context = multiprocessing.get_context('spawn')
-    pipes, workers = [], []
+    folder = pathlib.Path(tempfile.mkdtemp(prefix='bendlead-'))
+    workers = []
     for at in range(_PROCESSES):
-        near, far = context.Pipe()
-        arguments = (far, addresses, names[at::_PROCESSES], platform.address)
-        worker = context.Process(target=_serve, args=arguments, daemon=True)
-        worker.start()
-        pipes.append(near)
-        workers.append(worker)
-    for pipe in pipes:
-        pipe.recv()
+        task = {
+            'addresses': addresses,
+            'names': names[at::_PROCESSES],
+            'platform': platform.address,
+        }
+        path = folder / f'task-{at}.json'
+        path.write_text(json.dumps(task))
+        workers.append(_worker(path))
+    for worker in workers:
+        worker.stdout.readline()
     before = json.loads(http('GET', f'{platform.url}/stats')[2])
-    written = _change(platform, seconds, pipes)
+    written = _change(platform, seconds, workers)
     gevent.sleep(_DRAIN_SECONDS)
     after = json.loads(http('GET', f'{platform.url}/stats')[2])
-    for pipe in pipes:
-        pipe.send('report')
-    reports = [pipe.recv() for pipe in pipes]
-    for worker in workers:
-        worker.join()
+    reports = [_report(worker) for worker in workers]
     calls = {name: after[name] - before.get(name, 0) for name in after}
     return _summed(reports, written, calls, nodes, seconds)
 
 
+def _worker(task: pathlib.Path) -> subprocess.Popen:
+    return subprocess.Popen(
+        [
+            sys.executable,
+            '-m',
+            'bendlead_testing.bench.relay_worker',
+            str(task),
+        ],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=task.with_suffix('.log').open('wb'),
+    )
+
+
+def _report(worker: subprocess.Popen) -> dict[str, Any]:
+    _order(worker, b'report')
+    report = json.loads(worker.stdout.readline())
+    worker.kill()
+    worker.wait()
+    return report
+
+
+def _order(worker: subprocess.Popen, order: bytes) -> None:
+    worker.stdin.write(order + b'\n')
+    worker.stdin.flush()
+
+
 def _change(
     platform: Daemon,
     seconds: float,
-    pipes: list[Connection],
+    workers: list[subprocess.Popen],
 ) -> dict[str, float]:
     store = HttpStore(platform.address, 2)
     versions: dict[str, Version] = {}
@@ -182,57 +116,11 @@
         written[f'{key}@{versions[key]}'] = time.time()
         if number == int(seconds) // 2:
             # A relaying node is lost midway.
-            pipes[0].send('lose')
+            _order(workers[0], b'lose')
         gevent.sleep(1)
     return written
 
 
-def _serve(
-    pipe: Connection,
-    addresses: dict[str, str],
-    names: list[str],
-    platform: str,
-) -> None:
-    directory = Directory(addresses)
-    nodes = [LogicalNode(name, addresses[name], directory) for name in names]
-    for node in nodes:
-        node.server.start()
-        gevent.spawn(node.relay.watch, HttpStore(platform, 2))
-        gevent.spawn(node.relay.mend, 1.0)
-    started = time.monotonic()
-    used = _processor_seconds()
-    pipe.send('ready')
-    while not pipe.poll():
-        _note_all(nodes)
-        gevent.sleep(0.02)
-    order = pipe.recv()
-    lost = order == 'lose'
-    if lost:
-        victim = nodes.pop(random.randrange(len(nodes)))
-        victim.server.stop()
-        while not pipe.poll():
-            _note_all(nodes)
-            gevent.sleep(0.02)
-        pipe.recv()
-    took = time.monotonic() - started
-    pipe.send(
-        {
-            'nodes': len(nodes),
-            'seen': [node.seen for node in nodes],
-            'reverts': sum(node.reverts for node in nodes),
-            'digests': [node.config.digest for node in nodes],
-            'received': sum(node.received for node in nodes) / took,
-            'core': (_processor_seconds() - used) / took,
-            'pid': os.getpid(),
-        }
-    )
-
-
-def _note_all(nodes: list[LogicalNode]) -> None:
-    for node in nodes:
-        node.note()
-
-
 def _summed(
     reports: list[dict[str, Any]],
     written: dict[str, float],
@@ -248,6 +136,15 @@
         for change, at in written.items()
         if change in seen
     )
+    for change, at in written.items():
+        late = [
+            seen[change] - at
+            for report in reports
+            for seen in report['seen']
+            if change in seen
+        ]
+        slow = sum(delay > _SLOW_SECONDS for delay in late)
+        sys.stderr.write(f'{change}: max {max(late):.3f} s, slow {slow}\n')
     digests = {digest for one in reports for digest in one['digests']}
     return {
         'nodes': nodes,
@@ -271,21 +168,7 @@
     }
 
 
-def _decode(body: bytes, kind: Any) -> Any:
-    import msgspec
-
-    return msgspec.json.decode(body, type=kind)
-
-
-def _processor_seconds() -> float:
-    usage = resource.getrusage(resource.RUSAGE_SELF)
-    return usage.ru_utime + usage.ru_stime
-
-
-def _log_path() -> Any:
-    import pathlib
-    import tempfile
-
+def _log_path() -> pathlib.Path:
     return pathlib.Path(tempfile.mkdtemp(prefix='bendlead-')) / 'platform.log'
 
 
