--- a/packages/bendlead-cli/src/bendlead_cli/load.py
+++ b/packages/bendlead-cli/src/bendlead_cli/load.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from functools import partial
 from http import HTTPStatus
 
 import gevent
@@ -17,11 +18,19 @@
 from hdrh.histogram import HdrHistogram
 
 _MICROSECONDS = 1_000_000
-_LONGEST = 600 * _MICROSECONDS
+_LONGEST = 600_000_000
 _DIGITS = 3
 _PERCENTILES = (50, 95, 99, 99.9)
 _SETTLE_SECONDS = 20.0
 _CONNECTIONS = 2000
+_NETWORK_SECONDS = 120.0
+_WORD_BITS = 20
+_EVENT_END = b'\n\n'
+
+
+def new_histogram() -> HdrHistogram:
+    """Make an empty histogram of microseconds."""
+    return HdrHistogram(1, _LONGEST, _DIGITS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,9 +65,9 @@
 class LoadResult:
     """Gather what a load run measured."""
 
-    first: HdrHistogram = field(default_factory=lambda: _histogram())
-    between: HdrHistogram = field(default_factory=lambda: _histogram())
-    whole: HdrHistogram = field(default_factory=lambda: _histogram())
+    first: HdrHistogram = field(default_factory=new_histogram)
+    between: HdrHistogram = field(default_factory=new_histogram)
+    whole: HdrHistogram = field(default_factory=new_histogram)
     sent: int = 0
     completed: int = 0
     cut: int = 0
@@ -88,7 +97,7 @@
             host,
             int(port),
             concurrency=_CONNECTIONS,
-            network_timeout=120,
+            network_timeout=_NETWORK_SECONDS,
         )
         self._headers = {
             'Authorization': f'Bearer {key}',
@@ -146,7 +155,7 @@
             response.read()
             return
         previous = 0.0
-        for event in iter(lambda: response.readline(b'\n\n'), b''):
+        for event in iter(partial(response.readline, _EVENT_END), b''):
             now = time.monotonic()
             if b'[DONE]' in event:
                 result.completed += 1
@@ -163,7 +172,8 @@
     def _body(self, plan: LoadPlan, number: int) -> bytes:
         chance = random.Random(plan.seed * _MICROSECONDS + number)
         words = [
-            f'{chance.getrandbits(20):x}' for _ in range(plan.prompt_words)
+            f'{chance.getrandbits(_WORD_BITS):x}'
+            for _ in range(plan.prompt_words)
         ]
         return msgspec.json.encode(
             {
@@ -175,10 +185,6 @@
         )
 
 
-def _histogram() -> HdrHistogram:
-    return HdrHistogram(1, _LONGEST, _DIGITS)
-
-
 def _record(histogram: HdrHistogram, seconds: float) -> None:
     histogram.record_value(max(1, int(seconds * _MICROSECONDS)))
 
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/batch.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/batch.py
@@ -36,6 +36,7 @@
 _PREFETCH = 2
 _ATTEMPT_PAUSE = 0.2
 _LONGEST_PAUSE = 5.0
+_AWAY_SECONDS = 1.0
 _PATHS = ['/v1/chat/completions', '/v1/completions']
 
 
@@ -93,6 +94,7 @@
         self._wake = Event()
         self._next_ask = 0.0
         self._unreported = 0
+        self._away_until = 0.0
 
     @property
     def runs(self) -> list[str]:
@@ -119,7 +121,7 @@
         self._wake.set()
 
     def hand_back(self) -> None:
-        """Give back what has not started, for this endpoint is leaving."""
+        """Give back what has not started, for it will not start here soon."""
         while self._ready:
             self._give_back(self._ready.popleft())
 
@@ -145,6 +147,10 @@
                 self._give_back(item)
             else:
                 self._ready.appendleft(item)
+        elif state is ItemState.UNREACHED:
+            # No engine got a byte: not an attempt, and work for others.
+            self._give_back(item)
+            self._note_engine_away()
         elif state is ItemState.FINISHED and item.report:
             self._metrics.batch_items.inc()
             held.reports.append(item.report)
@@ -161,6 +167,13 @@
             held.open.discard(position)
         self._wake.set()
 
+    def _note_engine_away(self) -> None:
+        self._away_until = time.monotonic() + _AWAY_SECONDS
+        self.hand_back()
+
+    def _engine_away(self) -> bool:
+        return time.monotonic() < self._away_until
+
     def _give_back(self, item: BatchItem) -> None:
         held = self._runs.get(item.run)
         if held is not None:
@@ -171,7 +184,8 @@
         while True:
             wanted = self._admission.room_for_batch()
             short = len(self._ready) < self._admission.capacity * _PREFETCH
-            if wanted <= 0 or not short or not self._ask():
+            idle = wanted > 0 and short and not self._engine_away()
+            if not idle or not self._ask():
                 gevent.sleep(_IDLE_SECONDS * random.uniform(0.5, 1))
 
     def _ask(self) -> bool:
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/item.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/item.py
@@ -31,6 +31,7 @@
     PREEMPTED = 'preempted'
     FINISHED = 'finished'
     FAILED = 'failed'
+    UNREACHED = 'unreached'
     DROPPED = 'dropped'
 
 
@@ -91,7 +92,9 @@
             self._headers(),
         )
         if isinstance(sent, Err):
-            return self._ended(ItemState.FAILED)
+            unreached = sent.err_value.had_no_effect
+            state = ItemState.UNREACHED if unreached else ItemState.FAILED
+            return self._ended(state)
         self._response = sent.ok_value
         if self.state is not ItemState.RUNNING:
             # Stopped before the engine answered: its cancel came too early.
--- a/packages/bendlead-node/src/bendlead_node/_entry/dispatch.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/dispatch.py
@@ -220,6 +220,7 @@
         outcome = response.get(OUTCOME_HEADER)
         if outcome in _FAILED_KINDS:
             peer.sent -= 1
+            self._router.refused(peer)
             # Known from the refusal, not only from the next heartbeat.
             leaving = response.get(LEAVING_HEADER) is not None
             peer.heartbeat.leaving = peer.heartbeat.leaving or leaving
--- a/packages/bendlead-node/src/bendlead_node/_entry/routing.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/routing.py
@@ -9,6 +9,7 @@
 _SLOW_START_SECONDS = 5.0
 _EJECT_AFTER = 3
 _EJECT_SECONDS = 5.0
+_FULL_SECONDS = 0.25
 _FAR_PENALTY = 1.0
 
 
@@ -43,6 +44,11 @@
         """Note that an endpoint answered."""
         peer.failures = 0
 
+    def refused(self, peer: EndpointPeer) -> None:
+        """Pass over an endpoint that is full until it is likely not to be."""
+        again = time.monotonic() + _FULL_SECONDS
+        peer.ejected_until = max(peer.ejected_until, again)
+
     def failed(self, peer: EndpointPeer) -> None:
         """Note a failure; eject an endpoint that fails again and again."""
         peer.failures += 1
--- a/tests/test_endpoint_item.py
+++ b/tests/test_endpoint_item.py
@@ -1,11 +1,13 @@
 """Batch items that are stopped at awkward moments."""
 
 import unittest
+from unittest.mock import Mock
 
 from bendlead_node._endpoint.item import BatchItem, ItemState
 from bendlead_schema.messages import GrantedItem
+from bendlead_store import Failure, FailureKind
 from parameterized import parameterized
-from result import Ok
+from result import Err, Ok
 
 _EVENTS = (
     b'id: 1\ndata: {"choices": [{"delta": {"content": "a "}}]}\n\n',
@@ -79,3 +81,22 @@
         self.item.execute(engine, lambda: None)
         self.assertEqual(engine.cancelled, [self.item.request])
         self.assertEqual(self.item.tokens, 0)
+
+
+class UnreachedItemTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ('nothing listens', FailureKind.NOT_DONE, ItemState.UNREACHED),
+            ('cut', FailureKind.UNKNOWN, ItemState.FAILED),
+        ]
+    )
+    def test_only_what_the_engine_may_have_got_is_an_attempt(
+        self,
+        _name,
+        kind,
+        expected,
+    ) -> None:
+        granted = GrantedItem(position=0, path='/x', custom_id='a', body='{}')
+        engine = Mock(send=lambda *_args: Err(Failure(kind, 'send', 'engine')))
+        item = BatchItem('run', granted)
+        self.assertIs(item.execute(engine, lambda: None), expected)
