Ledger: an item twice in one pack counts once

The check ran before any of the pack was marked, so the item was counted off twice; the job's count of waiting items went below zero (-12) and never met it. Ruled out: leases, adopted runs, a stuck committer (the state dump now shows waiting, leased and returned items of each active job, which told).

--- a/packages/bendlead-ledger/src/bendlead_ledger/_jobs.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_jobs.py
@@ -213,6 +213,17 @@
                 self._cursors[run.job].returned.extend(positions)
         return len(lapsed)
 
+    def summary(self) -> list[str]:
+        """Show each active job, for the state dump."""
+        return [
+            f'{name} waiting={job.remaining}'
+            f' leased={len(self._runs.held(name))}'
+            f' returned={len(self._cursors[name].returned)}'
+            f' next={self._cursors[name].position}'
+            for name, job in self._state.jobs.items()
+            if job.active
+        ]
+
     def hurries(self, lines: Sequence[ResultLine]) -> bool:
         """Tell whether gathered results finish all that is out."""
         out = sum(len(self._runs.held(job)) for job in self._state.jobs)
--- a/packages/bendlead-ledger/src/bendlead_ledger/_shard.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_shard.py
@@ -66,6 +66,10 @@
         """Show the durable state."""
         return self._state
 
+    def summary(self) -> list[str]:
+        """Show the active jobs, for the state dump."""
+        return self._jobs.summary()
+
     def answer(self, command: Command) -> Reply:
         """Answer one command once its effect is durable."""
         return self._answers[type(command)](command)
--- a/packages/bendlead-ledger/src/bendlead_ledger/_state.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_state.py
@@ -74,7 +74,8 @@
 
     def record(self, recorded: ResultsRecorded) -> bool:
         """Take the first result of each item; later ones change nothing."""
-        fresh = [at for at in recorded.positions if self.waits(at)]
+        # A pack may hold an item twice, when its report was sent again.
+        fresh = list(dict.fromkeys(filter(self.waits, recorded.positions)))
         if not fresh:
             return False
         failed = frozenset(recorded.failed)
--- a/packages/bendlead-node/src/bendlead_node/_entry/process.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/process.py
@@ -196,7 +196,7 @@
                     peer.heartbeat for peer in self._members.endpoints()
                 ],
                 revision=self._config.revision,
-                jobs=[job for shard in shards for job in shard.state.jobs],
+                jobs=[job for shard in shards for job in shard.summary()],
                 decisions=self._journal.decisions,
             ),
         )
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -39,5 +39,8 @@
         self.assertGreater(outcome.completed, 0)
 
     def _states(self) -> list[str]:
-        daemons = [*self.cluster.endpoints, *self.cluster.entries]
-        return [str(self.cluster.state(daemon)) for daemon in daemons]
+        states = [self.cluster.state(entry) for entry in self.cluster.entries]
+        return [
+            f'{state["node"]} {state["shards"]} {state["jobs"]}'
+            for state in states
+        ]
