--- /dev/null
+++ b/packages/bendlead-cli/src/bendlead_cli/_jobs.py
@@ -0,0 +1,122 @@
+"""Batch jobs: submit, watch, cancel, read results."""
+
+import mimetypes
+import pathlib
+import shutil
+import sys
+import time
+import uuid
+from typing import Any
+
+import msgspec
+
+from bendlead_cli._connection import Connection, Exit, connect, fail
+from bendlead_cli._printing import Output, show
+
+_POLL_SECONDS = 0.5
+_ENDED = frozenset(('completed', 'cancelled', 'expired'))
+_BAR_WIDTH = 40
+_READ_BYTES = 65536
+
+
+def submit(
+    file: str,
+    *,
+    key: str = '',
+    window: str = '24h',
+    path: str = '/v1/chat/completions',
+    output: Output = Output.TEXT,
+) -> None:
+    """Upload a file of requests and submit it as a job.
+
+    Without a key one is made from the name of the file and shown, so that
+    the same command can be given again after a failure.
+    """
+    connection = connect()
+    stored = _upload(connection, pathlib.Path(file))
+    body = {
+        'input_file_id': stored['id'],
+        'endpoint': path,
+        'completion_window': window,
+    }
+    headers = {'Idempotency_Key': key} if key else {}
+    show(connection.send('POST', '/v1/batches', body, **headers), output)
+
+
+def status(job: str, *, output: Output = Output.TEXT) -> None:
+    """Show one job."""
+    show(connect().send('GET', f'/v1/batches/{job}'), output)
+
+
+def listing(*, output: Output = Output.TEXT) -> None:
+    """List the jobs of the team."""
+    show(connect().send('GET', '/v1/batches')['data'], output)
+
+
+def watch(job: str, *, output: Output = Output.TEXT) -> None:
+    """Follow a job to its end; may be stopped and given again."""
+    connection = connect()
+    shown = connection.send('GET', f'/v1/batches/{job}')
+    while shown['status'] not in _ENDED:
+        _draw(shown)
+        time.sleep(_POLL_SECONDS)
+        shown = connection.send('GET', f'/v1/batches/{job}')
+    _draw(shown)
+    sys.stderr.write('\n')
+    show(shown, output)
+
+
+def cancel(job: str, *, output: Output = Output.TEXT) -> None:
+    """Cancel a job; nothing of it is recorded afterwards."""
+    show(connect().send('POST', f'/v1/batches/{job}/cancel'), output)
+
+
+def results(job: str, *, to: str = '-', errors: bool = False) -> None:
+    """Write the results or errors of a job to a file or standard output."""
+    kind = 'err' if errors else 'out'
+    path = f'/v1/files/file-{kind}-{job}/content'
+    with connect().open('GET', path) as reply:
+        if to == '-':
+            _copy(reply, sys.stdout.buffer)
+        else:
+            with pathlib.Path(to).open('wb') as target:
+                _copy(reply, target)
+
+
+def _copy(source: Any, target: Any) -> None:
+    shutil.copyfileobj(source, target, _READ_BYTES)
+
+
+def _draw(shown: dict[str, Any]) -> None:
+    counts = shown['request_counts']
+    done = counts['completed'] + counts['failed']
+    filled = _BAR_WIDTH * done // max(1, counts['total'])
+    progress = '#' * filled + '.' * (_BAR_WIDTH - filled)
+    sys.stderr.write(
+        f'\r[{progress}] {done}/{counts["total"]} {shown["status"]} '
+    )
+
+
+def _upload(connection: Connection, file: pathlib.Path) -> Any:
+    if not file.is_file():
+        fail(Exit.USAGE, f'{file}: no such file')
+    boundary = uuid.uuid4().hex
+    kind = mimetypes.guess_type(file.name)[0] or 'application/jsonl'
+    head = (
+        f'--{boundary}\r\nContent-Disposition: form-data; name="purpose"'
+        f'\r\n\r\nbatch\r\n--{boundary}\r\nContent-Disposition: form-data; '
+        f'name="file"; filename="{file.name}"\r\nContent-Type: {kind}\r\n\r\n'
+    )
+    body = b'%b%b\r\n--%b--\r\n' % (
+        head.encode(),
+        file.read_bytes(),
+        boundary.encode(),
+    )
+    content_type = f'multipart/form-data; boundary={boundary}'
+    with connection.open(
+        'POST',
+        '/v1/files',
+        body,
+        Content_Type=content_type,
+    ) as reply:
+        return msgspec.json.decode(reply.read())
--- /dev/null
+++ b/packages/bendlead-cli/src/bendlead_cli/main.py
@@ -0,0 +1,94 @@
+"""The bendlead command: its subcommands and their parsing."""
+
+import json
+import sys
+
+import defopt
+
+from bendlead_cli import _fleet, _jobs
+from bendlead_cli._connection import connect
+from bendlead_cli._printing import Output, say, show
+
+_DATA_FIELD = b'data: '
+_DONE = b'[DONE]'
+
+
+def chat(prompt: str, *, model: str, tokens: int = 256) -> None:
+    """Send one chat message and show the answer as it comes."""
+    body = {
+        'model': model,
+        'messages': [{'role': 'user', 'content': prompt}],
+        'max_tokens': tokens,
+        'stream': True,
+    }
+    for line in connect().lines('POST', '/v1/chat/completions', body):
+        shown = line.strip().removeprefix(_DATA_FIELD)
+        if line.startswith(_DATA_FIELD) and shown != _DONE:
+            choices = json.loads(shown).get('choices', ())
+            for choice in choices:
+                sys.stdout.write(choice['delta'].get('content') or '')
+                sys.stdout.flush()
+    say('')
+
+
+def load(
+    *,
+    model: str,
+    rate: float,
+    seconds: float = 10,
+    burst: float = 0,
+    gap: float = 0,
+    tokens: int = 32,
+    output: Output = Output.TEXT,
+) -> None:
+    """Send open-loop load (requests a second) and report latencies in ms."""
+    # The load loop needs gevent, which the other commands do without.
+    from gevent import monkey  # noqa: PLC0415
+
+    monkey.patch_all()
+
+    from bendlead_cli.load import LoadPlan, OpenLoop  # noqa: PLC0415
+
+    connection = connect()
+    plan = LoadPlan(
+        rate=rate,
+        seconds=seconds,
+        burst_seconds=burst,
+        gap_seconds=gap,
+        tokens=tokens,
+    )
+    loop = OpenLoop(connection.entry, connection.key, model)
+    show(loop.run(plan).summary(), output)
+
+
+def main() -> None:
+    """Parse the command line and run the subcommand."""
+    defopt.run(
+        {
+            'chat': chat,
+            'load': load,
+            'job': {
+                'submit': _jobs.submit,
+                'status': _jobs.status,
+                'list': _jobs.listing,
+                'watch': _jobs.watch,
+                'cancel': _jobs.cancel,
+                'results': _jobs.results,
+            },
+            'apply': _fleet.apply,
+            'get': _fleet.get,
+            'delete': _fleet.delete,
+            'status': _fleet.status,
+            'state': _fleet.state,
+            'stop': {
+                'plan': _fleet.stop_plan,
+                'status': _fleet.stop_status,
+                'cancel': _fleet.stop_cancel,
+            },
+            'settings': {
+                'check': _fleet.settings_check,
+                'explain': _fleet.settings_explain,
+            },
+        },
+        no_negated_flags=True,
+    )
--- a/packages/bendlead-node/src/bendlead_node/_entry/members.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/members.py
@@ -75,15 +75,21 @@
 
     def owner_of(self, shard: int) -> EntryHeartbeat | None:
         """Find the entry that claims a shard at the highest epoch."""
-        claims = [
+        claims = self._claims(shard)
+        return max(claims, key=_epoch)[1] if claims else None
+
+    def epoch_of(self, shard: int) -> int:
+        """Tell the highest epoch at which another entry claims a shard."""
+        claims = self._claims(shard)
+        return max(claims, key=_epoch)[0] if claims else 0
+
+    def _claims(self, shard: int) -> list[tuple[int, EntryHeartbeat]]:
+        return [
             (owned.epoch, entry)
             for entry in self.entries()
             for owned in entry.shards
             if owned.shard == shard
         ]
-        if not claims:
-            return None
-        return max(claims, key=_epoch)[1]
 
 
 def _epoch(claim: tuple[int, EntryHeartbeat]) -> int:
--- a/packages/bendlead-node/src/bendlead_node/_entry/ownership.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/ownership.py
@@ -88,6 +88,7 @@
     def run(self) -> None:
         """Take over the shards that fall to this entry, for ever."""
         while True:
+            self._drop_fenced()
             for shard in range(self.count):
                 self._consider(ShardId(shard))
             gevent.sleep(_CHECK_SECONDS)
@@ -145,6 +146,16 @@
             return Err(self._failure(FailureKind.NOT_DONE, shard, detail))
         return asked
 
+    def _drop_fenced(self) -> None:
+        """Give up shards that another entry owns at a higher epoch.
+
+        An owner that commits nothing meets no fence, and would answer reads
+        from a state that has stopped.
+        """
+        for shard, owned in list(self._owned.items()):
+            if self._members.epoch_of(shard) > owned.epoch:
+                self._lose(shard)
+
     def _consider(self, shard: ShardId) -> None:
         nodes = [
             entry.node for entry in self._members.entries() if not entry.leaving
--- a/testing/src/bendlead_testing/bench/ledger.py
+++ b/testing/src/bendlead_testing/bench/ledger.py
@@ -222,10 +222,12 @@
     log = ShardLog(store, shard, owner, LedgerSettings(segments=1000))
     log.take_over()
     for start in range(0, records, _RECORDS_PER_COMMIT):
-        log.commit([
-            JobCancelled(job=f'job-{start + at}', at=0)
-            for at in range(_RECORDS_PER_COMMIT)
-        ])
+        log.commit(
+            [
+                JobCancelled(job=f'job-{start + at}', at=0)
+                for at in range(_RECORDS_PER_COMMIT)
+            ]
+        )
     store.reads = 0
     started = time.monotonic()
     ShardLog(store, shard, owner, LedgerSettings()).take_over().unwrap()
