--- a/packages/bendlead-node/src/bendlead_node/_endpoint/item.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/item.py
@@ -1,11 +1,11 @@
 """Run one batch item as a stream that can be stopped and resumed."""
 
+import uuid
 from collections.abc import Callable
 from enum import Enum
 from http import HTTPStatus
 
 import msgspec
-from bendlead_ledger import unique
 from bendlead_schema.messages import GrantedItem, ItemReport
 from geventhttpclient.response import HTTPSocketPoolResponse
 from result import Err
@@ -59,7 +59,7 @@
     def __init__(self, run: str, granted: GrantedItem) -> None:
         self.run = run
         self.granted = granted
-        self.request = f'item-{unique()}'
+        self.request = f'item-{uuid.uuid4().hex}'
         self.state = ItemState.WAITING
         self.report: ItemReport | None = None
         self._pieces: list[str] = []
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/settings.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/settings.py
@@ -91,7 +91,7 @@
     ] = 0.5
     pack_items: Annotated[
         int, Meta(description='Results committed together.', ge=1, le=100000)
-    ] = 512
+    ] = 1024
     tail_bytes: Annotated[
         int,
         Meta(
