Bench: one way to run a platform and to patch gevent, where there were five

Cause: each stand-in set gevent up by the same eight lines, and two benches started the platform by the same fifteen.

--- a/testing/src/bendlead_testing/bench/__main__.py
+++ b/testing/src/bendlead_testing/bench/__main__.py
@@ -1,13 +1,6 @@
 """Run one measurement by name."""
 
-import os
-
-os.environ['GEVENT_LOOP'] = 'libev-cext'
-os.environ['GEVENT_BACKEND'] = 'epoll'
-
-from gevent import monkey
-
-monkey.patch_all()
+import bendlead_testing.patched  # noqa: F401, I001
 
 import argparse
 import importlib
--- a/testing/src/bendlead_testing/bench/config.py
+++ b/testing/src/bendlead_testing/bench/config.py
@@ -14,7 +14,7 @@
 from bendlead_schema.messages import VersionedKey
 from bendlead_store import ABSENT, HttpStore, Version
 
-from bendlead_testing.cluster import Daemon, free_port, http, wait_for
+from bendlead_testing.cluster import Daemon, http, running_platform
 
 NODES = 200
 _PROCESSES = 4
@@ -30,18 +30,8 @@
 
 def relay_figures(nodes: int, seconds: float) -> dict[str, Any]:
     """Run a number of logical nodes and sum up their figures."""
-    port = free_port()
-    platform = Daemon(
-        'platform',
-        port,
-        [sys.executable, '-m', 'bendlead_testing.platform', str(port)],
-        _log_path(),
-    )
-    try:
-        wait_for(lambda: http('GET', f'{platform.url}/stats')[0] == 200)
+    with running_platform() as platform:
         return _relayed(platform, nodes, seconds)
-    finally:
-        platform.kill()
 
 
 def _relayed(platform: Daemon, nodes: int, seconds: float) -> dict[str, Any]:
@@ -168,10 +158,6 @@
     }
 
 
-def _log_path() -> pathlib.Path:
-    return pathlib.Path(tempfile.mkdtemp(prefix='bendlead-')) / 'platform.log'
-
-
 def node_change(number: int) -> VersionedKey:
     """Give a change for a table that is measured by itself."""
     return VersionedKey(
--- a/testing/src/bendlead_testing/bench/ledger.py
+++ b/testing/src/bendlead_testing/bench/ledger.py
@@ -1,7 +1,6 @@
 """The ledger: commits, store writes, acknowledgements, takeover, replay."""
 
 import signal
-import sys
 import time
 from collections.abc import Callable
 from typing import Any
@@ -35,8 +34,7 @@
     MODEL,
     Cluster,
     Daemon,
-    free_port,
-    http,
+    running_platform,
     wait_for,
 )
 from bendlead_testing.workload import batch_lines
@@ -69,15 +67,7 @@
 
 def measure(seconds: float) -> dict[str, Any]:
     """Take all figures in one run."""
-    port = free_port()
-    platform = Daemon(
-        'platform',
-        port,
-        [sys.executable, '-m', 'bendlead_testing.platform', str(port)],
-        _log_path(),
-    )
-    try:
-        wait_for(lambda: http('GET', f'{platform.url}/stats')[0] == 200)
+    with running_platform() as platform:
         figures = {
             'round_trip_ms': _round_trip(platform),
             'one_shard': _commits(platform, 1, seconds / 8),
@@ -86,8 +76,6 @@
             'batch': _batch(platform),
             'replay': [_replay(platform, one) for one in _REPLAY_LENGTHS],
         }
-    finally:
-        platform.kill()
     return {
         **figures,
         'takeover_kill_s': _takeovers(Daemon.kill),
@@ -306,10 +294,3 @@
         stream=False,
         nonce=name,
     )
-
-
-def _log_path() -> Any:
-    import pathlib
-    import tempfile
-
-    return pathlib.Path(tempfile.mkdtemp(prefix='bendlead-')) / 'platform.log'
--- a/testing/src/bendlead_testing/bench/relay_worker.py
+++ b/testing/src/bendlead_testing/bench/relay_worker.py
@@ -1,13 +1,6 @@
 """Run some logical nodes of the real relay; orders come by standard input."""
 
-import os
-
-os.environ['GEVENT_LOOP'] = 'libev-cext'
-os.environ['GEVENT_BACKEND'] = 'epoll'
-
-from gevent import monkey
-
-monkey.patch_all()
+import bendlead_testing.patched  # noqa: F401, I001
 
 import json
 import random
--- a/testing/src/bendlead_testing/cluster.py
+++ b/testing/src/bendlead_testing/cluster.py
@@ -11,6 +11,7 @@
 import time
 import urllib.error
 import urllib.request
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -20,6 +21,7 @@
 OPERATOR_KEY = 'operator-key'
 MODEL = 'notes-small'
 _READY_SECONDS = 30.0
+_OK = 200
 
 
 def free_port() -> int:
@@ -388,6 +390,24 @@
         self.wait_ready()
 
 
+@contextlib.contextmanager
+def running_platform() -> Iterator[Daemon]:
+    """Run a platform by itself."""
+    port = free_port()
+    folder = pathlib.Path(tempfile.mkdtemp(prefix='bendlead-'))
+    platform = Daemon(
+        'platform',
+        port,
+        [sys.executable, '-m', 'bendlead_testing.platform', str(port)],
+        folder / 'platform.log',
+    )
+    try:
+        wait_for(lambda: http('GET', f'{platform.url}/stats')[0] == _OK)
+        yield platform
+    finally:
+        platform.kill()
+
+
 def wait_for(condition: Any, seconds: float = _READY_SECONDS) -> None:
     """Wait until something is true, or fail."""
     until = time.monotonic() + seconds
@@ -406,7 +426,7 @@
 
 def _ready(daemon: Daemon) -> bool:
     status, _headers, _body = http('GET', f'{daemon.url}/readyz')
-    return status == 200
+    return status == _OK
 
 
 def _bearer(key: str) -> dict[str, str]:
--- a/testing/src/bendlead_testing/engine.py
+++ b/testing/src/bendlead_testing/engine.py
@@ -4,16 +4,9 @@
 whole and belongs to its request.
 """
 
-import argparse
-import os
-
-os.environ['GEVENT_LOOP'] = 'libev-cext'
-os.environ['GEVENT_BACKEND'] = 'epoll'
-
-from gevent import monkey
-
-monkey.patch_all()
+import bendlead_testing.patched  # noqa: F401, I001
 
+import argparse
 import time
 from collections import Counter, OrderedDict, deque
 from collections.abc import Iterator
--- a/testing/src/bendlead_testing/platform.py
+++ b/testing/src/bendlead_testing/platform.py
@@ -1,15 +1,8 @@
 """A stand-in for the platform's object service, with its faults."""
 
-import argparse
-import os
-
-os.environ['GEVENT_LOOP'] = 'libev-cext'
-os.environ['GEVENT_BACKEND'] = 'epoll'
-
-from gevent import monkey
-
-monkey.patch_all()
+import bendlead_testing.patched  # noqa: F401, I001
 
+import argparse
 import random
 import time
 import urllib.parse
--- a/testing/src/bendlead_testing/proxy.py
+++ b/testing/src/bendlead_testing/proxy.py
@@ -1,15 +1,8 @@
 """A TCP proxy that delays, cuts, partitions and loses replies on order."""
 
-import argparse
-import os
-
-os.environ['GEVENT_LOOP'] = 'libev-cext'
-os.environ['GEVENT_BACKEND'] = 'epoll'
-
-from gevent import monkey
-
-monkey.patch_all()
+import bendlead_testing.patched  # noqa: F401, I001
 
+import argparse
 import contextlib
 import socket
 from enum import Enum
