Batch items: whole without the end event; a name for each attempt

Cause (seen on the way): a resume bore the name of the attempt it followed, so the late cancel of that one could stop it and cost the item an attempt. Now an answer whose finish reason came is whole; each attempt has its own name; the stand-in makes nothing when resumed at its end.

--- a/packages/bendlead-node/src/bendlead_node/_endpoint/item.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/item.py
@@ -59,12 +59,13 @@
     def __init__(self, run: str, granted: GrantedItem) -> None:
         self.run = run
         self.granted = granted
-        self.request = f'item-{uuid.uuid4().hex}'
+        self.request = _new_name()
         self.state = ItemState.WAITING
         self.report: ItemReport | None = None
         self._pieces: list[str] = []
         self._tokens = 0
         self._finish = 'stop'
+        self._finished = False
         self._model = ''
         self._last_id = b''
         self._response: HTTPSocketPoolResponse | None = None
@@ -85,6 +86,8 @@
     def execute(self, engine: Engine, note: Callable[[], None]) -> ItemState:
         """Run until the end, a stop or a failure."""
         self.state = ItemState.RUNNING
+        # A late cancel of the last attempt must not meet this one.
+        self.request = _new_name()
         sent = engine.send(
             'POST',
             self.granted.path,
@@ -109,14 +112,20 @@
                     return self._completed()
                 note()
         except Exception:  # the library raises many kinds
-            return self._ended(ItemState.FAILED)
-        return self._ended(ItemState.FAILED)
+            return self._cut_short()
+        return self._cut_short()
 
     def _stop(self, state: ItemState) -> None:
         self.state = state
         if self._response is not None:
             abandon(self._response)
 
+    def _cut_short(self) -> ItemState:
+        if self._finished:
+            # Every token is here; only the closing event is not.
+            return self._completed()
+        return self._ended(ItemState.FAILED)
+
     def _ended(self, state: ItemState) -> ItemState:
         # A stop closes the stream, which looks like a failure here.
         if self.state is ItemState.RUNNING:
@@ -159,7 +168,9 @@
             if piece:
                 self._pieces.append(piece)
                 self._tokens += 1
-            self._finish = choice.finish_reason or self._finish
+            if choice.finish_reason:
+                self._finished = True
+                self._finish = choice.finish_reason
 
     def _completed(self) -> ItemState:
         text = ''.join(self._pieces)
@@ -198,6 +209,10 @@
         )
 
 
+def _new_name() -> str:
+    return f'item-{uuid.uuid4().hex}'
+
+
 def _streamed(body: str) -> bytes:
     fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
     fields['stream'] = msgspec.Raw(b'true')
--- a/testing/src/bendlead_testing/engine.py
+++ b/testing/src/bendlead_testing/engine.py
@@ -121,6 +121,10 @@
         self.starts[sequence.name] += 1
         stopped_at = self._stopped_at.pop(sequence.name, sequence.made)
         self.wasted += max(0, stopped_at - sequence.made)
+        if sequence.made >= sequence.wanted:
+            # Resumed at its end: nothing is left to make.
+            sequence.tokens.put(None)
+            return
         sequence.prefill = self._uncached(sequence.prompt) + sequence.made
         self._waiting.append(sequence)
         self._work.set()
--- a/tests/test_endpoint_item.py
+++ b/tests/test_endpoint_item.py
@@ -100,3 +100,32 @@
         engine = Mock(send=lambda *_args: Err(Failure(kind, 'send', 'engine')))
         item = BatchItem('run', granted)
         self.assertIs(item.execute(engine, lambda: None), expected)
+
+
+class WholeWithoutEndTest(unittest.TestCase):
+    def test_a_finished_answer_is_whole_without_its_end_event(self) -> None:
+        granted = GrantedItem(
+            position=0,
+            path='/v1/chat/completions',
+            custom_id='a',
+            body='{}',
+        )
+        item = BatchItem('run', granted)
+        response = FakeResponse(1, item.preempt)
+        last = _EVENTS[1].replace(
+            b'{"delta"', b'{"finish_reason": "stop", "delta"'
+        )
+        response._events = [(0, _EVENTS[0]), (1, last)]
+        engine = Mock(send=lambda *_args: Ok(response))
+        state = item.execute(engine, lambda: None)
+        self.assertIs(state, ItemState.FINISHED)
+        self.assertIn('"a b "', item.report.body)
+
+    def test_a_resume_has_a_name_of_its_own(self) -> None:
+        granted = GrantedItem(position=0, path='/x', custom_id='a', body='{}')
+        item = BatchItem('run', granted)
+        names = []
+        for _attempt in range(2):
+            item.execute(FakeEngine(item, -1), lambda: None)
+            names.append(item.request)
+        self.assertEqual(len(set(names)), 2)
