--- a/packages/bendlead-node/src/bendlead_node/_endpoint/online.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/online.py
@@ -35,7 +35,6 @@
         limit: BatchLimit,
         metrics: Metrics,
     ) -> None:
-        self._service = service
         self._gate = gate
         self._admission = admission
         self._engine = engine
--- a/packages/bendlead-node/src/bendlead_node/_entry/members.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/members.py
@@ -61,10 +61,6 @@
             if peer.heard > since
         ]
 
-    def entry_alive(self, node: str) -> bool:
-        """Tell whether an entry was heard lately."""
-        return any(entry.node == node for entry in self.entries())
-
     def endpoints(self) -> list[EndpointPeer]:
         """List the endpoints that are alive."""
         since = time.monotonic() - self._suspect_after
--- a/testing/src/bendlead_testing/bench/config.py
+++ b/testing/src/bendlead_testing/bench/config.py
@@ -11,7 +11,6 @@
 
 import gevent
 from bendlead_node._common.config import config_key
-from bendlead_schema.messages import VersionedKey
 from bendlead_store import ABSENT, HttpStore, Version
 
 from bendlead_testing.cluster import Daemon, http, running_platform
@@ -156,12 +155,3 @@
         ),
         'seconds': seconds,
     }
-
-
-def node_change(number: int) -> VersionedKey:
-    """Give a change for a table that is measured by itself."""
-    return VersionedKey(
-        key=config_key('limit', f'key-{number}'),
-        version=number + 1,
-        body='{}',
-    )
