--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -0,0 +1,135 @@
+"""The entry: clients' requests to engines, calls about jobs to owners."""
+
+import time
+
+import gevent
+from bendlead_store import FollowedStore
+
+from bendlead_gateway._fleet.balancer import Balancer
+from bendlead_gateway._http.server import HttpServer, Request, Responder
+from bendlead_gateway._jobs.relay import JobRelay
+from bendlead_gateway._node import Node
+from bendlead_gateway._online.exchange import OnlinePath
+from bendlead_gateway.dialect import Dialect
+from bendlead_gateway.types import NodeSettings, RouteKind
+
+#: Descriptors kept for the store, engines and files.
+_RESERVED_DESCRIPTORS = 1200
+#: After SIGTERM new connections may come for this long (s): the platform
+#: asks once a second and takes a node out after two misses.
+_NEW_CLIENTS_SECONDS = 3.0
+#: Stop this long (s) before the platform would kill.
+_GRACE_LEFT = 0.6
+_CHECK_SECONDS = 0.05
+_RETRY_AFTER = (('Retry-After', '0.2'),)
+
+
+class EntryNode(Node):
+    """Take clients' connections."""
+
+    def __init__(
+        self, settings: NodeSettings, store: FollowedStore, dialect: Dialect
+    ) -> None:
+        super().__init__(settings, store, dialect)
+        balancer = Balancer(
+            self.engines, self.loads, self.health, settings.hall
+        )
+        self._online = OnlinePath(
+            dialect,
+            self.engines,
+            balancer,
+            self.loads,
+            self.health,
+            self.pool,
+            self.log,
+            self.metrics,
+        )
+        self._relay = JobRelay(self.peers, self.log)
+        self._clients = HttpServer(
+            settings.clients_address or '',
+            self._answer_client,
+            lambda: self.configuration.limits,
+            time.monotonic,
+            settings.descriptors - _RESERVED_DESCRIPTORS,
+        )
+        self._ready = HttpServer(
+            settings.ready_address or '',
+            self._answer_ready,
+            lambda: self.configuration.limits,
+            time.monotonic,
+        )
+
+    def start(self) -> None:
+        """Watch the store and take clients."""
+        for watcher in (
+            self.config_watch,
+            self.engines_watch,
+            self.peers_watch,
+        ):
+            gevent.spawn(watcher.run)
+        self._clients.start()
+        self._ready.start()
+
+    def leave(self) -> None:
+        """Serve what comes until the platform has taken this node out."""
+        began = time.monotonic()
+        last = began + self.settings.grace - _GRACE_LEFT
+        calm = began + min(_NEW_CLIENTS_SECONDS, self.settings.grace / 2)
+        while time.monotonic() < last:
+            gevent.sleep(_CHECK_SECONDS)
+            if time.monotonic() < calm:
+                continue
+            self._clients.close_idle()
+            if not self._clients.busy:
+                break
+        self.log.event('left', cut=self._clients.busy)
+        self.done.set()
+
+    def _answer_ready(self, request: Request, responder: Responder) -> None:
+        ready = (
+            request.path == self.dialect.ready_path
+            and self.configuration.known is not None
+            and not self.leaving
+        )
+        responder.answer(200 if ready else 503)
+
+    def _answer_client(self, request: Request, responder: Responder) -> None:
+        if self.leaving:
+            responder.close_after()
+        call = self.dialect.job_call(
+            request.method, request.target, request.headers
+        )
+        if call is not None:
+            self._relay.read(request, responder)
+            return
+        facts = self.dialect.request_facts(request.headers)
+        if facts is None:
+            responder.answer(400)
+            return
+        if self.configuration.known is None:
+            responder.answer(503, _RETRY_AFTER)
+            return
+        route = self.configuration.match(facts.host, request.path)
+        if route is None:
+            self._answer_unrouted(request, responder, facts.request)
+        elif route.kind is RouteKind.BATCH:
+            self._relay.submit(request, responder, route)
+        else:
+            self._online.serve(request, responder, facts, route)
+
+    def _answer_unrouted(
+        self, request: Request, responder: Responder, name: str
+    ) -> None:
+        """Say 404 only while the configuration is surely the newest."""
+        current = self.config_watch.current
+        self.log.event(
+            'no-route',
+            request=name,
+            path=request.path,
+            version=getattr(self.configuration.known, 'version', 0),
+            current=current,
+        )
+        if current:
+            responder.answer(404)
+        else:
+            responder.answer(503, _RETRY_AFTER)
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What a process believes of configuration, engines and peers."""
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
@@ -0,0 +1,101 @@
+"""Choose the engine that gets the next request."""
+
+import random
+from collections.abc import Collection, Sequence
+
+from bendlead_gateway._fleet.catalog import EngineList
+from bendlead_gateway._fleet.health import EngineHealth
+from bendlead_gateway._fleet.loads import LoadTable
+from bendlead_gateway.types import (
+    DataHall,
+    Engine,
+    EngineId,
+    Route,
+    ServiceName,
+    ServiceShare,
+)
+
+#: An item of a batch job steps aside, so it counts less than a request.
+_BATCH_WEIGHT = 0.35
+#: What being in another data hall costs, in requests: it decides only
+#: between engines of the same load.
+_FAR_COST = 0.3
+#: An engine that is warming up counts as this much slower.
+_WARMING_FACTOR = 2.0
+#: How much slower than the median an engine must be to be told apart.
+_SLOW_FACTOR = 1.3
+
+
+class Balancer:
+    """Choose by load known here and at the peers, pace, and data hall."""
+
+    def __init__(
+        self,
+        engines: EngineList,
+        loads: LoadTable,
+        health: EngineHealth,
+        hall: DataHall,
+    ) -> None:
+        self._engines = engines
+        self._loads = loads
+        self._health = health
+        self._hall = hall
+
+    def choose(
+        self, service: ServiceName, tried: Collection[EngineId]
+    ) -> Engine | None:
+        """Choose an engine for an online request."""
+        able = self._able(service, tried)
+        if not able:
+            return None
+        usual = self._usual_pace(able)
+        return min(able, key=lambda one: self._cost(one, usual))
+
+    def free_places(self, service: ServiceName) -> int:
+        """Count the places of a service that no request holds."""
+        return sum(
+            max(0, one.slots - self._loads.online(one.engine))
+            for one in self._able(service, ())
+        )
+
+    def _able(
+        self, service: ServiceName, tried: Collection[EngineId]
+    ) -> Sequence[Engine]:
+        untried = [
+            one
+            for one in self._engines.ready(service)
+            if one.engine not in tried
+        ]
+        sound = [
+            one for one in untried if not self._health.paused(one.engine)
+        ]
+        # All of them failing says more about us than about them.
+        return sound or untried
+
+    def _usual_pace(self, able: Sequence[Engine]) -> float:
+        paces = sorted(self._health.pace(one.engine) for one in able)
+        return paces[len(paces) // 2]
+
+    def _cost(self, engine: Engine, usual: float) -> float:
+        online = self._loads.online(engine.engine)
+        batch = self._loads.batch(engine.engine)
+        load = (online + 1 + batch * _BATCH_WEIGHT) / engine.slots
+        pace = self._health.pace(engine.engine)
+        if usual and pace > usual * _SLOW_FACTOR:
+            load *= pace / usual
+        if self._engines.warming(engine):
+            load *= _WARMING_FACTOR
+        if engine.hall != self._hall:
+            load += _FAR_COST / engine.slots
+        return load + random.random() * 0.01
+
+
+def pick_service(route: Route) -> ServiceName:
+    """Pick a service of a route by weight."""
+    shares: Sequence[ServiceShare] = route.shares
+    if len(shares) == 1:
+        return shares[0].service
+    weights = [max(0, one.weight) for one in shares]
+    if not any(weights):
+        weights = [1] * len(shares)
+    return random.choices(shares, weights)[0].service
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/health.py
@@ -0,0 +1,73 @@
+"""How engines did with real requests: pace, failures, pauses."""
+
+import time
+from dataclasses import dataclass
+
+from bendlead_gateway.types import EngineId
+
+#: First and longest pause of an engine that fails (s).
+_FIRST_PAUSE = 0.5
+_LAST_PAUSE = 4.0
+#: Weight of the newest value in a moving average.
+_NEWEST = 0.15
+#: Failures in a row after which an engine is paused, unless it refused the
+#: connection, which pauses it at once.
+_FAILURES = 2
+
+
+@dataclass(slots=True)
+class _Record:
+    """Keep how one engine did."""
+
+    pace: float = 0
+    failures: int = 0
+    paused_until: float = 0
+    pause: float = _FIRST_PAUSE
+
+
+class EngineHealth:
+    """Remember how each engine did, from its answers alone."""
+
+    def __init__(self) -> None:
+        self._records: dict[EngineId, _Record] = {}
+
+    def pace(self, engine: EngineId) -> float:
+        """Give the smoothed seconds between events, or 0 if unknown."""
+        record = self._records.get(engine)
+        return record.pace if record else 0
+
+    def paused(self, engine: EngineId) -> bool:
+        """Tell whether an engine is left alone for now."""
+        record = self._records.get(engine)
+        return bool(record) and time.monotonic() < record.paused_until
+
+    def observe_gap(self, engine: EngineId, seconds: float) -> None:
+        """Take the time between two events of a stream."""
+        record = self._record(engine)
+        if not record.pace:
+            record.pace = seconds
+        record.pace += (seconds - record.pace) * _NEWEST
+
+    def succeeded(self, engine: EngineId) -> None:
+        """Note a whole answer."""
+        record = self._record(engine)
+        record.failures = 0
+        record.pause = _FIRST_PAUSE
+        record.paused_until = 0
+
+    def failed(self, engine: EngineId, unreachable: bool = False) -> bool:
+        """Note a failed answer; tell whether the engine is paused now."""
+        record = self._record(engine)
+        record.failures += 1
+        if record.failures < _FAILURES and not unreachable:
+            return False
+        record.paused_until = time.monotonic() + record.pause
+        record.pause = min(_LAST_PAUSE, record.pause * 2)
+        return True
+
+    def forget(self, engine: EngineId) -> None:
+        """Forget an engine that is gone."""
+        self._records.pop(engine, None)
+
+    def _record(self, engine: EngineId) -> _Record:
+        return self._records.setdefault(engine, _Record())
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
@@ -0,0 +1,61 @@
+"""How many requests run on each engine, here and at the peers."""
+
+import time
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from bendlead_gateway.types import EngineId, NodeName
+
+#: What a peer said counts for this long (s); then it is taken as stopped.
+_REPORT_SECONDS = 1.5
+
+
+@dataclass(slots=True)
+class _Report:
+    """Keep what a peer said of its requests."""
+
+    online: Mapping[EngineId, int]
+    batch: Mapping[EngineId, int]
+    heard: float
+
+
+@dataclass(slots=True)
+class OwnLoad:
+    """Count the requests of this process on each engine."""
+
+    online: Counter[EngineId] = field(default_factory=Counter)
+    batch: Counter[EngineId] = field(default_factory=Counter)
+
+
+class LoadTable:
+    """Add up the requests on each engine over all processes."""
+
+    def __init__(self) -> None:
+        self.own = OwnLoad()
+        self._reports: dict[NodeName, _Report] = {}
+
+    def report(
+        self,
+        node: NodeName,
+        online: Mapping[EngineId, int],
+        batch: Mapping[EngineId, int],
+    ) -> None:
+        """Take what a peer tells of its requests."""
+        self._reports[node] = _Report(online, batch, time.monotonic())
+
+    def online(self, engine: EngineId) -> int:
+        """Count the online requests on an engine."""
+        return self.own.online[engine] + sum(
+            report.online.get(engine, 0) for report in self._fresh()
+        )
+
+    def batch(self, engine: EngineId) -> int:
+        """Count the items of batch jobs on an engine."""
+        return self.own.batch[engine] + sum(
+            report.batch.get(engine, 0) for report in self._fresh()
+        )
+
+    def _fresh(self) -> list[_Report]:
+        oldest = time.monotonic() - _REPORT_SECONDS
+        return [one for one in self._reports.values() if one.heard > oldest]
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/watcher.py
@@ -0,0 +1,116 @@
+"""Follow one prefix of the object service for as long as the process runs."""
+
+import random
+import time
+from collections.abc import Sequence
+from typing import Protocol
+
+import gevent
+from bendlead_store import (
+    Change,
+    Entry,
+    Failure,
+    FailureKind,
+    FollowedStore,
+    Version,
+)
+from result import Err
+
+from bendlead_gateway._log import Log
+
+#: How long one call may wait for a change (s). Each call is paid for, and a
+#: connection that died silently is noticed by its keep-alive probes.
+_HELD_SECONDS = 20.0
+_FIRST_PAUSE = 0.05
+_LAST_PAUSE = 0.4
+
+
+class Follower(Protocol):
+    """Take what a prefix holds, whole and then by changes."""
+
+    def reset(self, entries: Sequence[Entry], after_outage: bool) -> None:
+        """Take the whole content of the prefix."""
+
+    def change(self, change: Change) -> None:
+        """Take one change."""
+
+
+class Watcher:
+    """Keep one follower up to date and tell how sure it may be."""
+
+    def __init__(
+        self,
+        store: FollowedStore,
+        prefix: str,
+        follower: Follower,
+        log: Log,
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._follower = follower
+        self._log = log
+        self._as_of = Version(0)
+        self._current = False
+        self._pause = _FIRST_PAUSE
+        self._lost_at = 0.0
+
+    @property
+    def current(self) -> bool:
+        """Tell whether nothing has failed since the last answer."""
+        return self._current
+
+    def run(self) -> None:
+        """List, then follow, for ever."""
+        while True:
+            if self._current:
+                self._follow()
+            else:
+                self._list()
+
+    def _list(self) -> None:
+        listed = self._store.list_entries(self._prefix)
+        if isinstance(listed, Err):
+            self._fail(listed.err_value)
+            return
+        listing = listed.ok_value
+        self._follower.reset(listing.entries, bool(self._lost_at))
+        self._as_of = listing.as_of
+        self._regain(len(listing.entries))
+
+    def _regain(self, count: int) -> None:
+        away = time.monotonic() - self._lost_at if self._lost_at else 0
+        self._log.event(
+            'watch-regained',
+            prefix=self._prefix,
+            entries=count,
+            as_of=self._as_of,
+            away=round(away, 3),
+        )
+        self._current = True
+        self._lost_at = 0
+        self._pause = _FIRST_PAUSE
+
+    def _follow(self) -> None:
+        followed = self._store.follow(
+            self._prefix, self._as_of, _HELD_SECONDS
+        )
+        if isinstance(followed, Err):
+            self._fail(followed.err_value)
+            return
+        for change in followed.ok_value.changes:
+            self._follower.change(change)
+        self._as_of = max(self._as_of, followed.ok_value.as_of)
+
+    def _fail(self, failure: Failure) -> None:
+        self._current = False
+        if failure.kind is FailureKind.HISTORY_GONE:
+            self._log.event('watch-history-gone', prefix=self._prefix)
+            return
+        if not self._lost_at:
+            self._lost_at = time.monotonic()
+            self._log.event(
+                'watch-lost', prefix=self._prefix, reason=failure
+            )
+        gevent.sleep(max(failure.retry_after, self._pause * random.random()))
+        self._pause = min(_LAST_PAUSE, self._pause * 2)
+
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
@@ -0,0 +1,376 @@
+"""Accept connections and hand whole requests to a handler, one at a time."""
+
+import errno
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import gevent
+import httptools
+from gevent import socket
+
+from bendlead_gateway._http.sockets import listen, tune
+from bendlead_gateway.types import ClientLimits, Headers
+
+_READ_BYTES = 65_536
+#: A client that reads nothing for this long (s) loses its connection.
+_WRITE_SECONDS = 5
+#: Pause after running out of descriptors (s).
+_ACCEPT_PAUSE = 0.05
+_REASONS: Mapping[int, str] = {
+    200: 'OK',
+    202: 'Accepted',
+    400: 'Bad Request',
+    404: 'Not Found',
+    408: 'Request Timeout',
+    413: 'Content Too Large',
+    429: 'Too Many Requests',
+    431: 'Request Header Fields Too Large',
+    502: 'Bad Gateway',
+    503: 'Service Unavailable',
+    504: 'Gateway Timeout',
+}
+
+
+class ClientGoneError(OSError):
+    """The client closed its connection."""
+
+
+@dataclass(slots=True)
+class Request:
+    """Hold one whole request of a client."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    keep_alive: bool
+    received: float
+
+    @property
+    def path(self) -> str:
+        """Give the target without its query."""
+        return self.target.partition('?')[0]
+
+
+class Responder:
+    """Write one answer to a client."""
+
+    def __init__(self, sock: socket.socket, keep_alive: bool) -> None:
+        self._sock = sock
+        self._keep_alive = keep_alive
+        self._chunked = False
+        self.started = False
+        self.finished = False
+
+    @property
+    def keep_alive(self) -> bool:
+        """Tell whether the connection may serve another request."""
+        return self._keep_alive and self.finished
+
+    def close_after(self) -> None:
+        """Close the connection behind this answer."""
+        self._keep_alive = False
+
+    def answer(
+        self, status: int, headers: Headers = (), body: bytes = b''
+    ) -> None:
+        """Send a whole answer of our own."""
+        reason = _REASONS.get(status, 'Status')
+        self.started = True
+        head = self._head(status, reason, headers)
+        head.append(f'Content-Length: {len(body)}')
+        self._write_head(head, body)
+        self.finished = True
+
+    def start(
+        self,
+        status: int,
+        reason: str,
+        headers: Headers,
+        length: int | None,
+    ) -> None:
+        """Start an answer whose body follows in parts."""
+        self.started = True
+        head = self._head(status, reason, headers)
+        self._chunked = length is None
+        if length is None:
+            head.append('Transfer-Encoding: chunked')
+        else:
+            head.append(f'Content-Length: {length}')
+        self._write_head(head, b'')
+
+    def write(self, part: bytes) -> None:
+        """Send a part of the body."""
+        if not part:
+            return
+        if self._chunked:
+            part = b'%x\r\n%b\r\n' % (len(part), part)
+        self._send(part)
+
+    def finish(self) -> None:
+        """End the body; only now does the answer look complete."""
+        if self._chunked:
+            self._send(b'0\r\n\r\n')
+        self.finished = True
+
+    def abort(self) -> None:
+        """Leave the answer incomplete."""
+        self._keep_alive = False
+        self.finished = False
+
+    def _head(self, status: int, reason: str, headers: Headers) -> list[str]:
+        lines = [f'HTTP/1.1 {status} {reason}']
+        lines.extend(f'{name}: {text}' for name, text in headers)
+        if not self._keep_alive:
+            lines.append('Connection: close')
+        return lines
+
+    def _write_head(self, lines: list[str], body: bytes) -> None:
+        head = '\r\n'.join([*lines, '', '']).encode('latin-1')
+        self._send(head + body)
+
+    def _send(self, sent: bytes) -> None:
+        try:
+            self._sock.sendall(sent)
+        except OSError as error:
+            raise ClientGoneError(str(error)) from error
+
+
+Handler = Callable[[Request, Responder], None]
+
+
+@dataclass(slots=True)
+class _Draft:
+    """Gather one request while it is parsed."""
+
+    target: bytes = b''
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    header_bytes: int = 0
+    body: list[bytes] = field(default_factory=list)
+    body_bytes: int = 0
+
+
+class _TooLargeError(Exception):
+    """A client sent more than the limits allow."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class _Connection:
+    """Serve one client connection."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        handler: Handler,
+        limits: ClientLimits,
+        now: Callable[[], float],
+    ) -> None:
+        self._sock = sock
+        self._handler = handler
+        self._limits = limits
+        self._now = now
+        self._parser = httptools.HttpRequestParser(self)
+        self._draft = _Draft()
+        self._begun = 0.0
+        self._waiting: deque[Request] = deque()
+        self._task: gevent.Greenlet | None = None
+        self._closing = False
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether a request is being received or answered."""
+        return bool(self._task or self._waiting or self._begun)
+
+    def run(self) -> None:
+        """Read until the client or an error ends the connection."""
+        tune(self._sock)
+        try:
+            self._read_all()
+        except OSError:
+            # The client is gone; nobody is left to tell.
+            self._closing = True
+        finally:
+            if self._task is not None:
+                self._task.kill(block=False)
+            self._sock.close()
+
+    def close_idle(self) -> None:
+        """Close the connection unless a request is under way."""
+        if not self.busy:
+            self._closing = True
+            self._sock.close()
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._draft = _Draft()
+
+    def on_url(self, part: bytes) -> None:
+        """Keep a part of the target."""
+        self._draft.target += part
+        self._count_header(len(part))
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Keep one header."""
+        decoded = (name.decode('latin-1'), text.decode('latin-1'))
+        self._draft.headers.append(decoded)
+        self._count_header(len(name) + len(text) + 4)
+
+    def on_body(self, part: bytes) -> None:
+        """Keep a part of the body."""
+        self._draft.body_bytes += len(part)
+        if self._draft.body_bytes > self._limits.body_bytes:
+            raise _TooLargeError(413)
+        self._draft.body.append(part)
+
+    def on_message_complete(self) -> None:
+        """Queue the whole request."""
+        draft = self._draft
+        self._begun = 0
+        request = Request(
+            self._parser.get_method().decode('latin-1'),
+            draft.target.decode('latin-1'),
+            draft.headers,
+            b''.join(draft.body),
+            self._parser.should_keep_alive(),
+            self._now(),
+        )
+        self._waiting.append(request)
+
+    def _count_header(self, size: int) -> None:
+        self._draft.header_bytes += size
+        if self._draft.header_bytes > self._limits.header_bytes:
+            raise _TooLargeError(431)
+
+    def _read_all(self) -> None:
+        while not self._closing:
+            self._sock.settimeout(self._patience())
+            try:
+                received = self._sock.recv(_READ_BYTES)
+            except TimeoutError:
+                if self._task is not None:
+                    continue
+                if self._begun:
+                    self._refuse(408)
+                return
+            if not received:
+                return
+            if not self._feed(received):
+                return
+            self._start_next()
+
+    def _patience(self) -> float:
+        if self._task is None and self._begun:
+            return self._limits.header_seconds
+        return self._limits.idle_seconds
+
+    def _feed(self, received: bytes) -> bool:
+        if not self._begun:
+            self._begun = self._now()
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+            return False
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            large = isinstance(cause, _TooLargeError)
+            self._refuse(cause.status if large else 400)
+            return False
+        return True
+
+    def _refuse(self, status: int) -> None:
+        if self._task is None:
+            responder = Responder(self._sock, keep_alive=False)
+            responder.answer(status)
+
+    def _start_next(self) -> None:
+        if self._task is None and self._waiting:
+            request = self._waiting.popleft()
+            self._task = gevent.spawn(self._answer, request)
+
+    def _answer(self, request: Request) -> None:
+        self._sock.settimeout(_WRITE_SECONDS)
+        responder = Responder(self._sock, request.keep_alive)
+        try:
+            self._handler(request, responder)
+        except ClientGoneError:
+            responder.abort()
+        self._task = None
+        if not responder.keep_alive:
+            self._closing = True
+            self._shut()
+        self._start_next()
+
+    def _shut(self) -> None:
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The client closed first.
+            self._closing = True
+
+
+class HttpServer:
+    """Listen on one address; one task for each connection."""
+
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        limits: Callable[[], ClientLimits],
+        now: Callable[[], float],
+        most: int = 1_000_000,
+    ) -> None:
+        self._sock = listen(address)
+        self._handler = handler
+        self._limits = limits
+        self._now = now
+        self._most = most
+        self._open: set[Any] = set()
+
+    @property
+    def connections(self) -> int:
+        """Count the open connections."""
+        return len(self._open)
+
+    @property
+    def busy(self) -> int:
+        """Count the connections with a request under way."""
+        return sum(1 for one in self._open if one.busy)
+
+    def start(self) -> None:
+        """Accept connections from now on."""
+        gevent.spawn(self._accept)
+
+    def close_idle(self) -> None:
+        """Close the connections without a request."""
+        for one in list(self._open):
+            one.close_idle()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _peer = self._sock.accept()
+            except OSError as error:
+                if error.errno == errno.EBADF:
+                    return
+                gevent.sleep(_ACCEPT_PAUSE)
+                continue
+            if len(self._open) >= self._most:
+                sock.close()
+                continue
+            connection = _Connection(
+                sock, self._handler, self._limits(), self._now
+            )
+            self._open.add(connection)
+            gevent.spawn(self._serve, connection)
+
+    def _serve(self, connection: _Connection) -> None:
+        try:
+            connection.run()
+        finally:
+            self._open.discard(connection)
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/api.py
@@ -0,0 +1,180 @@
+"""Answer clients' calls about jobs for the shards held here."""
+
+import time
+
+from bendlead_store import Failure, FailureKind
+
+from bendlead_gateway._fleet.catalog import ConfigurationHolder
+from bendlead_gateway._http.server import Request, Responder
+from bendlead_gateway._jobs.board import Board, HeldJob
+from bendlead_gateway._jobs.keeper import ShardKeeper
+from bendlead_gateway._jobs.runner import ItemRunner
+from bendlead_gateway._jobs.shards import shard_of
+from bendlead_gateway._log import Log
+from bendlead_gateway.dialect import Dialect
+from bendlead_gateway.types import (
+    EndJob,
+    JobCall,
+    ReadBody,
+    ReadResults,
+    Route,
+    RouteKind,
+    Submission,
+)
+
+_JSON = (('Content-Type', 'application/json'),)
+_RETRY_AFTER = (('Retry-After', '0.3'),)
+#: A client whose job does not fit should come back when items are done (s).
+_FULL_RETRY_AFTER = (('Retry-After', '1'),)
+#: Marks an answer that only says who does not hold the shard.
+_NOT_HELD = (('X-Not-Held', '1'), ('Retry-After', '0.3'))
+#: Results of one answer (bytes of text).
+_MOST_RESULTS = 900_000
+#: Ownership proved this share of the settling time ago is fresh enough.
+_SURE_SHARE = 0.7
+
+
+class JobApi:
+    """Accept, show and end jobs."""
+
+    def __init__(
+        self,
+        keeper: ShardKeeper,
+        runner: ItemRunner,
+        configuration: ConfigurationHolder,
+        dialect: Dialect,
+        log: Log,
+        settle: float,
+    ) -> None:
+        self._keeper = keeper
+        self._runner = runner
+        self._configuration = configuration
+        self._dialect = dialect
+        self._log = log
+        self._sure = settle * _SURE_SHARE
+
+    def answer(self, request: Request, responder: Responder) -> None:
+        """Answer one call that an entry relays."""
+        call = self._dialect.job_call(
+            request.method, request.target, request.headers
+        )
+        host = _host(request)
+        board = self._keeper.boards.get(shard_of(host))
+        if board is None:
+            responder.answer(503, _NOT_HELD)
+        elif call is None:
+            self._submit(request, responder, board)
+        else:
+            self._call(call, responder, board)
+
+    def _submit(
+        self, request: Request, responder: Responder, board: Board
+    ) -> None:
+        submission = self._dialect.submission(
+            request.target, request.headers, request.body
+        )
+        if submission is None:
+            responder.answer(400)
+            return
+        route = self._configuration.match(submission.host, request.path)
+        if route is None or route.kind is not RouteKind.BATCH:
+            self._said(submission, 'no route', responder, 503)
+            return
+        if submission.job in board.jobs:
+            self._said(submission, 'again', responder, 202)
+            return
+        if not self._fits(board, submission, route):
+            self._said(submission, 'does not fit', responder, 429)
+            return
+        accepted = board.accept(submission)
+        if accepted.is_ok():
+            self._runner.wake()
+            self._said(submission, 'accepted', responder, 202)
+        else:
+            failure: Failure = accepted.err_value
+            status = 503 if failure.had_no_effect else 504
+            self._said(submission, str(failure), responder, status)
+
+    def _fits(
+        self, board: Board, submission: Submission, route: Route
+    ) -> bool:
+        limit = route.max_waiting_tokens
+        if not limit:
+            return True
+        tokens = sum(one.tokens for one in submission.items)
+        return board.waiting_tokens(submission.host) + tokens <= limit
+
+    def _said(
+        self,
+        submission: Submission,
+        reason: str,
+        responder: Responder,
+        status: int,
+    ) -> None:
+        self._log.event(
+            'job-submitted',
+            job=submission.job,
+            items=len(submission.items),
+            status=status,
+            reason=reason,
+        )
+        headers = {503: _RETRY_AFTER, 429: _FULL_RETRY_AFTER}
+        responder.answer(status, headers.get(status, ()))
+
+    def _call(
+        self, call: JobCall, responder: Responder, board: Board
+    ) -> None:
+        sure = board.sure(self._sure)
+        if sure.is_err():
+            failure: Failure = sure.err_value
+            fenced = failure.kind is FailureKind.CONFLICT
+            responder.answer(503, _NOT_HELD if fenced else _RETRY_AFTER)
+            return
+        job = board.jobs.get(call.job)
+        if job is None:
+            self._log.event('job-unknown', job=call.job, epoch=board.epoch)
+            responder.answer(404)
+        elif isinstance(call, ReadResults):
+            self._read(call, responder, job)
+        elif isinstance(call, ReadBody):
+            self._body(call, responder, job)
+        elif isinstance(call, EndJob):
+            self._end(responder, board, job)
+
+    def _read(
+        self, call: ReadResults, responder: Responder, job: HeldJob
+    ) -> None:
+        until = time.monotonic() + call.wait
+        while len(job.state.results) <= call.after and job.state.open:
+            left = until - time.monotonic()
+            if left <= 0:
+                break
+            job.changed.wait(left)
+        given = job.results(call.after, _MOST_RESULTS)
+        body = self._dialect.encode_results(
+            job.state.accepted.total, call.after, given
+        )
+        responder.answer(200, _JSON, body)
+
+    def _body(
+        self, call: ReadBody, responder: Responder, job: HeldJob
+    ) -> None:
+        body = None if job.state.ended else job.body(call.item)
+        if body is None:
+            responder.answer(404)
+        else:
+            responder.answer(200, (), body)
+
+    def _end(self, responder: Responder, board: Board, job: HeldJob) -> None:
+        ended = board.end(job)
+        self._runner.wake()
+        status = 200 if ended.is_ok() else 503
+        self._log.event('job-ended', job=job.job, status=status)
+        responder.answer(status, () if ended.is_ok() else _RETRY_AFTER)
+
+
+def _host(request: Request) -> str:
+    for name, text in request.headers:
+        if name.lower() == 'host':
+            return text
+    return ''
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
@@ -0,0 +1,397 @@
+"""The jobs of one shard while this process holds it."""
+
+import base64
+import time
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+
+import gevent
+from bendlead_ledger import (
+    Committer,
+    DirectJobState,
+    Owner,
+    ShardId,
+    ShardLog,
+    ShardState,
+    pack_items,
+    read_parts,
+    unpack_items,
+)
+from bendlead_schema.records import (
+    DirectItem,
+    DirectJobAccepted,
+    DirectJobEnded,
+    DirectResult,
+    DirectResultsRecorded,
+    JobRemoved,
+    Record,
+)
+from bendlead_schema.settings import LedgerSettings
+from bendlead_store import Failure, FailureKind, ValueStore
+from gevent.event import Event
+from result import Err, Ok, Result
+
+from bendlead_gateway._log import Log
+from bendlead_gateway.types import (
+    ItemId,
+    ItemOutcome,
+    ItemResult,
+    JobId,
+    JobItem,
+    Submission,
+)
+
+#: Pause between two commits of a shard (s): what comes meanwhile shares one
+#: paid write, and an acceptance is due within some hundred ms.
+_COMMIT_INTERVAL = 0.08
+#: A client waits about this long (s) for its job to be accepted.
+_ACCEPT_SECONDS = 2.0
+#: Kept beyond the time a job's status must be readable (s).
+_KEPT_SLACK = 60.0
+_TAIL_BYTES = 65_536
+_SEGMENTS = 48
+
+
+@dataclass(slots=True)
+class Progress:
+    """Keep how far an item has come; events are kept over its runs."""
+
+    item: JobItem
+    texts: list[str] = field(default_factory=list)
+    last_event: int | None = None
+    failures: int = 0
+    running: bool = False
+    finished: bool = False
+    not_before: float = 0
+
+    def restart(self) -> None:
+        """Forget events that can't be continued."""
+        self.texts.clear()
+        self.last_event = None
+
+
+class HeldJob:
+    """Hold one job: its durable state and how far its items have come."""
+
+    def __init__(
+        self, state: DirectJobState, items: Sequence[JobItem]
+    ) -> None:
+        self.state = state
+        self.changed = Event()
+        self.progress = {
+            one.item: Progress(one)
+            for one in items
+            if not state.listed(one.item)
+        }
+
+    @property
+    def job(self) -> JobId:
+        """Give the id."""
+        return JobId(self.state.accepted.job)
+
+    @property
+    def host(self) -> str:
+        """Give the host whose routes the items take."""
+        return self.state.accepted.host
+
+    @property
+    def waiting_tokens(self) -> int:
+        """Count the tokens of the items that no engine has finished."""
+        if self.state.ended:
+            return 0
+        return sum(
+            one.item.tokens
+            for one in self.progress.values()
+            if not one.finished
+        )
+
+    def waiting(self, now: float) -> Iterator[Progress]:
+        """List the items that could start now."""
+        if self.state.ended:
+            return
+        for one in self.progress.values():
+            idle = not one.running and not one.finished
+            if idle and one.not_before <= now:
+                yield one
+
+    def body(self, item: ItemId) -> bytes | None:
+        """Give the body of an item without result, unless it is unknown."""
+        found = self.progress.get(item)
+        return found.item.body if found else None
+
+    def announce(self) -> None:
+        """Wake the readers and forget what is listed."""
+        for item in list(self.progress):
+            if self.state.listed(item):
+                self.progress.pop(item)
+        self.changed.set()
+        self.changed = Event()
+
+    def results(self, after: int, most_bytes: int) -> list[ItemResult]:
+        """Give results from a position on, one at least if there is one."""
+        given: list[ItemResult] = []
+        size = 0
+        for one in self.state.results[after:]:
+            size += len(one.text)
+            if given and size > most_bytes:
+                break
+            given.append(_shown(one))
+        return given
+
+
+class Board:
+    """Accept, record and end the jobs of one shard."""
+
+    def __init__(
+        self,
+        store: ValueStore,
+        log: ShardLog,
+        state: ShardState,
+        lines: Log,
+        kept: float,
+        committer: Committer,
+    ) -> None:
+        self._store = store
+        self._log = log
+        self._state = state
+        self._lines = lines
+        self._kept = kept
+        self._committer = committer
+        self._confirming: Event | None = None
+        self._accepting: dict[JobId, Event] = {}
+        self._pending_tokens: dict[JobId, tuple[str, int]] = {}
+        self.jobs: dict[JobId, HeldJob] = {}
+
+    @property
+    def epoch(self) -> int:
+        """Tell the epoch at which the shard is held."""
+        return self._log.epoch
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether results or acceptances wait for their commit."""
+        recording = any(
+            one.finished
+            for job in self.jobs.values()
+            for one in job.progress.values()
+        )
+        return recording or bool(self._accepting)
+
+    def load(self) -> Result[None, Failure]:
+        """Read the items of the jobs that the log holds."""
+        for name, state in self._state.direct.items():
+            items: list[JobItem] = []
+            if state.open:
+                read = self._read_items(state.accepted)
+                if isinstance(read, Err):
+                    return read
+                items = read.ok_value
+            self.jobs[JobId(name)] = HeldJob(state, items)
+        return Ok(None)
+
+    def close(self) -> None:
+        """Stop committing."""
+        self._committer.close()
+
+    def sure(self, within: float) -> Result[None, Failure]:
+        """Make sure that the shard was held within the last seconds."""
+        if time.monotonic() - self._log.confirmed_at < within:
+            return Ok(None)
+        running = self._confirming
+        if running is not None:
+            running.wait(within)
+            if time.monotonic() - self._log.confirmed_at < within:
+                return Ok(None)
+            return Err(Failure(FailureKind.NOT_DONE, 'confirm', 'store'))
+        self._confirming = Event()
+        try:
+            return self._log.confirm()
+        finally:
+            done, self._confirming = self._confirming, None
+            done.set()
+
+    def waiting_tokens(self, host: str) -> int:
+        """Count the tokens that wait or are being accepted for a host."""
+        held = sum(
+            job.waiting_tokens
+            for job in self.jobs.values()
+            if job.host == host
+        )
+        pending = sum(
+            tokens for at, tokens in self._pending_tokens.values() if at == host
+        )
+        return held + pending
+
+    def accept(self, submission: Submission) -> Result[None, Failure]:
+        """Make a job durable, or join the attempt that does."""
+        running = self._accepting.get(submission.job)
+        if running is not None:
+            running.wait(_ACCEPT_SECONDS)
+            if submission.job in self.jobs:
+                return Ok(None)
+            return Err(Failure(FailureKind.UNKNOWN, 'accept', 'store'))
+        self._accepting[submission.job] = Event()
+        tokens = sum(one.tokens for one in submission.items)
+        self._pending_tokens[submission.job] = (submission.host, tokens)
+        unclear = False
+        try:
+            accepted = self._commit_job(submission, tokens)
+            unclear = (
+                isinstance(accepted, Err)
+                and not accepted.err_value.had_no_effect
+            )
+            return accepted
+        finally:
+            self._accepting.pop(submission.job).set()
+            if not unclear:
+                self._pending_tokens.pop(submission.job, None)
+
+    def record(
+        self, job: HeldJob, result: ItemResult
+    ) -> Result[None, Failure]:
+        """Make the result of an item durable, then show it."""
+        record = DirectResultsRecorded(
+            job=job.job,
+            results=[
+                DirectResult(
+                    item=result.item,
+                    completed=result.outcome is ItemOutcome.COMPLETED,
+                    text=result.text,
+                ),
+            ],
+        )
+        done = self._committer.commit([record])
+        if isinstance(done, Err):
+            return done
+        job.announce()
+        return Ok(None)
+
+    def end(self, job: HeldJob) -> Result[None, Failure]:
+        """End a job durably."""
+        if job.state.ended:
+            return Ok(None)
+        done = self._committer.commit(
+            [DirectJobEnded(job=job.job)], _ACCEPT_SECONDS
+        )
+        if isinstance(done, Err):
+            return done
+        job.announce()
+        return Ok(None)
+
+    def forget_old(self) -> None:
+        """Forget jobs whose status nobody may ask for any more."""
+        oldest = time.time() - self._kept - _KEPT_SLACK
+        gone: list[Record] = [
+            JobRemoved(job=name)
+            for name, job in self.jobs.items()
+            if not job.state.open and job.state.accepted.accepted_at < oldest
+        ]
+        if gone and isinstance(self._committer.commit(gone), Ok):
+            for record in gone:
+                self.jobs.pop(JobId(record.job), None)
+
+    def _commit_job(
+        self, submission: Submission, tokens: int
+    ) -> Result[None, Failure]:
+        packed, bulk = pack_items([_stored(one) for one in submission.items])
+        parts: list[str] = []
+        if bulk:
+            written = self._log.write_parts(bulk)
+            if isinstance(written, Err):
+                return written
+            parts = written.ok_value
+        record = DirectJobAccepted(
+            job=submission.job,
+            host=submission.host,
+            path=submission.path,
+            accepted_at=time.time(),
+            total=len(submission.items),
+            tokens=tokens,
+            packed=packed,
+            parts=parts,
+        )
+        done = self._committer.commit([record], _ACCEPT_SECONDS)
+        if isinstance(done, Err):
+            gevent.spawn(self._find_unclear, submission)
+            return done
+        self._hold(submission)
+        return Ok(None)
+
+    def _find_unclear(self, submission: Submission) -> None:
+        """Hold a job whose commit took effect after its caller gave up."""
+        until = time.monotonic() + self._kept
+        while time.monotonic() < until and not self._committer.lost:
+            if submission.job in self._state.direct:
+                self._hold(submission)
+                break
+            if not self._committer.stalled:
+                break
+            gevent.sleep(_COMMIT_INTERVAL)
+        self._pending_tokens.pop(submission.job, None)
+
+    def _hold(self, submission: Submission) -> None:
+        if submission.job not in self.jobs:
+            state = self._state.direct[submission.job]
+            self.jobs[submission.job] = HeldJob(state, submission.items)
+
+    def _read_items(
+        self, accepted: DirectJobAccepted
+    ) -> Result[list[JobItem], Failure]:
+        bulk = b''
+        if accepted.parts:
+            read = read_parts(self._store, accepted.parts)
+            if isinstance(read, Err):
+                return read
+            bulk = read.ok_value
+        return Ok([_item(one) for one in unpack_items(accepted.packed, bulk)])
+
+
+def open_board(
+    store: ValueStore,
+    shard: int,
+    owner: Owner,
+    lines: Log,
+    kept: float,
+    on_lost,
+) -> Result[Board, Failure]:
+    """Take a shard over and read what it holds."""
+    settings = LedgerSettings(tail_bytes=_TAIL_BYTES, segments=_SEGMENTS)
+    log = ShardLog(store, ShardId(shard), owner, settings)
+    taken = log.take_over()
+    if isinstance(taken, Err):
+        return taken
+    state = taken.ok_value
+    committer = Committer(log, state, lambda: _COMMIT_INTERVAL, on_lost)
+    board = Board(store, log, state, lines, kept, committer)
+    loaded = board.load()
+    if isinstance(loaded, Err):
+        board.close()
+        return loaded
+    return Ok(board)
+
+
+def _stored(item: JobItem) -> DirectItem:
+    return DirectItem(
+        item=item.item,
+        path=item.path,
+        headers=dict(item.headers),
+        body=base64.b64encode(item.body).decode(),
+        tokens=item.tokens,
+    )
+
+
+def _item(stored: DirectItem) -> JobItem:
+    return JobItem(
+        ItemId(stored.item),
+        stored.path,
+        stored.headers,
+        base64.b64decode(stored.body),
+        stored.tokens,
+    )
+
+
+def _shown(stored: DirectResult) -> ItemResult:
+    outcome = ItemOutcome.GIVEN_UP
+    if stored.completed:
+        outcome = ItemOutcome.COMPLETED
+    return ItemResult(ItemId(stored.item), outcome, stored.text)
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
@@ -0,0 +1,118 @@
+"""Hold the shards that fall to this process."""
+
+import time
+
+import gevent
+from bendlead_ledger import Owner
+from bendlead_store import FollowedStore
+from result import Err
+
+from bendlead_gateway._fleet.peers import PeerTable
+from bendlead_gateway._jobs.board import Board, open_board
+from bendlead_gateway._jobs.shards import SHARDS, preferred_owner
+from bendlead_gateway._log import Log
+from bendlead_gateway.types import PeerRecord
+
+_CHECK_SECONDS = 0.1
+#: Let peers be heard before taking anything after a start (s).
+_SETTLING_SECONDS = 0.8
+#: Leave a shard that was just lost to its new owner (s).
+_CALM_SECONDS = 1.5
+
+
+class ShardKeeper:
+    """Take over the shards that prefer this process, give up the others."""
+
+    def __init__(
+        self,
+        store: FollowedStore,
+        record: PeerRecord,
+        peers: PeerTable,
+        log: Log,
+        kept: float,
+    ) -> None:
+        self._store = store
+        self._record = record
+        self._peers = peers
+        self._log = log
+        self._kept = kept
+        self._lost_at: dict[int, float] = {}
+        self._leaving = False
+        self.boards: dict[int, Board] = {}
+
+    def epochs(self) -> dict[int, int]:
+        """Tell which shards are held at which epoch."""
+        return {shard: one.epoch for shard, one in self.boards.items()}
+
+    def run(self, sound) -> None:
+        """Check who should hold each shard, for ever."""
+        gevent.sleep(_SETTLING_SECONDS)
+        while not self._leaving:
+            for shard in range(SHARDS):
+                self._consider(shard, sound())
+            gevent.sleep(_CHECK_SECONDS)
+
+    def leave(self, within: float) -> None:
+        """Give all shards up once their commits are through."""
+        self._leaving = True
+        until = time.monotonic() + within
+        while time.monotonic() < until:
+            if not any(one.busy for one in self.boards.values()):
+                break
+            gevent.sleep(_CHECK_SECONDS / 4)
+        for shard in list(self.boards):
+            self._give_up(shard, 'leaving')
+
+    def _consider(self, shard: int, sound: bool) -> None:
+        held = self.boards.get(shard)
+        holder = self._peers.holder(shard)
+        if held is not None:
+            if holder is not None and holder.epoch > held.epoch:
+                self._give_up(shard, f'held by {holder.node}')
+            elif not sound and self._peers.able_owners():
+                self._give_up(shard, 'object service away from here')
+            return
+        calm = time.monotonic() - self._lost_at.get(shard, 0) > _CALM_SECONDS
+        if not sound or not calm or holder is not None:
+            return
+        nodes = [*self._peers.able_owners(), self._record.node]
+        if preferred_owner(shard, nodes) == self._record.node:
+            self._take(shard)
+
+    def _take(self, shard: int) -> None:
+        began = time.monotonic()
+        owner = Owner(self._record.node, self._record.address)
+        opened = open_board(
+            self._store,
+            shard,
+            owner,
+            self._log,
+            self._kept,
+            lambda: self._give_up(shard, 'fenced'),
+        )
+        if isinstance(opened, Err):
+            self._log.event(
+                'takeover-failed', shard=shard, reason=opened.err_value
+            )
+            return
+        self.boards[shard] = opened.ok_value
+        self._log.event(
+            'takeover',
+            shard=shard,
+            epoch=opened.ok_value.epoch,
+            jobs=len(opened.ok_value.jobs),
+            ms=round((time.monotonic() - began) * 1000),
+        )
+
+    def _give_up(self, shard: int, reason: str) -> None:
+        board = self.boards.pop(shard, None)
+        self._lost_at[shard] = time.monotonic()
+        if board is not None:
+            self._log.event(
+                'shard-given-up',
+                shard=shard,
+                epoch=board.epoch,
+                reason=reason,
+            )
+            gevent.spawn(board.close)
+
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/__init__.py
@@ -0,0 +1,1 @@
+"""Take clients' requests to engines and their answers back."""
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
@@ -0,0 +1,96 @@
+"""The owner: hold batch jobs and run their items."""
+
+import time
+
+import gevent
+from bendlead_schema.gateway import NodeReport
+from bendlead_store import FollowedStore
+from msgspec.structs import replace
+
+from bendlead_gateway._fleet.peers import held_shards
+from bendlead_gateway._http.server import Request, Responder
+from bendlead_gateway._jobs.api import JobApi
+from bendlead_gateway._jobs.keeper import ShardKeeper
+from bendlead_gateway._jobs.runner import ItemRunner
+from bendlead_gateway._node import Node
+from bendlead_gateway.dialect import Dialect
+from bendlead_gateway.types import NodeSettings
+
+#: How long (s) a leaving owner lets commits and calls finish.
+_LEAVING_SECONDS = 1.5
+_CHECK_SECONDS = 0.05
+_FORGET_SECONDS = 30.0
+
+
+class OwnerNode(Node):
+    """Hold shards of batch jobs."""
+
+    def __init__(
+        self, settings: NodeSettings, store: FollowedStore, dialect: Dialect
+    ) -> None:
+        super().__init__(settings, store, dialect)
+        self._keeper = ShardKeeper(
+            store, self.record, self.peers, self.log, settings.status_kept
+        )
+        self._runner = ItemRunner(
+            self._keeper,
+            dialect,
+            self.configuration,
+            self.config_watch,
+            self.engines,
+            self.loads,
+            self.health,
+            self.pool,
+            self.log,
+            self.metrics,
+        )
+        self._api = JobApi(
+            self._keeper,
+            self._runner,
+            self.configuration,
+            dialect,
+            self.log,
+            settings.settle,
+        )
+
+    def start(self) -> None:
+        """Watch the store, hold shards, run items."""
+        for watcher in (
+            self.config_watch,
+            self.engines_watch,
+            self.peers_watch,
+        ):
+            gevent.spawn(watcher.run)
+        gevent.spawn(self._keeper.run, self._sound)
+        gevent.spawn(self._runner.run)
+        gevent.spawn(self._forget)
+
+    def report(self) -> NodeReport:
+        """Tell peers what runs and which shards are held here."""
+        return replace(
+            super().report(),
+            sound=self._sound(),
+            shards=held_shards(self._keeper.epochs()),
+        )
+
+    def answer_peer_call(self, request: Request, responder: Responder) -> None:
+        """Answer a call about jobs that an entry relays."""
+        self._api.answer(request, responder)
+
+    def leave(self) -> None:
+        """Hand the shards over, let calls finish, end."""
+        self._keeper.leave(_LEAVING_SECONDS)
+        until = time.monotonic() + _LEAVING_SECONDS
+        while self.internal.busy > 1 and time.monotonic() < until:
+            gevent.sleep(_CHECK_SECONDS)
+        self.done.set()
+
+    def _sound(self) -> bool:
+        """Tell whether the object service can be reached from here."""
+        return self.peers_watch.current
+
+    def _forget(self) -> None:
+        while True:
+            gevent.sleep(_FORGET_SECONDS)
+            for board in list(self._keeper.boards.values()):
+                board.forget_old()
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/process.py
@@ -0,0 +1,21 @@
+"""Run one process of the gateway."""
+
+from bendlead_store import FollowedStore
+
+from bendlead_gateway.dialect import Dialect
+from bendlead_gateway.types import NodeRole, NodeSettings
+
+
+def run_process(
+    settings: NodeSettings, store: FollowedStore, dialect: Dialect
+) -> None:
+    """Run as an entry or as an owner of batch jobs until told to stop."""
+    # Each role loads only its own modules, for memory's sake.
+    if settings.role is NodeRole.ENTRY:
+        from bendlead_gateway._entry import EntryNode  # noqa: PLC0415
+
+        EntryNode(settings, store, dialect).run()
+    else:
+        from bendlead_gateway._owner import OwnerNode  # noqa: PLC0415
+
+        OwnerNode(settings, store, dialect).run()
--- a/packages/bendlead-ledger/src/bendlead_ledger/__init__.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/__init__.py
@@ -6,6 +6,8 @@
     decompress,
     encode,
 )
+from bendlead_ledger._committer import Committer
+from bendlead_ledger._direct import DirectJobState, pack_items, unpack_items
 from bendlead_ledger._grants import GrantOrder, TeamPolicy
 from bendlead_ledger._ids import (
     JobId,
@@ -19,12 +21,21 @@
 )
 from bendlead_ledger._input import ChunkReader, FileWriter, file_lines
 from bendlead_ledger._jobs import NOT_OWNER
-from bendlead_ledger._log import Owner, ShardLog, head_key, write_once
+from bendlead_ledger._log import (
+    Owner,
+    ShardLog,
+    head_key,
+    read_parts,
+    write_once,
+)
 from bendlead_ledger._shard import Shard, open_shard
+from bendlead_ledger._state import ShardState
 
 __all__ = (
     'NOT_OWNER',
     'ChunkReader',
+    'Committer',
+    'DirectJobState',
     'FileWriter',
     'GrantOrder',
     'JobId',
@@ -33,6 +44,7 @@
     'Shard',
     'ShardId',
     'ShardLog',
+    'ShardState',
     'TeamPolicy',
     'UnknownFormatError',
     'decode',
@@ -43,8 +55,11 @@
     'head_key',
     'job_id',
     'open_shard',
+    'pack_items',
+    'read_parts',
     'request_id',
     'shard_of',
     'unique',
+    'unpack_items',
     'write_once',
 )
--- a/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
@@ -45,6 +45,11 @@
         self._writing_since = 0.0
         self._task = gevent.spawn(self._run)
 
+    @property
+    def lost(self) -> bool:
+        """Tell whether the shard is no longer ours to write."""
+        return self._lost
+
     @property
     def stalled(self) -> bool:
         """Tell whether the store has not answered a write for a while."""
--- a/packages/bendlead-ledger/src/bendlead_ledger/_input.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_input.py
@@ -6,7 +6,7 @@
 import msgspec
 import xxhash
 from bendlead_schema.records import ChunkRef, FileManifest, LineError
-from bendlead_store import Failure, FailureKind, ObjectStore
+from bendlead_store import Failure, FailureKind, ValueStore
 from result import Err, Ok, Result
 
 from bendlead_ledger import _codec
@@ -42,7 +42,7 @@
 
     def __init__(
         self,
-        store: ObjectStore,
+        store: ValueStore,
         file_id: str,
         models: frozenset[str],
         line_bytes: int,
@@ -146,7 +146,7 @@
 class ChunkReader:
     """Read lines of stored files, keeping the latest chunks decoded."""
 
-    def __init__(self, store: ObjectStore, keep: int = 8) -> None:
+    def __init__(self, store: ValueStore, keep: int = 8) -> None:
         self._store = store
         self._keep = keep
         self._chunks: dict[str, Sequence[bytes]] = {}
--- a/packages/bendlead-ledger/src/bendlead_ledger/_log.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_log.py
@@ -6,6 +6,7 @@
 """
 
 import random
+import time
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -24,7 +25,7 @@
     Entry,
     Failure,
     FailureKind,
-    ObjectStore,
+    ValueStore,
     Version,
 )
 from result import Err, Ok, Result
@@ -52,7 +53,7 @@
 
     def __init__(
         self,
-        store: ObjectStore,
+        store: ValueStore,
         shard: ShardId,
         owner: Owner,
         settings: LedgerSettings,
@@ -64,6 +65,12 @@
         self._head: Head | None = None
         self._version = ABSENT
         self._fenced = False
+        self._confirmed_at = 0.0
+
+    @property
+    def confirmed_at(self) -> float:
+        """Tell when ownership was last proved, on the steady clock (s)."""
+        return self._confirmed_at
 
     @property
     def fenced(self) -> bool:
@@ -107,6 +114,22 @@
             return sealed
         return self._write_head(sealed.ok_value, self._version)
 
+    def confirm(self) -> Result[None, Failure]:
+        """Prove by a read that no other owner has taken the shard."""
+        asked = time.monotonic()
+        found = self._read_head()
+        if isinstance(found, Err):
+            return found
+        entry = found.ok_value
+        head = _codec.decode(entry.body, Head, entry.key) if entry else None
+        if head is None or head.epoch != self.epoch:
+            self._fenced = True
+            peer = f'{head.owner} at {head.address}' if head else 'nobody'
+            failure = Failure(FailureKind.CONFLICT, 'confirm', peer, 'fenced')
+            return Err(failure)
+        self._confirmed_at = max(self._confirmed_at, asked)
+        return Ok(None)
+
     def needs_snapshot(self) -> bool:
         """Tell whether enough segments have gathered to fold them."""
         return len(self._owned_head().segments) >= self._settings.segments
@@ -114,7 +137,8 @@
     def fold(self, state: ShardState) -> Result[None, Failure]:
         """Replace all records by a snapshot of the state they led to."""
         head = self._owned_head()
-        parts = self._write_parts(_codec.encode(state.snapshot()))
+        snapshot = _codec.encode(state.snapshot())
+        parts = self.write_parts(_codec.compress(snapshot))
         if isinstance(parts, Err):
             return parts
         folded = msgspec.structs.replace(
@@ -175,8 +199,10 @@
         backoff = _FIRST_BACKOFF
         uncertain = False
         while True:
+            asked = time.monotonic()
             written = self._store.put(head_key(self._shard), body, expected)
             if isinstance(written, Ok):
+                self._confirmed_at = asked
                 return self._adopt(head, written.ok_value)
             if written.err_value.kind is FailureKind.CONFLICT:
                 settled = self._settle(head, uncertain=uncertain)
@@ -237,8 +263,8 @@
             ),
         )
 
-    def _write_parts(self, body: bytes) -> Result[list[str], Failure]:
-        packed = _codec.compress(body)
+    def write_parts(self, packed: bytes) -> Result[list[str], Failure]:
+        """Write bulk bytes into immutable objects and name them."""
         parts = []
         for start in range(0, len(packed), _PART_BYTES):
             key = f'ledger/{self._shard:04x}/snapshot/{unique()}'
@@ -268,7 +294,7 @@
 
 
 def write_once(
-    store: ObjectStore,
+    store: ValueStore,
     key: str,
     body: bytes,
 ) -> Result[None, Failure]:
@@ -287,18 +313,18 @@
         backoff = min(_LAST_BACKOFF, backoff * 2)
 
 
-def load_state(store: ObjectStore, head: Head) -> Result[ShardState, Failure]:
+def load_state(store: ValueStore, head: Head) -> Result[ShardState, Failure]:
     """Rebuild the state that a head refers to."""
     state = ShardState()
     if head.snapshot:
-        body = _read_all(store, head.snapshot.parts)
+        body = read_parts(store, head.snapshot.parts)
         if isinstance(body, Err):
             return body
         plain = _codec.decompress(body.ok_value)
         key = head_key(ShardId(head.shard))
         state.restore(_codec.decode(plain, Snapshot, key))
     for segment in head.segments:
-        body = _read_all(store, [segment.key])
+        body = read_parts(store, [segment.key])
         if isinstance(body, Err):
             return body
         state.replay(_SEGMENT.decode(_codec.decompress(body.ok_value)))
@@ -306,9 +332,10 @@
     return Ok(state)
 
 
-def _read_all(
-    store: ObjectStore, keys: Sequence[str]
+def read_parts(
+    store: ValueStore, keys: Sequence[str]
 ) -> Result[bytes, Failure]:
+    """Read bulk bytes back from the objects that hold them."""
     bodies = []
     for key in keys:
         found = store.fetch(key)
--- a/packages/bendlead-ledger/src/bendlead_ledger/_results.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_results.py
@@ -7,7 +7,7 @@
 import gevent
 from bendlead_schema.records import ResultLine, ResultPack, ResultsRecorded
 from bendlead_schema.settings import LedgerSettings
-from bendlead_store import Failure, ObjectStore
+from bendlead_store import Failure, ValueStore
 from gevent.event import AsyncResult, Event
 from result import Err, Result
 
@@ -25,7 +25,7 @@
 
     def __init__(
         self,
-        store: ObjectStore,
+        store: ValueStore,
         shard: ShardId,
         committer: Committer,
         settings: LedgerSettings,
--- a/packages/bendlead-ledger/src/bendlead_ledger/_shard.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_shard.py
@@ -21,7 +21,7 @@
     SubmitJob,
 )
 from bendlead_schema.settings import LedgerSettings
-from bendlead_store import Failure, ObjectStore
+from bendlead_store import Failure, ValueStore
 from result import Err, Ok, Result
 
 from bendlead_ledger._committer import Committer
@@ -89,7 +89,7 @@
 
 
 def open_shard(
-    store: ObjectStore,
+    store: ValueStore,
     shard: ShardId,
     owner: Owner,
     settings: LedgerSettings,
--- a/packages/bendlead-ledger/src/bendlead_ledger/_state.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_state.py
@@ -14,6 +14,9 @@
 
 from bendlead_schema.records import (
     AttemptFailed,
+    DirectJobAccepted,
+    DirectJobEnded,
+    DirectResultsRecorded,
     JobAccepted,
     JobCancelled,
     JobRemoved,
@@ -29,6 +32,7 @@
 )
 
 from bendlead_ledger._codec import FORMAT
+from bendlead_ledger._direct import DirectJobState
 
 
 class ItemStatus(enum.IntEnum):
@@ -108,6 +112,7 @@
     def __init__(self) -> None:
         self.jobs: dict[str, JobState] = {}
         self.requests: dict[str, RequestState] = {}
+        self.direct: dict[str, DirectJobState] = {}
 
     def apply(self, record: Record) -> bool:
         """Apply one record; tell whether it changed anything."""
@@ -134,6 +139,7 @@
                 )
                 for request in self.requests.values()
             ],
+            direct=[job.snapshot() for job in self.direct.values()],
         )
 
     def restore(self, snapshot: Snapshot) -> None:
@@ -146,6 +152,9 @@
                 request.status,
                 request.body,
             )
+        for direct in snapshot.direct:
+            restored = DirectJobState.restored(direct)
+            self.direct[direct.accepted.job] = restored
 
     def accept_job(self, record: JobAccepted) -> bool:
         """Accept a job once."""
@@ -181,7 +190,28 @@
 
     def remove_job(self, record: JobRemoved) -> bool:
         """Forget a job."""
-        return self.jobs.pop(record.job, None) is not None
+        direct = self.direct.pop(record.job, None)
+        return self.jobs.pop(record.job, direct) is not None
+
+    def accept_direct(self, record: DirectJobAccepted) -> bool:
+        """Accept a direct job once."""
+        if record.job in self.direct:
+            return False
+        self.direct[record.job] = DirectJobState(record)
+        return True
+
+    def record_direct(self, record: DirectResultsRecorded) -> bool:
+        """Append the results of items that have none yet."""
+        job = self.direct.get(record.job)
+        return job is not None and job.record(record.results)
+
+    def end_direct(self, record: DirectJobEnded) -> bool:
+        """End a direct job."""
+        job = self.direct.get(record.job)
+        if job is None or job.ended:
+            return False
+        job.ended = True
+        return True
 
     def accept_request(self, record: RequestAccepted) -> bool:
         """Accept a request once."""
@@ -244,5 +274,8 @@
         RequestAccepted: ShardState.accept_request,
         RequestCompleted: ShardState.complete_request,
         RequestRefused: ShardState.refuse_request,
+        DirectJobAccepted: ShardState.accept_direct,
+        DirectResultsRecorded: ShardState.record_direct,
+        DirectJobEnded: ShardState.end_direct,
     }
 )
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/records.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/records.py
@@ -5,7 +5,7 @@
 
 from typing import Annotated, Any, TypeAlias
 
-from msgspec import Meta, Struct, field
+from msgspec import Meta, Struct, UnsetType, field
 
 Model: TypeAlias = Any
 
@@ -139,19 +139,6 @@
     request: str
 
 
-Record: TypeAlias = Annotated[
-    JobAccepted
-    | ResultsRecorded
-    | AttemptFailed
-    | JobCancelled
-    | JobRemoved
-    | RequestAccepted
-    | RequestCompleted
-    | RequestRefused,
-    Meta(description='Everything a shard can record.'),
-]
-
-
 class SegmentRef(Struct, kw_only=True):
     """
     Point at a sealed run of records.
@@ -171,28 +158,6 @@
     records: Annotated[int, Meta(description='Records folded into the snapshot.', ge=0)]
 
 
-class Head(Struct, kw_only=True):
-    """
-    The one mutable object of a shard.
-    """
-
-    format: Annotated[int, Meta(ge=1)]
-    shard: Annotated[int, Meta(ge=0)]
-    epoch: Annotated[int, Meta(ge=0)]
-    owner: str
-    address: str
-    commit: Annotated[
-        str, Meta(description='Unique id of the commit that wrote this head.')
-    ]
-    sequence: Annotated[int, Meta(description='Records committed so far.', ge=0)]
-    tail: list[Record]
-    segments: list[SegmentRef]
-    snapshot: SnapshotRef | None = None
-    fenced: Annotated[
-        str, Meta(description='Commit id of the head that the present owner took over.')
-    ] = ''
-
-
 class JobSnapshot(Struct, kw_only=True):
     """
     One job inside a snapshot.
@@ -216,16 +181,6 @@
     body: str = ''
 
 
-class Snapshot(Struct, kw_only=True):
-    """
-    The state of a shard after a number of records.
-    """
-
-    format: Annotated[int, Meta(ge=1)]
-    jobs: list[JobSnapshot]
-    requests: list[RequestSnapshot]
-
-
 class ResultLine(Struct, kw_only=True):
     """
     The final result of one item.
@@ -272,3 +227,131 @@
     chunks: list[ChunkRef]
     item_count: Annotated[int, Meta(ge=0)]
     errors: list[LineError]
+
+
+class DirectItem(Struct, kw_only=True):
+    """
+    Hold one request of a direct job.
+    """
+
+    item: str
+    path: str
+    headers: dict[str, str]
+    body: Annotated[str, Meta(description='Base64.')]
+    tokens: Annotated[int, Meta(ge=0)]
+
+
+class DirectJobAccepted(
+    Struct, kw_only=True, tag_field='kind', tag='direct-job-accepted'
+):
+    """
+    Accept a job whose items and results live in the log.
+    """
+
+    job: str
+    host: str
+    path: str
+    accepted_at: Annotated[float, Meta(description='Unix seconds.', ge=0.0)]
+    total: Annotated[int, Meta(ge=0)]
+    tokens: Annotated[int, Meta(ge=0)]
+    packed: (
+        Annotated[
+            str, Meta(description='Base64 of the compressed items, where they are few.')
+        ]
+        | UnsetType
+    ) = ''
+    parts: (
+        Annotated[
+            list[str],
+            Meta(description='Keys of the objects that hold the compressed items.'),
+        ]
+        | UnsetType
+    ) = field(default_factory=list)
+
+
+class DirectResult(Struct, kw_only=True):
+    """
+    Hold the final result of one item.
+    """
+
+    item: str
+    completed: bool
+    text: str
+
+
+class DirectResultsRecorded(
+    Struct, kw_only=True, tag_field='kind', tag='direct-results-recorded'
+):
+    """
+    Append results of a direct job in the order of this list.
+    """
+
+    job: str
+    results: list[DirectResult]
+
+
+class DirectJobEnded(Struct, kw_only=True, tag_field='kind', tag='direct-job-ended'):
+    """
+    End a direct job; nothing of it is run afterwards.
+    """
+
+    job: str
+
+
+class DirectJobSnapshot(Struct, kw_only=True):
+    """
+    Hold a direct job in a snapshot.
+    """
+
+    accepted: DirectJobAccepted
+    results: list[DirectResult]
+    ended: bool
+
+
+Record: TypeAlias = Annotated[
+    JobAccepted
+    | ResultsRecorded
+    | AttemptFailed
+    | JobCancelled
+    | JobRemoved
+    | RequestAccepted
+    | RequestCompleted
+    | RequestRefused
+    | DirectJobAccepted
+    | DirectResultsRecorded
+    | DirectJobEnded,
+    Meta(description='Everything a shard can record.'),
+]
+
+
+class Head(Struct, kw_only=True):
+    """
+    The one mutable object of a shard.
+    """
+
+    format: Annotated[int, Meta(ge=1)]
+    shard: Annotated[int, Meta(ge=0)]
+    epoch: Annotated[int, Meta(ge=0)]
+    owner: str
+    address: str
+    commit: Annotated[
+        str, Meta(description='Unique id of the commit that wrote this head.')
+    ]
+    sequence: Annotated[int, Meta(description='Records committed so far.', ge=0)]
+    tail: list[Record]
+    segments: list[SegmentRef]
+    snapshot: SnapshotRef | None = None
+    fenced: Annotated[
+        str, Meta(description='Commit id of the head that the present owner took over.')
+    ] = ''
+
+
+class Snapshot(Struct, kw_only=True):
+    """
+    The state of a shard after a number of records.
+    """
+
+    format: Annotated[int, Meta(ge=1)]
+    jobs: list[JobSnapshot]
+    requests: list[RequestSnapshot]
+    direct: list[DirectJobSnapshot] | UnsetType = field(default_factory=list)
--- /dev/null
+++ b/packages/bendlead-schema/src/bendlead_schema/gateway.py
@@ -0,0 +1,11 @@
+"""Typed gateway, generated from schemas/gateway.json."""
+
+from bendlead_schema._generated.gateway import (
+    HeldShard,
+    NodeReport,
+)
+
+__all__ = (
+    'HeldShard',
+    'NodeReport',
+)
--- a/packages/bendlead-store/src/bendlead_store/__init__.py
+++ b/packages/bendlead-store/src/bendlead_store/__init__.py
@@ -1,18 +1,26 @@
 """The platform's object service behind one protocol."""
 
-from bendlead_store._embedded import EmbeddedStore
+from typing import TYPE_CHECKING, Any
+
 from bendlead_store._failure import Failure, FailureKind
-from bendlead_store._http import HttpStore
-from bendlead_store._opening import open_store
 from bendlead_store._protocol import (
     ABSENT,
     Change,
     Entry,
+    FollowedStore,
+    Following,
+    Listing,
     ObjectStore,
+    ValueStore,
     Version,
     VirtualMachine,
 )
 
+if TYPE_CHECKING:
+    from bendlead_store._embedded import EmbeddedStore
+    from bendlead_store._http import HttpStore
+    from bendlead_store._opening import open_store
+
 __all__ = (
     'ABSENT',
     'Change',
@@ -20,9 +28,29 @@
     'Entry',
     'Failure',
     'FailureKind',
+    'FollowedStore',
+    'Following',
     'HttpStore',
+    'Listing',
     'ObjectStore',
+    'ValueStore',
     'Version',
     'VirtualMachine',
     'open_store',
 )
+
+_IMPLEMENTATIONS = {
+    'EmbeddedStore': 'bendlead_store._embedded',
+    'HttpStore': 'bendlead_store._http',
+    'open_store': 'bendlead_store._opening',
+}
+
+
+def __getattr__(name: str) -> Any:
+    """Load an implementation when it is first used, for memory's sake."""
+    module = _IMPLEMENTATIONS.get(name)
+    if module is None:
+        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
+    from importlib import import_module  # noqa: PLC0415
+
+    return getattr(import_module(module), name)
--- a/packages/bendlead-store/src/bendlead_store/_failure.py
+++ b/packages/bendlead-store/src/bendlead_store/_failure.py
@@ -8,6 +8,7 @@
     """Say what is known of the effect of a failed call."""
 
     CONFLICT = 'conflict'
+    HISTORY_GONE = 'history_gone'
     LIMITED = 'limited'
     NOT_DONE = 'not_done'
     REFUSED = 'refused'
--- a/packages/bendlead-store/src/bendlead_store/_protocol.py
+++ b/packages/bendlead-store/src/bendlead_store/_protocol.py
@@ -43,8 +43,24 @@
     leaving: bool
 
 
-class ObjectStore(Protocol):
-    """Stand between the system and whichever object service is used."""
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """Hold everything under a prefix as of one revision of the service."""
+
+    entries: Sequence[Entry]
+    as_of: Version
+
+
+@dataclass(frozen=True, slots=True)
+class Following:
+    """Hold the changes since a revision, and where to go on from."""
+
+    changes: Sequence[Change]
+    as_of: Version
+
+
+class ValueStore(Protocol):
+    """Read and change single values."""
 
     def fetch(self, key: str) -> Result[Entry | None, Failure]:
         """Read one value, or nothing where the key is absent."""
@@ -60,6 +76,28 @@
     def delete(self, key: str, expected: Version) -> Result[Version, Failure]:
         """Delete a key if it is still at the expected version."""
 
+
+class FollowedStore(ValueStore, Protocol):
+    """Read all values of a prefix, then follow their changes."""
+
+    def list_entries(self, prefix: str) -> Result[Listing, Failure]:
+        """Read every entry under a prefix, with bodies."""
+
+    def follow(
+        self,
+        prefix: str,
+        after: Version,
+        timeout: float,
+    ) -> Result[Following, Failure]:
+        """Wait up to timeout seconds for changes after a revision.
+
+        Fails with HISTORY_GONE where the changes are no longer known.
+        """
+
+
+class ObjectStore(ValueStore, Protocol):
+    """Stand between the system and whichever object service is used."""
+
     def list_keys(
         self,
         prefix: str,
