Engine connections: read each answer by itself, also when two arrive together

Ruled out: an answer without a length that was cut (the rule counts a clean end as complete); a wrong instance. Change: one message object for each answer; skipping drops the first only.

--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,13 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-PACKAGES := $(wildcard packages/*)
+PACKAGES := $(wildcard packages/*) platform
 
 .PHONY: setup demo test lint generate check-generated model soak bench slopes
 
 setup: $(STAMP)
 
-$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml) testing/pyproject.toml
+$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml testing/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -c requirements.lock -U setuptools wheel
 	$(BIN)/pip install -q -c requirements.lock --no-build-isolation $(PACKAGES:%=-e ./%) -e ./testing
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
@@ -3,7 +3,7 @@
 import select
 from collections import deque
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import httptools
 
@@ -12,6 +12,9 @@
 
 _READ_BYTES = 65_536
 _NO_BODY = frozenset((204, 304))
+_FINAL_STATUS = 200
+#: A wait of nothing would mean a wait without end to the socket (s).
+_SHORTEST_WAIT = 0.001
 
 
 class BrokenAnswerError(OSError):
@@ -46,46 +49,74 @@
     body: bytes
 
 
+@dataclass(slots=True)
+class _Message:
+    """Gather one answer."""
+
+    reason: str = ''
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    head: ResponseHead | None = None
+    body: list[bytes] = field(default_factory=list)
+    complete: bool = False
+
+
 class _Incoming:
-    """Gather what the parser finds, one message at a time."""
+    """Gather the answers that arrive after one request, each by itself.
+
+    There may be more than one: an engine may answer an earlier request again.
+    """
 
     def __init__(self) -> None:
-        self.parser = httptools.HttpResponseParser(self)
-        self.heads: deque[ResponseHead] = deque()
-        self.body: list[bytes] = []
-        self.complete = False
-        self.surplus = False
-        self._reason = ''
-        self._headers: list[tuple[str, str]] = []
+        self._parser = httptools.HttpResponseParser(self)
+        self._messages: deque[_Message] = deque()
+
+    @property
+    def first(self) -> _Message:
+        """Give the answer that is read now."""
+        if not self._messages:
+            self._messages.append(_Message())
+        return self._messages[0]
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether the first answer is whole and nothing follows it."""
+        return len(self._messages) == 1 and self._messages[0].complete
+
+    def feed(self, received: bytes) -> None:
+        """Parse bytes; raise HttpParserError where they are no answer."""
+        self._parser.feed_data(received)
+
+    def drop_first(self) -> None:
+        """Go on to the next answer."""
+        self._messages.popleft()
 
     def on_message_begin(self) -> None:
-        """Note bytes that follow a whole answer."""
-        if self.complete:
-            self.surplus = True
-        self._headers = []
-        self._reason = ''
+        """Begin an answer."""
+        if not self._messages or self._messages[-1].complete:
+            self._messages.append(_Message())
 
     def on_status(self, status: bytes) -> None:
         """Keep the reason."""
-        self._reason += status.decode('latin-1')
+        self._messages[-1].reason += status.decode('latin-1')
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Keep one header."""
-        self._headers.append((name.decode('latin-1'), text.decode('latin-1')))
+        decoded = (name.decode('latin-1'), text.decode('latin-1'))
+        self._messages[-1].headers.append(decoded)
 
     def on_headers_complete(self) -> None:
         """Keep the head."""
-        status = self.parser.get_status_code()
-        self.heads.append(ResponseHead(status, self._reason, self._headers))
+        latest = self._messages[-1]
+        status = self._parser.get_status_code()
+        latest.head = ResponseHead(status, latest.reason, latest.headers)
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body."""
-        if not self.complete:
-            self.body.append(body)
+        self._messages[-1].body.append(body)
 
     def on_message_complete(self) -> None:
         """Mark the end of the answer."""
-        self.complete = True
+        self._messages[-1].complete = True
 
 
 class HttpConnection:
@@ -106,8 +137,7 @@
     @property
     def reusable(self) -> bool:
         """Tell whether another request may go out on this connection."""
-        incoming = self._incoming
-        return self._reusable and incoming.complete and not incoming.surplus
+        return self._reusable and self._incoming.ended
 
     @property
     def quiet(self) -> bool:
@@ -143,37 +173,34 @@
 
     def read_head(self, timeout: float) -> ResponseHead:
         """Wait for the head of the next answer."""
-        incoming = self._incoming
-        while not incoming.heads:
+        answer = self._incoming.first
+        while answer.head is None:
             if not self._fill(timeout):
                 raise BrokenAnswerError('closed before an answer')
-        head = incoming.heads.popleft()
-        if head.status < 200:
+        if answer.head.status < _FINAL_STATUS:
+            self._incoming.drop_first()
             return self.read_head(timeout)
-        return head
+        return answer.head
 
     def read_parts(self, head: ResponseHead, timeout: float) -> Iterator[bytes]:
         """Yield the body as it comes; timeout is for each part."""
-        incoming = self._incoming
+        answer = self._incoming.first
         while True:
-            if incoming.body:
-                part = b''.join(incoming.body)
-                incoming.body.clear()
+            if answer.body:
+                part = b''.join(answer.body)
+                answer.body.clear()
                 yield part
-            if incoming.complete:
+            if answer.complete:
                 return
             if not self._fill(timeout):
-                self._end_of_stream(head)
+                self._end_with_connection(head)
                 return
 
     def skip_answer(self, head: ResponseHead, timeout: float) -> None:
         """Read past an answer that belongs to an earlier request."""
         for _part in self.read_parts(head, timeout):
             continue
-        incoming = self._incoming
-        if not incoming.heads:
-            incoming.complete = False
-            incoming.surplus = False
+        self._incoming.drop_first()
 
     def request(
         self,
@@ -195,15 +222,14 @@
         """Use the connection for no further request."""
         self._reusable = False
 
-    def _end_of_stream(self, head: ResponseHead) -> None:
-        self._reusable = False
+    def _end_with_connection(self, head: ResponseHead) -> None:
         framed = head.find('content-length') or head.find('transfer-encoding')
         if framed and head.status not in _NO_BODY:
             raise BrokenAnswerError('closed within an answer')
-        self._incoming.complete = True
+        self._incoming.first.complete = True
 
     def _fill(self, timeout: float) -> bool:
-        self._sock.settimeout(max(timeout, 0.001))
+        self._sock.settimeout(max(timeout, _SHORTEST_WAIT))
         try:
             received = self._sock.recv(_READ_BYTES)
         except TimeoutError as silent:
@@ -213,11 +239,10 @@
             self._reusable = False
             return False
         self.answered = True
-        incoming = self._incoming
         try:
-            incoming.parser.feed_data(received)
+            self._incoming.feed(received)
         except httptools.HttpParserError as error:
             self._reusable = False
-            if not incoming.complete:
+            if not self._incoming.first.complete:
                 raise BrokenAnswerError(f'no HTTP: {error}') from error
         return True
--- /dev/null
+++ b/tests/gateway_standins.py
@@ -0,0 +1,71 @@
+"""Stand-ins for tests of the gateway: scripted peers on loopback sockets."""
+
+from collections.abc import Callable, Sequence
+
+import gevent
+from gevent import socket
+
+Script = Callable[[socket.socket], None]
+
+
+class ScriptedPeer:
+    """Accept connections and let a script talk on each of them in turn."""
+
+    def __init__(self, scripts: Sequence[Script]) -> None:
+        self._scripts = list(scripts)
+        self._sock = socket.socket()
+        self._sock.bind(('127.0.0.1', 0))
+        self._sock.listen(64)
+        self.address = '127.0.0.1:%d' % self._sock.getsockname()[1]
+        self.requests: list[bytes] = []
+        self._task = gevent.spawn(self._accept)
+
+    def close(self) -> None:
+        """Stop accepting."""
+        self._task.kill()
+        self._sock.close()
+
+    def read_request(self, sock: socket.socket) -> bytes:
+        """Read one request with its body and keep it."""
+        data = b''
+        while b'\r\n\r\n' not in data:
+            received = sock.recv(65536)
+            if not received:
+                return data
+            data += received
+        head, _blank, body = data.partition(b'\r\n\r\n')
+        length = 0
+        for line in head.split(b'\r\n'):
+            name, _colon, text = line.partition(b':')
+            if name.lower() == b'content-length':
+                length = int(text)
+        while len(body) < length:
+            body += sock.recv(65536)
+        self.requests.append(head + b'\r\n\r\n' + body)
+        return data
+
+    def _accept(self) -> None:
+        for script in self._scripts:
+            sock, _peer = self._sock.accept()
+            gevent.spawn(self._talk, script, sock)
+
+    def _talk(self, script: Script, sock: socket.socket) -> None:
+        try:
+            script(sock)
+        except OSError:
+            # The other side closed; the test looks at what it did before.
+            return
+        finally:
+            sock.close()
+
+
+def chunked(*parts: bytes, headers: str = '', last: bool = True) -> bytes:
+    """Make a chunked 200 answer."""
+    head = f'HTTP/1.1 200 OK\r\n{headers}Transfer-Encoding: chunked\r\n\r\n'
+    body = b''.join(b'%x\r\n%b\r\n' % (len(part), part) for part in parts)
+    return head.encode() + body + (b'0\r\n\r\n' if last else b'')
+
+
+def event(number: int, text: str) -> bytes:
+    """Make one event of a stream."""
+    return f'id: {number}\ndata: {text}\n\n'.encode()
