--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
@@ -17,6 +17,9 @@
 
 #: An item of a batch job steps aside, so it counts less than a request.
 _BATCH_WEIGHT = 0.35
+#: A request that finds no place waits for one; each that waits before it
+#: costs this much, in requests.
+_WAITING_COST = 3.0
 #: What being in another data hall costs, in requests: it decides only
 #: between engines of the same load.
 _FAR_COST = 0.3
@@ -79,7 +82,9 @@
     def _cost(self, engine: Engine, usual: float) -> float:
         online = self._loads.online(engine.engine)
         batch = self._loads.batch(engine.engine)
-        load = (online + 1 + batch * _BATCH_WEIGHT) / engine.slots
+        waiting = max(0, online + batch + 1 - engine.slots)
+        load = online + 1 + batch * _BATCH_WEIGHT + waiting * _WAITING_COST
+        load /= engine.slots
         pace = self._health.pace(engine.engine)
         if usual and pace > usual * _SLOW_FACTOR:
             load *= pace / usual
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -15,6 +15,7 @@
 from bendlead_gateway._http.client import HttpConnection, ResponseHead
 from bendlead_gateway._jobs.board import Board, HeldJob, Progress
 from bendlead_gateway._jobs.keeper import ShardKeeper
+from bendlead_gateway._jobs.places import idle_places
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._online.events import EventSplitter
@@ -29,9 +30,6 @@
 )
 
 _ROUND_SECONDS = 0.04
-#: Places of an engine left to online requests that start before the next
-#: report of their entry arrives here.
-_HEADROOM = 1
 #: An engine that sends nothing for this long (s) has stopped or is dark.
 _SILENT_SECONDS = 2.0
 #: Pause before an item that failed is run again (s).
@@ -139,6 +137,7 @@
 
     def _start_runs(self) -> None:
         now = time.monotonic()
+        full: set[str] = set()
         for board, job, progress in self._waiting(now):
             path = progress.item.path
             route = self._configuration.match(job.host, path)
@@ -148,9 +147,12 @@
             if self._expired(job, route):
                 self._finish(board, job, progress, ItemOutcome.GIVEN_UP)
                 continue
-            engine = self._idle_engine(route)
+            if route.name in full:
+                continue
+            engine = self._idle_engine(route, _age(job, route))
             if engine is None:
-                return
+                full.add(route.name)
+                continue
             self._start(board, job, progress, route, engine)
 
     def _waiting(
@@ -173,21 +175,19 @@
         age = time.time() - job.state.accepted.accepted_at
         return age > route.retention + _RETENTION_SLACK
 
-    def _idle_engine(self, route: Route) -> Engine | None:
-        ready = [
-            one
-            for one in self._engines.ready(pick_service(route))
-            if not self._health.paused(one.engine)
-        ]
-        if not ready:
-            return None
-        best = max(ready, key=self._idle_places)
-        return best if self._idle_places(best) > 0 else None
-
-    def _idle_places(self, engine: Engine) -> int:
-        taken = self._loads.online(engine.engine)
-        taken += self._loads.batch(engine.engine)
-        return engine.slots - _HEADROOM - taken
+    def _idle_engine(self, route: Route, age: float) -> Engine | None:
+        """Find the engine with most idle places for a job of an age."""
+        found: Engine | None = None
+        most = 0
+        for one in self._engines.ready(pick_service(route)):
+            if self._health.paused(one.engine):
+                continue
+            online = self._loads.online(one.engine)
+            batch = self._loads.batch(one.engine)
+            places = idle_places(one.slots, online, batch, age)
+            if places > most:
+                found, most = one, places
+        return found
 
     def _start(
         self,
@@ -370,3 +370,10 @@
             failures=run.progress.failures,
             reason=error,
         )
+
+
+def _age(job: HeldJob, route: Route) -> float:
+    """Give the share of a job's time that has passed."""
+    if not route.run_target:
+        return 0
+    return (time.time() - job.state.accepted.accepted_at) / route.run_target
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -1,8 +1,16 @@
 """Stand-ins for tests of the gateway: scripted peers on loopback sockets."""
 
+import time
 from collections.abc import Callable, Sequence
+from typing import Any
 
 import gevent
+from bendlead_gateway.types import (
+    DataHall,
+    NodeName,
+    NodeRole,
+    NodeSettings,
+)
 from gevent import socket
 
 Script = Callable[[socket.socket], None]
@@ -69,3 +77,86 @@
 def event(number: int, text: str) -> bytes:
     """Make one event of a stream."""
     return f'id: {number}\ndata: {text}\n\n'.encode()
+
+
+def free_port() -> int:
+    """Find a port that nothing listens on."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return sock.getsockname()[1]
+
+
+def settings(node: str, role: NodeRole, store: str) -> NodeSettings:
+    """Make the settings of a node on loopback."""
+    return NodeSettings(
+        node=NodeName(node),
+        role=role,
+        hall=DataHall('hall-1'),
+        address='127.0.0.1',
+        store_address=store,
+        internal_port=free_port(),
+        last_internal_port=0,
+        clients_address=f'127.0.0.1:{free_port()}',
+        ready_address=f'127.0.0.1:{free_port()}',
+        descriptors=4000,
+        memory_bytes=300_000_000,
+        grace=4,
+        drain=2,
+        settle=1,
+        status_kept=120,
+        value_bytes=1_048_576,
+        heartbeat=1.2,
+    )
+
+
+def route(kind: str, **changed: Any) -> dict[str, Any]:
+    """Make a route of the operator's configuration."""
+    made = {
+        'name': 'r-1',
+        'host': 'a.example',
+        'path_prefix': '/x/',
+        'kind': kind,
+        'timeout_ms': 2000,
+        'target_latency_ms': 300,
+        'service': 's1',
+        'max_attempts': 2,
+        'resumable': False,
+        'gap_target_ms': 200,
+        'run_target_ms': 18_000,
+        'retention_s': 60,
+    }
+    made.update(changed)
+    return made
+
+
+def configuration(version: int, *routes: dict[str, Any]) -> dict[str, Any]:
+    """Make a configuration of the operator."""
+    return {
+        'version': version,
+        'routes': list(routes),
+        'services': [{'name': 's1'}],
+    }
+
+
+def engine(address: str, **changed: Any) -> dict[str, Any]:
+    """Make what an engine tells of itself."""
+    made = {
+        'service': 's1',
+        'address': address,
+        'zone': 'hall-1',
+        'slots': 8,
+        'state': 'ready',
+    }
+    made.update(changed)
+    return made
+
+
+def eventually(check: Callable[[], Any], seconds: float = 3) -> Any:
+    """Wait until a check gives something, and give that."""
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        found = check()
+        if found:
+            return found
+        gevent.sleep(0.01)
+    raise AssertionError(f'not within {seconds} s')
--- /dev/null
+++ b/tests/test_gateway_balancer.py
@@ -0,0 +1,100 @@
+"""Which engine gets the next request, and where items of jobs may run."""
+
+import unittest
+
+from bendlead_gateway._fleet.balancer import Balancer
+from bendlead_gateway._fleet.health import EngineHealth
+from bendlead_gateway._fleet.loads import LoadTable
+from bendlead_gateway._jobs.places import idle_places
+from bendlead_gateway.types import (
+    DataHall,
+    Engine,
+    EngineId,
+    EngineState,
+    NodeName,
+    ServiceName,
+)
+from parameterized import parameterized
+
+_SERVICE = ServiceName('chat')
+_HALL = DataHall('near')
+_SLOTS = 8
+
+
+def _engine(name: str, hall: str = 'near') -> Engine:
+    return Engine(
+        EngineId(name),
+        _SERVICE,
+        '127.0.0.1:1',
+        DataHall(hall),
+        _SLOTS,
+        EngineState.READY,
+    )
+
+
+class _Engines:
+    """Stand in for the list of engines."""
+
+    def __init__(self, *engines: Engine) -> None:
+        self._engines = engines
+
+    def ready(self, _service):
+        return self._engines
+
+    def warming(self, _engine) -> bool:
+        return False
+
+
+class ChooseTest(unittest.TestCase):
+    """Online requests go where a place is free."""
+
+    @parameterized.expand(
+        [
+            ('fewest_online', {'a': (3, 0), 'b': (1, 0)}, 'b'),
+            ('a_free_place_before_a_full_engine', {'a': (1, 7), 'b': (5, 0)}, 'b'),
+            ('batch_counts_less_while_places_are_free', {'a': (2, 4), 'b': (5, 0)}, 'a'),
+            ('all_full_fewest_online', {'a': (4, 4), 'b': (8, 0)}, 'a'),
+        ],
+    )
+    def test_choice(self, _name, running, expected):
+        loads = LoadTable()
+        loads.report(
+            NodeName('peer'),
+            {EngineId(one): online for one, (online, _batch) in running.items()},
+            {EngineId(one): batch for one, (_online, batch) in running.items()},
+        )
+        engines = _Engines(*(_engine(one) for one in running))
+        balancer = Balancer(engines, loads, EngineHealth(), _HALL)
+        chosen = balancer.choose(_SERVICE, ())
+        self.assertEqual(expected, chosen.engine)
+
+    def test_paused_engine_is_passed_over(self):
+        health = EngineHealth()
+        health.failed(EngineId('a'), unreachable=True)
+        engines = _Engines(_engine('a'), _engine('b'))
+        balancer = Balancer(engines, LoadTable(), health, _HALL)
+        self.assertEqual('b', balancer.choose(_SERVICE, ()).engine)
+
+    def test_all_paused_are_asked_all_the_same(self):
+        health = EngineHealth()
+        health.failed(EngineId('a'), unreachable=True)
+        balancer = Balancer(
+            _Engines(_engine('a')), LoadTable(), health, _HALL
+        )
+        self.assertEqual('a', balancer.choose(_SERVICE, ()).engine)
+
+
+class IdlePlacesTest(unittest.TestCase):
+    """A young job leaves more places to bursts than one that is due."""
+
+    @parameterized.expand(
+        [
+            ('young', 0, 0, 0.0, 5),
+            ('half_way', 0, 0, 0.3, 6),
+            ('due', 0, 0, 0.8, 7),
+            ('young_beside_online', 3, 1, 0.0, 1),
+            ('full', 6, 2, 0.9, -1),
+        ],
+    )
+    def test_places(self, _name, online, batch, age, expected):
+        self.assertEqual(expected, idle_places(_SLOTS, online, batch, age))
--- /dev/null
+++ b/tests/test_gateway_entry.py
@@ -0,0 +1,236 @@
+"""An entry between clients and scripted engines, in one process."""
+
+import unittest
+
+import gevent
+from bendlead_gateway._entry import EntryNode
+from bendlead_gateway.http import BrokenAnswerError, HttpConnection
+from bendlead_gateway.types import NodeRole
+from bendlead_platform import PlatformDialect, PlatformStore
+from bendlead_testing.platform_store import PlatformStandIn, Trouble
+from parameterized import parameterized
+
+from tests.gateway_standins import (
+    ScriptedPeer,
+    chunked,
+    configuration,
+    engine,
+    event,
+    eventually,
+    free_port,
+    route,
+    settings,
+)
+
+_SEAL = 'X-Response-Seal: s1\r\n'
+_SHED = b'HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+_MOVED = b'HTTP/1.1 421 x\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n'
+_WHOLE = chunked(event(1, 'a'), event(2, 'b'), headers=_SEAL)
+_TAIL = chunked(event(2, 'b'), headers='X-Response-Seal: s2\r\n')
+_CUT = chunked(event(1, 'a'), headers=_SEAL, last=False)
+_MID_EVENT = chunked(event(1, 'a') + b'id: 2\nda', headers=_SEAL, last=False)
+_PLAIN = b'HTTP/1.1 200 OK\r\nX-Response-Seal: s1\r\nContent-Length: 2\r\n\r\nok'
+_ERROR = b'HTTP/1.1 500 x\r\nX-Response-Seal: s1\r\nContent-Length: 0\r\n\r\n'
+_STREAM = event(1, 'a') + event(2, 'b')
+
+
+class EntryCase(unittest.TestCase):
+    """Start a store, scripted engines and an entry."""
+
+    def setUp(self):
+        self.store = PlatformStandIn(f'127.0.0.1:{free_port()}')
+        self.store.start()
+        self.engines = []
+
+    def start(self, *routes, answers=(), others=0):
+        """Start engines that each give their answers, and the entry."""
+        for number, given in enumerate(answers):
+            self._start_engine(number, given)
+        self.store.set('config', 'main', configuration(1, *routes))
+        made = settings('entry-1', NodeRole.ENTRY, self.store.address)
+        store = PlatformStore(made.store_address)
+        self.entry = EntryNode(made, store, PlatformDialect())
+        self.entry.internal.start()
+        self.entry.start()
+        eventually(
+            lambda: self.entry.configuration.known
+            and len(self.entry.engines.all()) == len(answers) + others
+        )
+
+    def ask(self, path='/x/1', patience=2000, extra=()):
+        """Send one request and give the connection."""
+        connection = HttpConnection(self.entry.settings.clients_address, 1)
+        self.addCleanup(connection.close)
+        headers = [
+            ('Host', 'a.example'),
+            ('X-Attempt-Id', 'id1'),
+            ('X-Deadline-Ms', str(patience)),
+            *extra,
+        ]
+        connection.send('POST', path, headers, b'prompt', 1)
+        return connection
+
+    def read(self, connection):
+        """Read a whole answer."""
+        head = connection.read_head(3)
+        return head, b''.join(connection.read_parts(head, 3))
+
+    def sent(self):
+        """Count the requests that reached engines."""
+        return sum(len(one.requests) for one in self.engines)
+
+    def _start_engine(self, number, given):
+        def script(sock):
+            peer.read_request(sock)
+            if given:
+                sock.sendall(given)
+            if given is None:
+                # The engine stays silent.
+                gevent.sleep(5)
+
+        peer = ScriptedPeer([script] * 4)
+        self.addCleanup(peer.close)
+        self.engines.append(peer)
+        self.store.set('servers', f'i-{number}', engine(peer.address))
+
+
+class OutcomeTest(EntryCase):
+    """What clients get for what engines do."""
+
+    @parameterized.expand(
+        [
+            ('stream', 'streaming', {}, [_WHOLE], 200, _STREAM, 1),
+            ('plain', 'safe', {}, [_PLAIN], 200, b'ok', 1),
+            ('shed_goes_elsewhere', 'unsafe', {'max_attempts': 1}, [_SHED, _PLAIN], 200, b'ok', None),
+            ('moved_goes_elsewhere', 'unsafe', {'max_attempts': 1}, [_MOVED, _PLAIN], 200, b'ok', None),
+            ('all_shed', 'unsafe', {}, [_SHED, _SHED], 503, b'', 2),
+            ('unsafe_lost', 'unsafe', {'max_attempts': 3}, [b'', b''], 502, b'', 1),
+            ('safe_lost_once', 'safe', {}, [b'', _PLAIN], 200, b'ok', None),
+            ('safe_lost_twice', 'safe', {}, [b'', b'', b''], 502, b'', 2),
+            ('stream_lost', 'streaming', {'max_attempts': 3}, [b'', b''], 502, b'', 1),
+            ('safe_error_replaced', 'safe', {}, [_ERROR, _PLAIN], 200, b'ok', None),
+            ('unsafe_error_passed', 'unsafe', {}, [_ERROR], 500, b'', 1),
+            ('resumed', 'streaming', {'resumable': True}, [_CUT, _TAIL], 200, _STREAM, 2),
+            ('resumed_mid_event', 'streaming', {'resumable': True}, [_MID_EVENT, _TAIL], 200, _STREAM, 2),
+        ],
+    )
+    def test_outcome(self, name, kind, changed, answers, status, body, sends):
+        self.start(route(kind, **changed), answers=answers)
+        if name.startswith('resumed'):
+            # The engine that breaks off has to be the first one asked.
+            self.entry.loads.own.online['i-1'] += 3
+        head, got = self.read(self.ask())
+        self.assertEqual((status, body), (head.status, got))
+        if sends is not None:
+            self.assertEqual(sends, self.sent())
+        if status == 503:
+            self.assertGreater(float(head.find('retry-after')), 0)
+        if status == 200:
+            self.assertEqual('s1', head.find('x-response-seal'))
+
+    def test_resume_asks_behind_the_last_event(self):
+        changed = route('streaming', resumable=True)
+        self.start(changed, answers=[_CUT, _TAIL])
+        self.entry.loads.own.online['i-1'] += 3
+        self.read(self.ask())
+        self.assertIn(b'Last-Event-Id: 1', self.engines[1].requests[0])
+        self.assertIn(b'X-Expect-Instance: i-1', self.engines[1].requests[0])
+
+    def test_broken_stream_does_not_look_complete(self):
+        self.start(route('streaming'), answers=[_CUT])
+        with self.assertRaises(BrokenAnswerError):
+            self.read(self.ask())
+
+    @parameterized.expand([('route', 300, 5000), ('client', 5000, 300)])
+    def test_time_is_up(self, _name, timeout, patience):
+        self.start(route('unsafe', timeout_ms=timeout), answers=[None])
+        head, _body = self.read(self.ask(patience=patience))
+        self.assertEqual(504, head.status)
+        left = self.engines[0].requests[0].split(b'X-Deadline-Ms: ')[1]
+        self.assertLessEqual(int(left.split(b'\r\n')[0]), 300)
+
+    def test_client_that_left_stops_the_engine(self):
+        gone = []
+
+        def script(sock):
+            peer.read_request(sock)
+            sock.sendall(_CUT)
+            gone.append(sock.recv(1))
+
+        peer = ScriptedPeer([script])
+        self.addCleanup(peer.close)
+        self.store.set('servers', 'i-0', engine(peer.address))
+        self.start(route('streaming'), others=1)
+        connection = self.ask()
+        connection.read_head(1)
+        connection.close()
+        eventually(lambda: gone, 0.4)
+        self.assertEqual([b''], gone)
+
+
+class RoutingTest(EntryCase):
+    """Which configuration and which engines are in force."""
+
+    def test_unknown_route(self):
+        self.start(route('safe'), answers=[_PLAIN])
+        head, _body = self.read(self.ask('/other/1'))
+        self.assertEqual(404, head.status)
+
+    def test_unknown_route_while_the_store_is_away(self):
+        self.start(route('safe'), answers=[_PLAIN])
+        self.entry.config_watch._current = False
+        self.store.trouble = Trouble.AWAY
+        head, _body = self.read(self.ask('/other/1'))
+        self.assertEqual(503, head.status)
+
+    def test_new_configuration_and_no_way_back(self):
+        self.start(route('safe'), answers=[_PLAIN])
+        self.store.set('config', 'main', configuration(3, route('safe', path_prefix='/y/')))
+        eventually(lambda: self.entry.configuration.known.version == 3)
+        self.store.set('config', 'main', configuration(2, route('safe')))
+        gevent.sleep(0.1)
+        self.assertEqual(3, self.entry.configuration.known.version)
+        head, _body = self.read(self.ask('/x/1'))
+        self.assertEqual(404, head.status)
+
+    def test_history_gone(self):
+        self.start(route('safe'), answers=[_PLAIN])
+        self.store.set('config', 'main', configuration(3, route('safe')))
+        self.store.forget_history()
+        eventually(lambda: self.entry.configuration.known.version == 3)
+
+    def test_draining_engine_gets_nothing(self):
+        self.start(route('safe'), answers=[_PLAIN, _PLAIN])
+        address = self.engines[0].address
+        self.store.set('servers', 'i-0', engine(address, state='draining'))
+        eventually(lambda: len(self.entry.engines.ready('s1')) == 1)
+        for _attempt in range(3):
+            self.read(self.ask())
+        self.assertEqual([], self.engines[0].requests)
+
+    def test_lapsed_engine_is_waited_for_then_gone(self):
+        self.start(route('safe'), answers=[_PLAIN, _PLAIN])
+        self.store.trouble = Trouble.AWAY
+        self.store.forget_history()
+        eventually(lambda: not self.entry.engines_watch.current)
+        self.store.remove('servers', 'i-0')
+        self.store.trouble = Trouble.NONE
+        eventually(lambda: self.entry.engines_watch.current)
+        self.assertEqual(2, len(self.entry.engines.all()))
+        eventually(lambda: len(self.entry.engines.all()) == 1, 3)
+
+    def test_not_ready_before_the_first_configuration(self):
+        made = settings('entry-1', NodeRole.ENTRY, self.store.address)
+        store = PlatformStore(made.store_address)
+        self.entry = EntryNode(made, store, PlatformDialect())
+        self.entry.start()
+        self.assertEqual(503, self._ready())
+        self.store.set('config', 'main', configuration(1, route('safe')))
+        eventually(lambda: self._ready() == 200)
+        self.entry.leaving = True
+        self.assertEqual(503, self._ready())
+
+    def _ready(self):
+        connection = HttpConnection(self.entry.settings.ready_address, 1)
+        self.addCleanup(connection.close)
+        return connection.request('GET', '/-/readiness').head.status
--- /dev/null
+++ b/tests/test_gateway_jobs.py
@@ -0,0 +1,263 @@
+"""Owners of batch jobs between a store and scripted engines."""
+
+import base64
+import json
+import unittest
+
+import gevent
+from bendlead_gateway._owner import OwnerNode
+from bendlead_gateway.http import HttpConnection
+from bendlead_gateway.types import NodeRole
+from bendlead_platform import PlatformDialect, PlatformStore
+from bendlead_testing.platform_store import PlatformStandIn, Trouble
+from parameterized import parameterized
+
+from tests.gateway_standins import (
+    ScriptedPeer,
+    chunked,
+    configuration,
+    engine,
+    event,
+    eventually,
+    free_port,
+    route,
+    settings,
+)
+
+_WHOLE = chunked(event(1, 'a'), event(2, 'b'))
+_CUT = chunked(event(1, 'a'), last=False)
+_TAIL = chunked(event(2, 'b'))
+_GAP = chunked(event(1, 'a'), event(3, 'c'))
+_FAILED = b'HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n'
+_NEVER = b'HTTP/1.1 422 x\r\nContent-Length: 0\r\n\r\n'
+_SHED = b'HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+
+
+def job(items=1, tokens=10, size=6):
+    """Make the body of a job."""
+    body = base64.b64encode(b'p' * size).decode()
+    return json.dumps(
+        {
+            'items': [
+                {'id': f'i{at}', 'path': '/x/1', 'body': body, 'tokens': tokens}
+                for at in range(items)
+            ],
+        },
+    ).encode()
+
+
+class OwnerCase(unittest.TestCase):
+    """Start a store and owners."""
+
+    def setUp(self):
+        self.store = PlatformStandIn(f'127.0.0.1:{free_port()}')
+        self.store.start()
+
+    def configure(self, answers=(), **changed):
+        """Start one engine that gives its answers one after the other."""
+        changed = {'max_attempts': 3, **changed}
+        made = configuration(1, route('batch', **changed))
+        self.store.set('config', 'main', made)
+        given = list(answers)
+
+        def script(sock):
+            while True:
+                if not self.engine.read_request(sock):
+                    return
+                if not given:
+                    # The engine works on without an event.
+                    gevent.sleep(5)
+                    return
+                sock.sendall(given.pop(0))
+                if given and given[0] is _CUT:
+                    return
+
+        self.engine = ScriptedPeer([script] * 50)
+        self.addCleanup(self.engine.close)
+        listed = engine(self.engine.address)
+        self.store.set('servers', 'i-1', listed)
+
+    def owner(self, name='owner-1'):
+        """Start an owner and wait until it holds shards."""
+        made = settings(name, NodeRole.OWNER, self.store.address)
+        store = PlatformStore(made.store_address)
+        node = OwnerNode(made, store, PlatformDialect())
+        node.internal.start()
+        node.start()
+        return node
+
+    def holding(self, name='owner-1'):
+        """Start an owner that holds all shards."""
+        node = self.owner(name)
+        eventually(lambda: len(node._keeper.boards) == 4)
+        return node
+
+    def call(self, node, method, target, body=b'', wait=0):
+        """Make a call as an entry relays it."""
+        connection = HttpConnection(node.record.address, 1)
+        self.addCleanup(connection.close)
+        headers = [
+            ('Host', 'a.example'),
+            ('X-Attempt-Id', 'j1'),
+            ('X-Wait-Ms', str(wait)),
+        ]
+        return connection.request(method, target, headers, body, 4)
+
+    def submit(self, node, body=None):
+        """Hand the job in."""
+        return self.call(node, 'POST', '/x/j1', body or job()).head.status
+
+    def results(self, node):
+        """Read all results."""
+        response = self.call(node, 'GET', '/-/lots/j1?watch_after=0')
+        if response.head.status != 200:
+            return []
+        return json.loads(response.body)['results']
+
+
+class ItemTest(OwnerCase):
+    """How an item ends for what engines do."""
+
+    @parameterized.expand(
+        [
+            ('whole', [_WHOLE], 'completed', 'a\nb'),
+            ('never_possible', [_NEVER], 'dead_lettered', ''),
+            ('failed_three_times', [_FAILED] * 3, 'dead_lettered', ''),
+            ('failed_twice', [_FAILED, _FAILED, _WHOLE], 'completed', 'a\nb'),
+            ('shed_is_no_failure', [_SHED] * 4 + [_WHOLE], 'completed', 'a\nb'),
+            ('gap_goes_on_behind', [_GAP, _TAIL], 'completed', 'a\nb'),
+        ],
+    )
+    def test_ending(self, _name, answers, state, text):
+        self.configure(answers)
+        node = self.holding()
+        self.assertEqual(202, self.submit(node))
+        found = eventually(lambda: self.results(node), 5)
+        self.assertEqual((state, text), (found[0]['state'], found[0]['text']))
+
+    def test_item_steps_aside_and_goes_on_behind_its_last_event(self):
+        self.configure([_CUT, _TAIL])
+        node = self.holding()
+        self.submit(node)
+        eventually(lambda: len(self.engine.requests) == 1)
+        gevent.sleep(0.1)
+        node.loads.own.online['i-1'] += 8
+        eventually(lambda: not node._runner._runs)
+        node.loads.own.online['i-1'] -= 8
+        found = eventually(lambda: self.results(node))
+        self.assertEqual('a\nb', found[0]['text'])
+        self.assertIn(b'Last-Event-Id: 1', self.engine.requests[1])
+
+    def test_job_larger_than_a_value(self):
+        self.configure([_WHOLE] * 3)
+        node = self.holding()
+        large = job(items=3, size=600_000)
+        self.assertEqual(202, self.submit(node, large))
+        eventually(lambda: len(self.results(node)) == 3)
+
+
+class CallTest(OwnerCase):
+    """What calls about jobs get."""
+
+    def test_same_job_twice(self):
+        self.configure()
+        node = self.holding()
+        self.assertEqual([202, 202], [self.submit(node) for _again in range(2)])
+        self.assertEqual(1, len(node._keeper.boards[node_shard()].jobs))
+
+    @parameterized.expand([('fits', 30, 202), ('too_many', 29, 429)])
+    def test_quota(self, _name, limit, status):
+        self.configure(max_queued_tokens=limit)
+        node = self.holding()
+        self.assertEqual(status, self.submit(node, job(items=3)))
+
+    @parameterized.expand(
+        [
+            ('read', 'GET', '/-/lots/j9'),
+            ('body', 'GET', '/-/items/j9?id=i0'),
+            ('end', 'DELETE', '/-/lots/j9'),
+        ],
+    )
+    def test_unknown_job(self, _name, method, target):
+        self.configure()
+        node = self.holding()
+        self.assertEqual(404, self.call(node, method, target).head.status)
+        gevent.sleep(0.8)
+        self.store.trouble = Trouble.AWAY
+        self.assertEqual(503, self.call(node, method, target).head.status)
+
+    def test_body_until_the_end(self):
+        self.configure()
+        node = self.holding()
+        self.submit(node)
+        body = self.call(node, 'GET', '/-/items/j1?id=i0')
+        self.assertEqual(b'pppppp', body.body)
+        ended = self.call(node, 'DELETE', '/-/lots/j1')
+        self.assertEqual(200, ended.head.status)
+        eventually(lambda: not node._runner._runs)
+        again = self.call(node, 'DELETE', '/-/lots/j1')
+        self.assertEqual(200, again.head.status)
+
+    def test_store_away(self):
+        self.configure()
+        node = self.holding()
+        self.store.trouble = Trouble.AWAY
+        self.assertIn(self.submit(node), {503, 504})
+        self.store.trouble = Trouble.NONE
+        eventually(lambda: self.submit(node) == 202)
+
+    @parameterized.expand(
+        [
+            ('lost_answers', Trouble.LOST_ANSWERS),
+            ('late_effects', Trouble.LATE_EFFECTS),
+        ],
+    )
+    def test_unclear_write(self, _name, trouble):
+        self.configure()
+        node = self.holding()
+        self.store.trouble = trouble
+        self.assertEqual(504, self.submit(node))
+        self.store.trouble = Trouble.NONE
+        eventually(lambda: self.submit(node) == 202, 6)
+        self.assertEqual(1, len(node._keeper.boards[node_shard()].jobs))
+
+
+class TakeoverTest(OwnerCase):
+    """Another owner goes on with the jobs of one that is lost."""
+
+    def test_results_keep_their_positions(self):
+        self.configure([_WHOLE])
+        first = self.holding()
+        self.submit(first, job(items=2))
+        before = eventually(lambda: self.results(first))
+        second = self.owner('owner-2')
+        # The second hears nothing of the first, as when the two are cut.
+        second.peers.holder = lambda _shard: None
+        second.peers.able_owners = list
+        first.peers.holder = lambda _shard: None
+        eventually(lambda: len(second._keeper.boards) == 4, 5)
+        self.assertEqual(before, self.results(second))
+        response = eventually(
+            lambda: self.call(first, 'GET', '/-/lots/j1').head.status == 503,
+            5,
+        )
+        self.assertTrue(response)
+
+    def test_leaving_owner_hands_over_at_once(self):
+        self.configure()
+        first = self.holding()
+        self.submit(first)
+        second = self.owner('owner-2')
+        eventually(lambda: second.peers.able_owners())
+        first.leaving = True
+        gevent.spawn(first.leave)
+        eventually(lambda: len(second._keeper.boards) == 4, 3)
+        self.assertEqual(202, self.submit(second))
+        self.assertIn('j1', second._keeper.boards[node_shard()].jobs)
+
+
+def node_shard() -> int:
+    """Give the shard of the test's host."""
+    from bendlead_gateway._jobs.shards import shard_of
+
+    return shard_of('a.example')
