--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -100,6 +100,8 @@
     first_event: float = 0
     answer_status: int = 0
     engine: str = ''
+    seen_online: int = 0
+    seen_batch: int = 0
     failure: str = ''
 
     @property
@@ -204,6 +206,8 @@
 
     def _attempt(self, exchange: Exchange, engine: Engine) -> str:
         exchange.engine = engine.engine
+        exchange.seen_online = self._loads.online(engine.engine)
+        exchange.seen_batch = self._loads.batch(engine.engine)
         exchange.sends += 1
         online = self._loads.own.online
         online[engine.engine] += 1
@@ -509,6 +513,8 @@
             outcome=outcome,
             status=exchange.answer_status,
             engine=exchange.engine,
+            online_seen=exchange.seen_online,
+            batch_seen=exchange.seen_batch,
             sends=exchange.sends,
             runs=exchange.runs,
             first_ms=round(first * 1000, 1),
