--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
@@ -20,9 +20,15 @@
 #: A request that finds no place waits for one; each that waits before it
 #: costs this much, in requests.
 _WAITING_COST = 3.0
-#: What being in another data hall costs, in requests: it decides only
-#: between engines of the same load.
-_FAR_COST = 0.3
+#: What being in another data hall costs, in requests. Entries of one hall
+#: share its engines and know their load at once or nearly; if all entries
+#: took the least loaded engine of the fleet by reports of 0.1 s ago, they
+#: would all take the same one.
+_FAR_COST = 1.5
+#: Random parts of the cost, in requests, that keep entries from choosing the
+#: same engine by the same old reports.
+_FAR_SPREAD = 1.5
+_NEAR_SPREAD = 0.3
 #: An engine that is warming up counts as this much slower.
 _WARMING_FACTOR = 2.0
 #: How much slower than the median an engine must be to be told apart.
@@ -84,15 +90,17 @@
         batch = self._loads.batch(engine.engine)
         waiting = max(0, online + batch + 1 - engine.slots)
         load = online + 1 + batch * _BATCH_WEIGHT + waiting * _WAITING_COST
-        load /= engine.slots
+        spread = _NEAR_SPREAD
+        if engine.hall != self._hall:
+            load += _FAR_COST
+            spread = _FAR_SPREAD
+        load = (load + random.random() * spread) / engine.slots
         pace = self._health.pace(engine.engine)
         if usual and pace > usual * _SLOW_FACTOR:
             load *= pace / usual
         if self._engines.warming(engine):
             load *= _WARMING_FACTOR
-        if engine.hall != self._hall:
-            load += _FAR_COST / engine.slots
-        return load + random.random() * 0.01
+        return load
 
 
 def pick_service(route: Route) -> ServiceName:
