--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -19,10 +19,10 @@
 
 REPORT_PATH = '/peer/report'
 #: Seconds between two exchanges with one peer while peers are few.
-_EXCHANGE_SECONDS = 0.1
+_EXCHANGE_SECONDS = 0.04
 #: Exchanges a second that a process starts at most; more peers mean longer
 #: pauses, so that the work of one node does not grow with the fleet.
-_EXCHANGES_PER_SECOND = 60
+_EXCHANGES_PER_SECOND = 160
 _ANSWER_SECONDS = 0.6
 #: A peer that was not heard for this long (s) is taken as stopped.
 _SILENT_SECONDS = 0.9
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -29,7 +29,7 @@
     Route,
 )
 
-_ROUND_SECONDS = 0.04
+_ROUND_SECONDS = 0.025
 #: An engine that sends nothing for this long (s) has stopped or is dark.
 _SILENT_SECONDS = 2.0
 #: Pause before an item that failed is run again (s).
