--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -103,9 +103,6 @@
         own = self.loads.own
         return NodeReport(
             node=self.settings.node,
-            role=self.settings.role.value,
-            hall=self.settings.hall,
-            address=self.record.address,
             sound=True,
             leaving=self.leaving,
             online={name: count for name, count in own.online.items() if count},
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
@@ -5,7 +5,7 @@
 
 from typing import Annotated, Any, TypeAlias
 
-from msgspec import Meta, Struct
+from msgspec import Meta, Struct, UnsetType, field
 
 Model: TypeAlias = Any
 
@@ -25,13 +25,16 @@
     """
 
     node: str
-    role: str
-    hall: str
-    address: str
     sound: Annotated[
         bool, Meta(description='Whether the object service answered lately.')
     ]
     leaving: bool
-    online: Annotated[dict[str, int], Meta(description='Online requests by engine.')]
-    batch: Annotated[dict[str, int], Meta(description='Items of jobs by engine.')]
-    shards: list[HeldShard]
+    online: (
+        Annotated[dict[str, int], Meta(description='Online requests by engine.')]
+        | UnsetType
+    ) = field(default_factory=dict)
+    batch: (
+        Annotated[dict[str, int], Meta(description='Items of jobs by engine.')]
+        | UnsetType
+    ) = field(default_factory=dict)
+    shards: list[HeldShard] | UnsetType = field(default_factory=list)
