--- a/Makefile
+++ b/Makefile
@@ -26,9 +26,9 @@
 	$(BIN)/python -m bendlead_testing.runner
 
 lint: $(VENV)/.tools
-	$(BIN)/ruff format --check packages testing tests
-	$(BIN)/ruff check packages testing tests
-	$(BIN)/flake8 packages testing tests
+	$(BIN)/ruff format --check packages platform testing tests
+	$(BIN)/ruff check packages platform testing tests
+	$(BIN)/flake8 packages platform testing tests
 
 generate: $(VENV)/.tools
 	$(BIN)/python tools/generate.py
--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -1,15 +1,15 @@
 """The entry: clients' requests to engines, calls about jobs to owners."""
 
 import time
+from http import HTTPStatus
 
 import gevent
 from bendlead_store import FollowedStore
 
-from bendlead_gateway._fleet.balancer import Balancer
 from bendlead_gateway._http.server import HttpServer, Request, Responder
 from bendlead_gateway._jobs.relay import JobRelay
 from bendlead_gateway._node import Node
-from bendlead_gateway._online.exchange import OnlinePath
+from bendlead_gateway._online.path import OnlinePath
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import NodeSettings, RouteKind
 
@@ -31,42 +31,24 @@
         self, settings: NodeSettings, store: FollowedStore, dialect: Dialect
     ) -> None:
         super().__init__(settings, store, dialect)
-        balancer = Balancer(
-            self.engines, self.loads, self.health, settings.hall
-        )
-        self._online = OnlinePath(
-            dialect,
-            self.engines,
-            balancer,
-            self.loads,
-            self.health,
-            self.pool,
-            self.log,
-            self.metrics,
-        )
+        self._online = OnlinePath(dialect, self.fleet, self.log, self.metrics)
         self._relay = JobRelay(self.peers, self.log)
         self._clients = HttpServer(
             settings.clients_address or '',
             self._answer_client,
-            lambda: self.configuration.limits,
+            lambda: self.fleet.configuration.limits,
             time.monotonic,
             settings.descriptors - _RESERVED_DESCRIPTORS,
         )
         self._ready = HttpServer(
             settings.ready_address or '',
             self._answer_ready,
-            lambda: self.configuration.limits,
+            lambda: self.fleet.configuration.limits,
             time.monotonic,
         )
 
     def start(self) -> None:
-        """Watch the store and take clients."""
-        for watcher in (
-            self.config_watch,
-            self.engines_watch,
-            self.peers_watch,
-        ):
-            gevent.spawn(watcher.run)
+        """Take clients."""
         self._clients.start()
         self._ready.start()
 
@@ -88,10 +70,12 @@
     def _answer_ready(self, request: Request, responder: Responder) -> None:
         ready = (
             request.path == self.dialect.ready_path
-            and self.configuration.known is not None
+            and self.fleet.configuration.known is not None
             and not self.leaving
         )
-        responder.answer(200 if ready else 503)
+        responder.answer(
+            HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        )
 
     def _answer_client(self, request: Request, responder: Responder) -> None:
         if self.leaving:
@@ -104,16 +88,16 @@
             return
         facts = self.dialect.request_facts(request.headers)
         if facts is None:
-            responder.answer(400)
+            responder.answer(HTTPStatus.BAD_REQUEST)
             return
-        if self.configuration.known is None:
-            responder.answer(503, _RETRY_AFTER)
+        if self.fleet.configuration.known is None:
+            responder.answer(HTTPStatus.SERVICE_UNAVAILABLE, _RETRY_AFTER)
             return
-        route = self.configuration.match(facts.host, request.path)
+        route = self.fleet.configuration.match(facts.host, request.path)
         if route is None:
             self._answer_unrouted(request, responder, facts.request)
         elif route.kind is RouteKind.BATCH:
-            self._relay.submit(request, responder, route)
+            self._relay.submit(request, responder)
         else:
             self._online.serve(request, responder, facts, route)
 
@@ -121,15 +105,15 @@
         self, request: Request, responder: Responder, name: str
     ) -> None:
         """Say 404 only while the configuration is surely the newest."""
-        current = self.config_watch.current
+        current = self.fleet.config_watch.current
         self.log.event(
             'no-route',
             request=name,
             path=request.path,
-            version=getattr(self.configuration.known, 'version', 0),
+            version=getattr(self.fleet.configuration.known, 'version', 0),
             current=current,
         )
         if current:
-            responder.answer(404)
+            responder.answer(HTTPStatus.NOT_FOUND)
         else:
-            responder.answer(503, _RETRY_AFTER)
+            responder.answer(HTTPStatus.SERVICE_UNAVAILABLE, _RETRY_AFTER)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
@@ -31,6 +31,8 @@
 _NEAR_SPREAD = 0.3
 #: An engine that is warming up counts as this much slower.
 _WARMING_FACTOR = 2.0
+#: An engine that has fallen silent is asked only where all others are full.
+_SILENT_COST = 16.0
 #: How much slower than the median an engine must be to be told apart.
 _SLOW_FACTOR = 1.3
 
@@ -75,9 +77,7 @@
             for one in self._engines.ready(service)
             if one.engine not in tried
         ]
-        sound = [
-            one for one in untried if not self._health.paused(one.engine)
-        ]
+        sound = [one for one in untried if not self._health.paused(one.engine)]
         # All of them failing says more about us than about them.
         return sound or untried
 
@@ -90,6 +90,9 @@
         batch = self._loads.batch(engine.engine)
         waiting = max(0, online + batch + 1 - engine.slots)
         load = online + 1 + batch * _BATCH_WEIGHT + waiting * _WAITING_COST
+        busy_since = self._loads.own_busy_since(engine.engine)
+        if self._health.silent(engine.engine, busy_since):
+            load += _SILENT_COST
         spread = _NEAR_SPREAD
         if engine.hall != self._hall:
             load += _FAR_COST
@@ -110,5 +113,5 @@
         return shares[0].service
     weights = [max(0, one.weight) for one in shares]
     if not any(weights):
-        weights = [1] * len(shares)
+        weights = [1 for _share in shares]
     return random.choices(shares, weights)[0].service
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
@@ -197,6 +197,10 @@
 
 def _routes_by_host(routes: Sequence[Route]) -> dict[str, list[Route]]:
     by_host: dict[str, list[Route]] = {}
-    for route in sorted(routes, key=lambda one: -len(one.prefix)):
+    for route in sorted(routes, key=_prefix_length, reverse=True):
         by_host.setdefault(route.host, []).append(route)
     return by_host
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
@@ -0,0 +1,44 @@
+"""All that a process knows of the engines and may use to reach them."""
+
+import gevent
+from bendlead_store import FollowedStore
+
+from bendlead_gateway._fleet.balancer import Balancer
+from bendlead_gateway._fleet.catalog import ConfigurationHolder, EngineList
+from bendlead_gateway._fleet.health import EngineHealth
+from bendlead_gateway._fleet.loads import LoadTable
+from bendlead_gateway._fleet.pool import EnginePool
+from bendlead_gateway._fleet.watcher import Watcher
+from bendlead_gateway._log import Log
+from bendlead_gateway.dialect import Dialect
+from bendlead_gateway.types import DataHall, Engine
+
+
+class Fleet:
+    """Hold the configuration, the engines, and what is known of both."""
+
+    def __init__(
+        self, store: FollowedStore, dialect: Dialect, hall: DataHall, log: Log
+    ) -> None:
+        self.loads = LoadTable()
+        self.health = EngineHealth()
+        self.pool = EnginePool()
+        self.configuration = ConfigurationHolder(dialect, log)
+        self.engines = EngineList(dialect, log, self._forget)
+        self.balancer = Balancer(self.engines, self.loads, self.health, hall)
+        prefix = dialect.config_key.partition('/')[0]
+        self.config_watch = Watcher(
+            store, f'{prefix}/', self.configuration, log
+        )
+        self.engines_watch = Watcher(
+            store, dialect.engines_prefix, self.engines, log
+        )
+
+    def start(self) -> None:
+        """Follow the store from now on."""
+        gevent.spawn(self.config_watch.run)
+        gevent.spawn(self.engines_watch.run)
+
+    def _forget(self, engine: Engine) -> None:
+        self.pool.forget(engine.engine)
+        self.health.forget(engine.engine)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/health.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/health.py
@@ -13,6 +13,9 @@
 #: Failures in a row after which an engine is paused, unless it refused the
 #: connection, which pauses it at once.
 _FAILURES = 2
+#: An engine that works for us and sends nothing on any connection for this
+#: long (s) is dark or full; events come every 20 ms.
+_SILENT_SECONDS = 0.25
 
 
 @dataclass(slots=True)
@@ -23,6 +26,7 @@
     failures: int = 0
     paused_until: float = 0
     pause: float = _FIRST_PAUSE
+    heard: float = 0
 
 
 class EngineHealth:
@@ -41,6 +45,18 @@
         record = self._records.get(engine)
         return bool(record) and time.monotonic() < record.paused_until
 
+    def heard(self, engine: EngineId) -> None:
+        """Note that bytes of an answer came."""
+        self._record(engine).heard = time.monotonic()
+
+    def silent(self, engine: EngineId, busy_since: float | None) -> bool:
+        """Tell whether an engine at work for us has sent nothing lately."""
+        if busy_since is None:
+            return False
+        record = self._records.get(engine)
+        latest = max(busy_since, record.heard if record else 0)
+        return time.monotonic() - latest > _SILENT_SECONDS
+
     def observe_gap(self, engine: EngineId, seconds: float) -> None:
         """Take the time between two events of a stream."""
         record = self._record(engine)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
@@ -26,6 +26,7 @@
 
     online: Counter[EngineId] = field(default_factory=Counter)
     batch: Counter[EngineId] = field(default_factory=Counter)
+    busy_since: dict[EngineId, float] = field(default_factory=dict)
 
 
 class LoadTable:
@@ -35,6 +36,18 @@
         self.own = OwnLoad()
         self._reports: dict[NodeName, _Report] = {}
 
+    def start_online(self, engine: EngineId) -> None:
+        """Count a request that starts here now."""
+        if not self.own.online[engine]:
+            self.own.busy_since[engine] = time.monotonic()
+        self.own.online[engine] += 1
+
+    def own_busy_since(self, engine: EngineId) -> float | None:
+        """Tell since when requests of ours run there without a pause."""
+        if self.own.online[engine]:
+            return self.own.busy_since.get(engine)
+        return None
+
     def report(
         self,
         node: NodeName,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -4,11 +4,12 @@
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import gevent
 import msgspec
 from bendlead_schema.gateway import HeldShard, NodeReport
-from bendlead_store import Change, Entry, FailureKind, FollowedStore, Version
+from bendlead_store import ABSENT, Change, Entry, FollowedStore
 from result import Err, Ok
 
 from bendlead_gateway._fleet.loads import LoadTable
@@ -94,14 +95,10 @@
         """Find the live peer that holds a shard at the highest epoch."""
         best: Claim | None = None
         for peer in self._live():
-            for held in peer.report.shards if peer.report else ():
-                if held.shard == shard and (
-                    best is None or held.epoch > best.epoch
-                ):
-                    best = Claim(
-                        peer.record.node, peer.record.address, held.epoch
-                    )
-        return best
+            epoch = _epoch_of(peer, shard)
+            if best is None or epoch > best.epoch:
+                best = Claim(peer.record.node, peer.record.address, epoch)
+        return best if best and best.epoch else None
 
     def able_owners(self) -> list[NodeName]:
         """List the live peers that can hold shards."""
@@ -130,19 +127,15 @@
         return isinstance(decoded, Err) or decoded.ok_value != self._own
 
     def _register(self, present: Entry | None, body: bytes) -> None:
-        version = present.version if present else Version(0)
-        while True:
+        while present is None or self._differs(present):
+            version = present.version if present else ABSENT
             written = self._store.put(self._own_key(), body, version)
             if isinstance(written, Ok):
                 self._log.event('registered', address=self._own.address)
                 return
-            if written.err_value.kind is FailureKind.CONFLICT:
-                found = self._store.fetch(self._own_key())
-                if isinstance(found, Ok) and found.ok_value:
-                    version = found.ok_value.version
-                    if not self._differs(found.ok_value):
-                        return
             gevent.sleep(_FIRST_PAUSE * (1 + random.random()))
+            found = self._store.fetch(self._own_key())
+            present = found.unwrap_or(present)
 
     def _take(self, entry: Entry) -> None:
         decoded = self._dialect.peer(entry)
@@ -159,9 +152,7 @@
             known.task.kill(block=False)
         peer = _Peer(record)
         self._peers[record.node] = peer
-        self._log.event(
-            'peer-listed', peer=record.node, address=record.address
-        )
+        self._log.event('peer-listed', peer=record.node, address=record.address)
         if self._own.node < record.node:
             peer.task = gevent.spawn(self._talk, peer)
 
@@ -196,7 +187,7 @@
             body,
             _ANSWER_SECONDS,
         )
-        if response.head.status != 200:
+        if response.head.status != HTTPStatus.OK:
             raise OSError(f'status {response.head.status}')
         self._hear(_DECODER.decode(response.body))
 
@@ -228,6 +219,17 @@
         return [peer for peer in self._peers.values() if peer.heard > oldest]
 
 
+def _epoch_of(peer: _Peer, shard: int) -> int:
+    """Give the epoch at which a peer holds a shard, or 0."""
+    report = peer.report
+    if report is None:
+        return 0
+    return max(
+        (held.epoch for held in report.shards if held.shard == shard),
+        default=0,
+    )
+
+
 def held_shards(epochs: dict[int, int]) -> list[HeldShard]:
     """Make the claims of a report."""
     return [
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/pool.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/pool.py
@@ -10,9 +10,11 @@
 #: that does not answer is passed over while the aim can still be met.
 _CONNECT_SECONDS = 0.25
 #: Use no connection that has rested longer than this share of the time an
-#: engine keeps it, nor longer than the default (s) where it tells none.
+#: engine keeps it, nor longer than the default (s): engines drop idle
+#: connections early and silently, and a request sent on one is lost, while
+#: opening another costs a millisecond.
 _IDLE_SHARE = 0.6
-_IDLE_SECONDS = 3.0
+_IDLE_SECONDS = 1.0
 _KEPT_PER_ENGINE = 24
 
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/watcher.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/watcher.py
@@ -91,9 +91,7 @@
         self._pause = _FIRST_PAUSE
 
     def _follow(self) -> None:
-        followed = self._store.follow(
-            self._prefix, self._as_of, _HELD_SECONDS
-        )
+        followed = self._store.follow(self._prefix, self._as_of, _HELD_SECONDS)
         if isinstance(followed, Err):
             self._fail(followed.err_value)
             return
@@ -108,9 +106,6 @@
             return
         if not self._lost_at:
             self._lost_at = time.monotonic()
-            self._log.event(
-                'watch-lost', prefix=self._prefix, reason=failure
-            )
+            self._log.event('watch-lost', prefix=self._prefix, reason=failure)
         gevent.sleep(max(failure.retry_after, self._pause * random.random()))
         self._pause = min(_LAST_PAUSE, self._pause * 2)
-
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
@@ -198,10 +198,13 @@
 
     def skip_answer(self, head: ResponseHead, timeout: float) -> None:
         """Read past an answer that belongs to an earlier request."""
-        for _part in self.read_parts(head, timeout):
-            continue
+        self.read_rest(head, timeout)
         self._incoming.drop_first()
 
+    def read_rest(self, head: ResponseHead, timeout: float) -> bytes:
+        """Read the rest of an answer."""
+        return b''.join(self.read_parts(head, timeout))
+
     def request(
         self,
         method: str,
@@ -213,7 +216,7 @@
         """Send a request and read the whole answer."""
         self.send(method, target, headers, body, timeout)
         head = self.read_head(timeout)
-        whole = b''.join(self.read_parts(head, timeout))
+        whole = self.read_rest(head, timeout)
         if (head.find('connection') or '').lower() == 'close':
             self._reusable = False
         return Response(head, whole)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
@@ -2,8 +2,9 @@
 
 import errno
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Any
 
 import gevent
@@ -18,19 +19,6 @@
 _WRITE_SECONDS = 5
 #: Pause after running out of descriptors (s).
 _ACCEPT_PAUSE = 0.05
-_REASONS: Mapping[int, str] = {
-    200: 'OK',
-    202: 'Accepted',
-    400: 'Bad Request',
-    404: 'Not Found',
-    408: 'Request Timeout',
-    413: 'Content Too Large',
-    429: 'Too Many Requests',
-    431: 'Request Header Fields Too Large',
-    502: 'Bad Gateway',
-    503: 'Service Unavailable',
-    504: 'Gateway Timeout',
-}
 
 
 class ClientGoneError(OSError):
@@ -77,7 +65,7 @@
         self, status: int, headers: Headers = (), body: bytes = b''
     ) -> None:
         """Send a whole answer of our own."""
-        reason = _REASONS.get(status, 'Status')
+        reason = HTTPStatus(status).phrase
         self.started = True
         head = self._head(status, reason, headers)
         head.append(f'Content-Length: {len(body)}')
@@ -224,7 +212,7 @@
         """Keep a part of the body."""
         self._draft.body_bytes += len(part)
         if self._draft.body_bytes > self._limits.body_bytes:
-            raise _TooLargeError(413)
+            raise _TooLargeError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         self._draft.body.append(part)
 
     def on_message_complete(self) -> None:
@@ -244,7 +232,7 @@
     def _count_header(self, size: int) -> None:
         self._draft.header_bytes += size
         if self._draft.header_bytes > self._limits.header_bytes:
-            raise _TooLargeError(431)
+            raise _TooLargeError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _read_all(self) -> None:
         while not self._closing:
@@ -255,7 +243,7 @@
                 if self._task is not None:
                     continue
                 if self._begun:
-                    self._refuse(408)
+                    self._refuse(HTTPStatus.REQUEST_TIMEOUT)
                 return
             if not received:
                 return
@@ -274,12 +262,12 @@
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade:
-            self._refuse(400)
+            self._refuse(HTTPStatus.BAD_REQUEST)
             return False
         except httptools.HttpParserError as error:
             cause = error.__context__
             large = isinstance(cause, _TooLargeError)
-            self._refuse(cause.status if large else 400)
+            self._refuse(cause.status if large else HTTPStatus.BAD_REQUEST)
             return False
         return True
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/sockets.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/sockets.py
@@ -33,13 +33,13 @@
 def connect(address: str, timeout: float) -> socket.socket:
     """Open a connection, or raise OSError."""
     sock = socket.socket(constants.AF_INET, constants.SOCK_STREAM)
+    sock.settimeout(timeout)
     try:
-        sock.settimeout(timeout)
         sock.connect(split_address(address))
-        tune(sock)
     except OSError:
         sock.close()
         raise
+    tune(sock)
     return sock
 
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/api.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/api.py
@@ -1,6 +1,7 @@
 """Answer clients' calls about jobs for the shards held here."""
 
 import time
+from http import HTTPStatus
 
 from bendlead_store import Failure, FailureKind
 
@@ -22,6 +23,8 @@
     Submission,
 )
 
+_AWAY = HTTPStatus.SERVICE_UNAVAILABLE
+_FULL = HTTPStatus.TOO_MANY_REQUESTS
 _JSON = (('Content-Type', 'application/json'),)
 _RETRY_AFTER = (('Retry-After', '0.3'),)
 #: A client whose job does not fit should come back when items are done (s).
@@ -61,7 +64,7 @@
         host = _host(request)
         board = self._keeper.boards.get(shard_of(host))
         if board is None:
-            responder.answer(503, _NOT_HELD)
+            responder.answer(_AWAY, _NOT_HELD)
         elif call is None:
             self._submit(request, responder, board)
         else:
@@ -74,30 +77,42 @@
             request.target, request.headers, request.body
         )
         if submission is None:
-            responder.answer(400)
+            responder.answer(HTTPStatus.BAD_REQUEST)
             return
         route = self._configuration.match(submission.host, request.path)
         if route is None or route.kind is not RouteKind.BATCH:
-            self._said(submission, 'no route', responder, 503)
+            self._said(
+                submission,
+                'no route',
+                responder,
+                HTTPStatus.SERVICE_UNAVAILABLE,
+            )
             return
         if submission.job in board.jobs:
-            self._said(submission, 'again', responder, 202)
+            self._said(submission, 'again', responder, HTTPStatus.ACCEPTED)
             return
         if not self._fits(board, submission, route):
-            self._said(submission, 'does not fit', responder, 429)
+            self._said(
+                submission,
+                'does not fit',
+                responder,
+                HTTPStatus.TOO_MANY_REQUESTS,
+            )
             return
         accepted = board.accept(submission)
         if accepted.is_ok():
             self._runner.wake()
-            self._said(submission, 'accepted', responder, 202)
+            self._said(submission, 'accepted', responder, HTTPStatus.ACCEPTED)
         else:
             failure: Failure = accepted.err_value
-            status = 503 if failure.had_no_effect else 504
+            status = (
+                HTTPStatus.SERVICE_UNAVAILABLE
+                if failure.had_no_effect
+                else HTTPStatus.GATEWAY_TIMEOUT
+            )
             self._said(submission, str(failure), responder, status)
 
-    def _fits(
-        self, board: Board, submission: Submission, route: Route
-    ) -> bool:
+    def _fits(self, board: Board, submission: Submission, route: Route) -> bool:
         limit = route.max_waiting_tokens
         if not limit:
             return True
@@ -109,31 +124,35 @@
         submission: Submission,
         reason: str,
         responder: Responder,
-        status: int,
+        status: HTTPStatus,
     ) -> None:
         self._log.event(
             'job-submitted',
             job=submission.job,
             items=len(submission.items),
-            status=status,
+            status=int(status),
             reason=reason,
         )
-        headers = {503: _RETRY_AFTER, 429: _FULL_RETRY_AFTER}
+        headers = {
+            HTTPStatus.SERVICE_UNAVAILABLE: _RETRY_AFTER,
+            HTTPStatus.TOO_MANY_REQUESTS: _FULL_RETRY_AFTER,
+        }
         responder.answer(status, headers.get(status, ()))
 
-    def _call(
-        self, call: JobCall, responder: Responder, board: Board
-    ) -> None:
+    def _call(self, call: JobCall, responder: Responder, board: Board) -> None:
         sure = board.sure(self._sure)
         if sure.is_err():
             failure: Failure = sure.err_value
             fenced = failure.kind is FailureKind.CONFLICT
-            responder.answer(503, _NOT_HELD if fenced else _RETRY_AFTER)
+            responder.answer(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                _NOT_HELD if fenced else _RETRY_AFTER,
+            )
             return
         job = board.jobs.get(call.job)
         if job is None:
             self._log.event('job-unknown', job=call.job, epoch=board.epoch)
-            responder.answer(404)
+            responder.answer(HTTPStatus.NOT_FOUND)
         elif isinstance(call, ReadResults):
             self._read(call, responder, job)
         elif isinstance(call, ReadBody):
@@ -154,22 +173,22 @@
         body = self._dialect.encode_results(
             job.state.accepted.total, call.after, given
         )
-        responder.answer(200, _JSON, body)
+        responder.answer(HTTPStatus.OK, _JSON, body)
 
-    def _body(
-        self, call: ReadBody, responder: Responder, job: HeldJob
-    ) -> None:
+    def _body(self, call: ReadBody, responder: Responder, job: HeldJob) -> None:
         body = None if job.state.ended else job.body(call.item)
         if body is None:
-            responder.answer(404)
+            responder.answer(HTTPStatus.NOT_FOUND)
         else:
-            responder.answer(200, (), body)
+            responder.answer(HTTPStatus.OK, (), body)
 
     def _end(self, responder: Responder, board: Board, job: HeldJob) -> None:
         ended = board.end(job)
         self._runner.wake()
-        status = 200 if ended.is_ok() else 503
-        self._log.event('job-ended', job=job.job, status=status)
+        status = (
+            HTTPStatus.OK if ended.is_ok() else HTTPStatus.SERVICE_UNAVAILABLE
+        )
+        self._log.event('job-ended', job=job.job, status=int(status))
         responder.answer(status, () if ended.is_ok() else _RETRY_AFTER)
 
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
@@ -2,7 +2,7 @@
 
 import base64
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 import gevent
@@ -16,6 +16,7 @@
     pack_items,
     read_parts,
     unpack_items,
+    write_parts,
 )
 from bendlead_schema.records import (
     DirectItem,
@@ -31,7 +32,6 @@
 from gevent.event import Event
 from result import Err, Ok, Result
 
-from bendlead_gateway._log import Log
 from bendlead_gateway.types import (
     ItemId,
     ItemOutcome,
@@ -73,9 +73,7 @@
 class HeldJob:
     """Hold one job: its durable state and how far its items have come."""
 
-    def __init__(
-        self, state: DirectJobState, items: Sequence[JobItem]
-    ) -> None:
+    def __init__(self, state: DirectJobState, items: Sequence[JobItem]) -> None:
         self.state = state
         self.changed = Event()
         self.progress = {
@@ -145,16 +143,16 @@
     def __init__(
         self,
         store: ValueStore,
+        shard: ShardId,
         log: ShardLog,
         state: ShardState,
-        lines: Log,
         kept: float,
         committer: Committer,
     ) -> None:
         self._store = store
         self._log = log
         self._state = state
-        self._lines = lines
+        self._shard = shard
         self._kept = kept
         self._committer = committer
         self._confirming: Event | None = None
@@ -213,9 +211,7 @@
     def waiting_tokens(self, host: str) -> int:
         """Count the tokens that wait or are being accepted for a host."""
         held = sum(
-            job.waiting_tokens
-            for job in self.jobs.values()
-            if job.host == host
+            job.waiting_tokens for job in self.jobs.values() if job.host == host
         )
         pending = sum(
             tokens for at, tokens in self._pending_tokens.values() if at == host
@@ -233,22 +229,15 @@
         self._accepting[submission.job] = Event()
         tokens = sum(one.tokens for one in submission.items)
         self._pending_tokens[submission.job] = (submission.host, tokens)
-        unclear = False
         try:
             accepted = self._commit_job(submission, tokens)
-            unclear = (
-                isinstance(accepted, Err)
-                and not accepted.err_value.had_no_effect
-            )
-            return accepted
         finally:
             self._accepting.pop(submission.job).set()
-            if not unclear:
-                self._pending_tokens.pop(submission.job, None)
+        if isinstance(accepted, Ok) or accepted.err_value.had_no_effect:
+            self._pending_tokens.pop(submission.job, None)
+        return accepted
 
-    def record(
-        self, job: HeldJob, result: ItemResult
-    ) -> Result[None, Failure]:
+    def record(self, job: HeldJob, result: ItemResult) -> Result[None, Failure]:
         """Make the result of an item durable, then show it."""
         record = DirectResultsRecorded(
             job=job.job,
@@ -296,7 +285,7 @@
         packed, bulk = pack_items([_stored(one) for one in submission.items])
         parts: list[str] = []
         if bulk:
-            written = self._log.write_parts(bulk)
+            written = write_parts(self._store, self._shard, bulk)
             if isinstance(written, Err):
                 return written
             parts = written.ok_value
@@ -350,9 +339,8 @@
     store: ValueStore,
     shard: int,
     owner: Owner,
-    lines: Log,
     kept: float,
-    on_lost,
+    on_lost: Callable[[], None],
 ) -> Result[Board, Failure]:
     """Take a shard over and read what it holds."""
     settings = LedgerSettings(tail_bytes=_TAIL_BYTES, segments=_SEGMENTS)
@@ -362,7 +350,7 @@
         return taken
     state = taken.ok_value
     committer = Committer(log, state, lambda: _COMMIT_INTERVAL, on_lost)
-    board = Board(store, log, state, lines, kept, committer)
+    board = Board(store, ShardId(shard), log, state, kept, committer)
     loaded = board.load()
     if isinstance(loaded, Err):
         board.close()
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -0,0 +1,146 @@
+"""One run of an item of a batch job at one engine."""
+
+import time
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from bendlead_gateway._fleet.fleet import Fleet
+from bendlead_gateway._http.client import HttpConnection, ResponseHead
+from bendlead_gateway._jobs.board import Board, HeldJob, Progress
+from bendlead_gateway._online.events import EventSplitter, StreamEvent
+from bendlead_gateway.dialect import Dialect
+from bendlead_gateway.types import Engine, ItemOutcome
+
+#: An engine that sends nothing for this long (s) has stopped or is dark.
+_SILENT_SECONDS = 2.0
+_REFUSED_PAUSE = 0.1
+#: Ownership must have been proved this recently (s) before an item starts.
+_PROVED_SECONDS = 1.5
+
+
+class RunFailedError(Exception):
+    """A run ended without the item's whole output."""
+
+
+@dataclass(slots=True, eq=False)
+class ItemRun:
+    """Keep one run of an item so that it can be stopped."""
+
+    engine: Engine
+    board: Board
+    job: HeldJob
+    progress: Progress
+    began: float
+    connection: HttpConnection | None = None
+    stopped: bool = False
+
+    def stop(self) -> None:
+        """Close the connection; the engine drops the run."""
+        self.stopped = True
+        if self.connection is not None:
+            self.connection.close()
+
+    def refused(self) -> None:
+        """Run the item again, a little later."""
+        self.progress.not_before = time.monotonic() + _REFUSED_PAUSE
+
+
+class ItemAttempts:
+    """Make runs: connect, send, gather the events."""
+
+    def __init__(self, dialect: Dialect, fleet: Fleet) -> None:
+        self._dialect = dialect
+        self._fleet = fleet
+
+    def make(self, run: ItemRun) -> ItemOutcome | None:
+        """Run an item once; nothing where the engine did not run it."""
+        if run.board.sure(_PROVED_SECONDS).is_err():
+            run.refused()
+            return None
+        connection = self._connect(run)
+        if run.stopped or run.job.state.ended:
+            connection.close()
+            return None
+        head = self._ask(run, connection)
+        return self._take_answer(run, connection, head)
+
+    def _connect(self, run: ItemRun) -> HttpConnection:
+        try:
+            run.connection = self._fleet.pool.take(run.engine)
+        except OSError as error:
+            self._fleet.health.failed(run.engine.engine, unreachable=True)
+            raise RunFailedError(f'connect: {error}') from error
+        return run.connection
+
+    def _ask(self, run: ItemRun, connection: HttpConnection) -> ResponseHead:
+        item = run.progress.item
+        headers = self._dialect.item_headers(
+            item.item,
+            run.job.host,
+            list(item.headers.items()),
+            run.engine.engine,
+            run.progress.last_event,
+        )
+        connection.send('POST', item.path, headers, item.body, _SILENT_SECONDS)
+        while True:
+            head = connection.read_head(_SILENT_SECONDS)
+            answer = self._dialect.engine_answer(head.status, head.headers)
+            if answer.request in {None, item.item}:
+                return head
+            connection.skip_answer(head, _SILENT_SECONDS)
+            connection.keep_no_longer()
+
+    def _take_answer(
+        self, run: ItemRun, connection: HttpConnection, head: ResponseHead
+    ) -> ItemOutcome | None:
+        answer = self._dialect.engine_answer(head.status, head.headers)
+        if answer.closing:
+            connection.keep_no_longer()
+        if head.status == HTTPStatus.OK:
+            self._gather(run, connection, head)
+            self._fleet.health.succeeded(run.engine.engine)
+            self._fleet.pool.give_back(
+                run.engine, connection, answer.idle_seconds
+            )
+            return ItemOutcome.COMPLETED
+        connection.keep_no_longer()
+        if answer.not_run:
+            run.refused()
+            if answer.misdirected:
+                self._fleet.health.failed(run.engine.engine, unreachable=True)
+            return None
+        return self._judge_failure(run, head)
+
+    def _judge_failure(
+        self, run: ItemRun, head: ResponseHead
+    ) -> ItemOutcome | None:
+        if head.status == HTTPStatus.UNPROCESSABLE_ENTITY:
+            return ItemOutcome.GIVEN_UP
+        if head.status == HTTPStatus.INTERNAL_SERVER_ERROR:
+            run.progress.failures += 1
+        raise RunFailedError(f'engine said {head.status}')
+
+    def _gather(
+        self, run: ItemRun, connection: HttpConnection, head: ResponseHead
+    ) -> None:
+        """Keep the events as they come, so that a stop loses none."""
+        splitter = EventSplitter()
+        for part in connection.read_parts(head, _SILENT_SECONDS):
+            if run.stopped:
+                raise RunFailedError('stopped')
+            for event in splitter.feed(part):
+                _keep(run.progress, event)
+        if splitter.rest:
+            raise RunFailedError('ended within an event')
+        if not run.progress.texts:
+            raise RunFailedError('no events')
+
+
+def _keep(progress: Progress, event: StreamEvent) -> None:
+    before = progress.last_event
+    if event.number is None:
+        raise RunFailedError('an event without a number')
+    if before is not None and event.number != before + 1:
+        raise RunFailedError(f'event {event.number} after {before}')
+    progress.last_event = event.number
+    progress.texts.append(event.text)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
@@ -1,6 +1,7 @@
 """Hold the shards that fall to this process."""
 
 import time
+from collections.abc import Callable
 
 import gevent
 from bendlead_ledger import Owner
@@ -44,7 +45,7 @@
         """Tell which shards are held at which epoch."""
         return {shard: one.epoch for shard, one in self.boards.items()}
 
-    def run(self, sound) -> None:
+    def run(self, sound: Callable[[], bool]) -> None:
         """Check who should hold each shard, for ever."""
         gevent.sleep(_SETTLING_SECONDS)
         while not self._leaving:
@@ -86,7 +87,6 @@
             self._store,
             shard,
             owner,
-            self._log,
             self._kept,
             lambda: self._give_up(shard, 'fenced'),
         )
@@ -115,4 +115,3 @@
                 reason=reason,
             )
             gevent.spawn(board.close)
-
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
@@ -1,6 +1,7 @@
 """Pass clients' calls about jobs on to the process that holds them."""
 
 import time
+from http import HTTPStatus
 
 import gevent
 
@@ -9,11 +10,11 @@
 from bendlead_gateway._http.server import Request, Responder
 from bendlead_gateway._jobs.shards import shard_of
 from bendlead_gateway._log import Log
-from bendlead_gateway.types import Route
+from bendlead_gateway._online.relay import passed_on
 
 _CONNECT_SECONDS = 0.3
 #: An owner holds a read for up to a second.
-_READ_SECONDS = 2.5
+_ANSWER_SECONDS = 2.5
 #: How long (s) a call waits for a shard to find an owner.
 _OWNER_SECONDS = 0.3
 _RETRY_SECONDS = 0.05
@@ -24,6 +25,10 @@
 _NOT_HELD = 'x-not-held'
 
 
+class NotAskedError(Exception):
+    """The owner got no byte of the call."""
+
+
 class JobRelay:
     """Find the owner of a job's shard and relay the call."""
 
@@ -34,54 +39,58 @@
 
     def read(self, request: Request, responder: Responder) -> None:
         """Relay a read or an end; both may be repeated."""
-        self._relay(request, responder, _READ_SECONDS, repeatable=True)
+        self._relay(request, responder, repeatable=True)
 
-    def submit(
-        self, request: Request, responder: Responder, route: Route
-    ) -> None:
+    def submit(self, request: Request, responder: Responder) -> None:
         """Relay a job; a lost answer promises nothing."""
-        self._relay(request, responder, _READ_SECONDS, repeatable=False)
+        self._relay(request, responder, repeatable=False)
 
     def _relay(
         self,
         request: Request,
         responder: Responder,
-        timeout: float,
         *,
         repeatable: bool,
     ) -> None:
-        host = _host(request)
+        shard = shard_of(_host(request))
         until = time.monotonic() + _OWNER_SECONDS
-        reason = 'no owner'
-        while True:
-            claim = self._peers.holder(shard_of(host))
+        reason = ''
+        while reason is not None and time.monotonic() < until:
+            if reason:
+                gevent.sleep(_RETRY_SECONDS)
+            claim = self._peers.holder(shard)
+            reason = 'no owner'
             if claim is not None:
-                try:
-                    answered = self._ask(claim, request, timeout)
-                except ConnectionError as error:
-                    answered = None
-                    reason = f'{claim.node}: {error}'
-                except OSError as error:
-                    self._unclear(request, responder, claim, error, repeatable)
-                    return
-                if answered and not answered.head.find(_NOT_HELD):
-                    self._pass_on(answered, responder)
-                    return
-            if time.monotonic() > until:
-                break
-            gevent.sleep(_RETRY_SECONDS)
-        self._log.event(
-            'job-call-refused', target=request.target, reason=reason
-        )
-        responder.answer(503, _RETRY_AFTER)
+                reason = self._try(claim, request, responder, repeatable)
+        if reason is not None:
+            self._log.event(
+                'job-call-refused', target=request.target, reason=reason
+            )
+            responder.answer(HTTPStatus.SERVICE_UNAVAILABLE, _RETRY_AFTER)
 
-    def _unclear(
+    def _try(
         self,
+        claim: Claim,
         request: Request,
         responder: Responder,
-        claim: Claim,
-        error: OSError,
         repeatable: bool,
+    ) -> str | None:
+        """Have one owner answer, or tell why it has not been asked."""
+        try:
+            answered = self._ask(claim, request)
+        except NotAskedError as error:
+            return f'{claim.node}: {error}'
+        except OSError as error:
+            self._log_unclear(request, claim, error)
+            _answer_unclear(responder, repeatable)
+            return None
+        if answered.head.find(_NOT_HELD):
+            return f'{claim.node} does not hold the shard'
+        self._pass_on(answered, responder)
+        return None
+
+    def _log_unclear(
+        self, request: Request, claim: Claim, error: OSError
     ) -> None:
         self._log.event(
             'job-call-unclear',
@@ -89,11 +98,6 @@
             owner=claim.node,
             reason=error,
         )
-        if repeatable:
-            responder.answer(503, _RETRY_AFTER)
-        else:
-            # The job may have been accepted: no promise that it does not run.
-            responder.answer(504)
 
     def _pass_on(self, answered: Response, responder: Responder) -> None:
         headers = [
@@ -103,32 +107,25 @@
         ]
         responder.answer(answered.head.status, headers, answered.body)
 
-    def _ask(
-        self, claim: Claim, request: Request, timeout: float
-    ) -> Response:
-        """Ask the owner; ConnectionError means that it was not asked."""
+    def _ask(self, claim: Claim, request: Request) -> Response:
         connection = self._connection(claim.address)
-        whole = False
         try:
-            response = connection.request(
+            return connection.request(
                 request.method,
                 request.target,
-                _passed(request),
+                passed_on(request.headers),
                 request.body,
-                timeout,
+                _ANSWER_SECONDS,
             )
-            whole = True
-        except ConnectionError as error:
-            raise OSError(str(error)) from error
         finally:
-            if not whole:
-                connection.close()
-        kept = self._kept.setdefault(claim.address, [])
+            self._keep(claim.address, connection)
+
+    def _keep(self, address: str, connection: HttpConnection) -> None:
+        kept = self._kept.setdefault(address, [])
         if connection.reusable and len(kept) < _KEPT:
             kept.append(connection)
         else:
             connection.close()
-        return response
 
     def _connection(self, address: str) -> HttpConnection:
         kept = self._kept.get(address, [])
@@ -140,7 +137,15 @@
         try:
             return HttpConnection(address, _CONNECT_SECONDS)
         except OSError as error:
-            raise ConnectionError(f'connect: {error}') from error
+            raise NotAskedError(f'connect: {error}') from error
+
+
+def _answer_unclear(responder: Responder, repeatable: bool) -> None:
+    if repeatable:
+        responder.answer(HTTPStatus.SERVICE_UNAVAILABLE, _RETRY_AFTER)
+    else:
+        # The job may have been accepted: no promise that it does not run.
+        responder.answer(HTTPStatus.GATEWAY_TIMEOUT)
 
 
 def _host(request: Request) -> str:
@@ -148,12 +153,3 @@
         if name.lower() == 'host':
             return text
     return ''
-
-
-def _passed(request: Request) -> list[tuple[str, str]]:
-    return [
-        (name, text)
-        for name, text in request.headers
-        if name.lower()
-        not in {'connection', 'content-length', 'transfer-encoding'}
-    ]
--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+from http import HTTPStatus
 
 import gevent
 import msgspec
@@ -10,26 +11,27 @@
 from gevent import signal_handler
 from gevent.event import Event
 
-from bendlead_gateway._fleet.catalog import ConfigurationHolder, EngineList
-from bendlead_gateway._fleet.health import EngineHealth
-from bendlead_gateway._fleet.loads import LoadTable
+from bendlead_gateway._fleet.fleet import Fleet
 from bendlead_gateway._fleet.peers import REPORT_PATH, PeerTable
 from bendlead_gateway._fleet.watcher import Watcher
 from bendlead_gateway._http.server import HttpServer, Request, Responder
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
-from bendlead_gateway._online.pool import EnginePool
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import (
     ClientLimits,
-    Engine,
     NodeSettings,
     PeerRecord,
 )
 
 #: Peers send small reports; jobs are bounded by the clients' limit.
+_PEER_HEADER_BYTES = 65_536
+_PEER_BODY_BYTES = 8_388_608
+_PEER_IDLE_SECONDS = 60
 _PEER_LIMITS = ClientLimits(
-    header_bytes=65_536, body_bytes=8_388_608, idle_seconds=60
+    header_bytes=_PEER_HEADER_BYTES,
+    body_bytes=_PEER_BODY_BYTES,
+    idle_seconds=_PEER_IDLE_SECONDS,
 )
 _SWEEP_SECONDS = 1.0
 _JSON = (('Content-Type', 'application/json'),)
@@ -46,11 +48,7 @@
         self.dialect = dialect
         self.log = Log(settings.node)
         self.metrics = Metrics()
-        self.loads = LoadTable()
-        self.health = EngineHealth()
-        self.pool = EnginePool()
-        self.configuration = ConfigurationHolder(dialect, self.log)
-        self.engines = EngineList(dialect, self.log, self._forget_engine)
+        self.fleet = Fleet(store, dialect, settings.hall, self.log)
         self.leaving = False
         self.done = Event()
         address = f'{settings.address}:{settings.internal_port}'
@@ -58,14 +56,11 @@
             settings.node, settings.role, settings.hall, address
         )
         self.peers = PeerTable(
-            self.record, store, dialect, self.loads, self.log, self.report
+            self.record, store, dialect, self.fleet.loads, self.log, self.report
         )
-        prefix = dialect.config_key.partition('/')[0]
-        self.config_watch = self._watcher(f'{prefix}/', self.configuration)
-        self.engines_watch = self._watcher(
-            dialect.engines_prefix, self.engines
+        self.peers_watch = Watcher(
+            store, dialect.peers_prefix, self.peers, self.log
         )
-        self.peers_watch = self._watcher(dialect.peers_prefix, self.peers)
         self.internal = HttpServer(
             address,
             self._answer_internal,
@@ -81,11 +76,17 @@
         signal_handler(signal.SIGTERM, self._on_term)
         signal_handler(signal.SIGHUP, self._on_hup)
         gevent.spawn(self._sweep)
-        self.internal.start()
-        self.start()
+        self.serve()
         self.done.wait()
         self.log.event('stop', lines_dropped=self.log.dropped)
 
+    def serve(self) -> None:
+        """Follow the store, answer peers, and start what the role adds."""
+        self.fleet.start()
+        gevent.spawn(self.peers_watch.run)
+        self.internal.start()
+        self.start()
+
     def start(self) -> None:
         """Start what the role adds."""
         raise NotImplementedError
@@ -96,11 +97,11 @@
 
     def answer_peer_call(self, request: Request, responder: Responder) -> None:
         """Answer a call of a peer that is not a report."""
-        responder.answer(404)
+        responder.answer(HTTPStatus.NOT_FOUND)
 
     def report(self) -> NodeReport:
         """Tell peers what runs here."""
-        own = self.loads.own
+        own = self.fleet.loads.own
         return NodeReport(
             node=self.settings.node,
             sound=True,
@@ -112,45 +113,42 @@
 
     def state(self) -> dict[str, object]:
         """Dump what this process believes."""
-        known = self.configuration.known
+        known = self.fleet.configuration.known
         return {
             'node': self.settings.node,
             'leaving': self.leaving,
             'configuration': known.version if known else None,
-            'engines': {one.engine: one.state.value for one in self.engines.all()},
-            'online': dict(self.loads.own.online),
-            'batch': dict(self.loads.own.batch),
+            'engines': {
+                one.engine: one.state.value for one in self.fleet.engines.all()
+            },
+            'online': dict(self.fleet.loads.own.online),
+            'batch': dict(self.fleet.loads.own.batch),
             'peers': self.peers.summary(),
             'recent': self.log.recent,
         }
 
-    def _watcher(self, prefix: str, follower) -> Watcher:
-        return Watcher(self.store, prefix, follower, self.log)
-
-    def _forget_engine(self, engine: Engine) -> None:
-        self.pool.forget(engine.engine)
-        self.health.forget(engine.engine)
-
     def _answer_internal(self, request: Request, responder: Responder) -> None:
         if request.path == REPORT_PATH:
             try:
                 told = self.peers.exchange(request.body)
             except msgspec.MsgspecError as error:
                 self.log.event('report-unreadable', reason=error)
-                responder.answer(400)
+                responder.answer(HTTPStatus.BAD_REQUEST)
                 return
-            responder.answer(200, _JSON, told)
+            responder.answer(HTTPStatus.OK, _JSON, told)
         elif request.path == '/metrics':
-            responder.answer(200, (), self.metrics.page())
+            responder.answer(HTTPStatus.OK, (), self.metrics.page())
         elif request.path == '/debug/state':
-            responder.answer(200, _JSON, msgspec.json.encode(self.state()))
+            responder.answer(
+                HTTPStatus.OK, _JSON, msgspec.json.encode(self.state())
+            )
         else:
             self.answer_peer_call(request, responder)
 
     def _sweep(self) -> None:
         while True:
             gevent.sleep(_SWEEP_SECONDS)
-            self.pool.close_expired()
+            self.fleet.pool.close_expired()
 
     def _on_term(self) -> None:
         if not self.leaving:
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -0,0 +1,173 @@
+"""Ask one engine for one request."""
+
+from http import HTTPStatus
+
+from bendlead_gateway._fleet.fleet import Fleet
+from bendlead_gateway._http.client import (
+    BrokenAnswerError,
+    HttpConnection,
+    ResponseHead,
+    SilentPeerError,
+)
+from bendlead_gateway._log import Log
+from bendlead_gateway._metrics import Metrics
+from bendlead_gateway._online.exchange import Choice, Exchange
+from bendlead_gateway._online.outcomes import (
+    BrokenStreamError,
+    NotRunError,
+    Step,
+    UnknownOutcomeError,
+)
+from bendlead_gateway._online.relay import AnswerRelay, passed_on
+from bendlead_gateway.dialect import Dialect
+from bendlead_gateway.types import Engine
+
+#: The rest of a refusal is awaited this long (s) to keep the connection.
+_REFUSAL_SECONDS = 0.03
+
+
+class Attempts:
+    """Make attempts: connect, send, judge the head, relay the answer."""
+
+    def __init__(
+        self, dialect: Dialect, fleet: Fleet, log: Log, metrics: Metrics
+    ) -> None:
+        self._dialect = dialect
+        self._fleet = fleet
+        self._health = fleet.health
+        self._log = log
+        self._metrics = metrics
+
+    def make(self, exchange: Exchange, engine: Engine) -> None:
+        """Have the engine answer the request, or raise what became of it."""
+        name = engine.engine
+        loads = self._fleet.loads
+        exchange.choice = Choice(name, loads.online(name), loads.batch(name))
+        exchange.sends += 1
+        loads.start_online(name)
+        connection = None
+        idle = None
+        try:
+            connection = self._connect(engine)
+            idle = self._converse(exchange, engine, connection)
+        finally:
+            loads.own.online[name] -= 1
+            if connection is not None:
+                self._fleet.pool.give_back(engine, connection, idle)
+
+    def _connect(self, engine: Engine) -> HttpConnection:
+        try:
+            return self._fleet.pool.take(engine)
+        except OSError as error:
+            paused = self._health.failed(engine.engine, unreachable=True)
+            self._note(engine, Step.CONNECT, error, paused)
+            raise NotRunError(f'connect: {error}') from error
+
+    def _converse(
+        self, exchange: Exchange, engine: Engine, connection: HttpConnection
+    ) -> float | None:
+        """Send the request and relay the answer; give the idle seconds."""
+        head = self._ask(exchange, engine, connection)
+        self._health.heard(engine.engine)
+        answer = self._dialect.engine_answer(head.status, head.headers)
+        if answer.closing:
+            connection.keep_no_longer()
+        if answer.not_run:
+            self._read_refusal(connection, head)
+            if answer.misdirected:
+                self._health.failed(engine.engine, unreachable=True)
+            raise NotRunError(f'engine said {head.status}, not run')
+        if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            self._health.failed(engine.engine)
+            if exchange.may_replace:
+                connection.keep_no_longer()
+                raise UnknownOutcomeError(f'engine said {head.status}')
+        self._relay(exchange, engine, connection, head)
+        return answer.idle_seconds
+
+    def _ask(
+        self, exchange: Exchange, engine: Engine, connection: HttpConnection
+    ) -> ResponseHead:
+        try:
+            self._send(exchange, engine, connection)
+            return self._own_head(exchange, connection)
+        except OSError as error:
+            connection.keep_no_longer()
+            silent = isinstance(error, SilentPeerError)
+            paused = self._health.failed(engine.engine, unreachable=silent)
+            self._note(engine, Step.HEAD, error, paused)
+            raise UnknownOutcomeError(f'no answer: {error}') from error
+
+    def _send(
+        self, exchange: Exchange, engine: Engine, connection: HttpConnection
+    ) -> None:
+        request = exchange.request
+        headers = self._dialect.engine_headers(
+            passed_on(request.headers),
+            engine.engine,
+            exchange.left,
+            exchange.last_event,
+        )
+        connection.send(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            exchange.read_patience,
+        )
+
+    def _own_head(
+        self, exchange: Exchange, connection: HttpConnection
+    ) -> ResponseHead:
+        """Read past surplus answers to earlier requests."""
+        while True:
+            head = connection.read_head(exchange.read_patience)
+            answer = self._dialect.engine_answer(head.status, head.headers)
+            if answer.request in {None, exchange.facts.request}:
+                return head
+            self._log.event(
+                'surplus-answer',
+                request=exchange.facts.request,
+                belongs_to=answer.request,
+            )
+            connection.skip_answer(head, exchange.read_patience)
+            connection.keep_no_longer()
+
+    def _read_refusal(
+        self, connection: HttpConnection, head: ResponseHead
+    ) -> None:
+        try:
+            connection.read_rest(head, _REFUSAL_SECONDS)
+        except BrokenAnswerError:
+            # The refusal counts; only the connection is of no more use.
+            connection.keep_no_longer()
+
+    def _relay(
+        self,
+        exchange: Exchange,
+        engine: Engine,
+        connection: HttpConnection,
+        head: ResponseHead,
+    ) -> None:
+        relay = AnswerRelay(exchange, engine, connection, self._health)
+        try:
+            relay.relay(head)
+        except (BrokenStreamError, UnknownOutcomeError) as broken:
+            connection.close()
+            silent = isinstance(broken.__cause__, SilentPeerError)
+            paused = self._health.failed(engine.engine, unreachable=silent)
+            self._note(engine, Step.BODY, broken, paused)
+            raise
+
+    def _note(
+        self, engine: Engine, step: Step, error: object, paused: bool
+    ) -> None:
+        self._metrics.engine_failures.labels(step.value).inc()
+        self._log.event(
+            'engine-failed',
+            engine=engine.engine,
+            address=engine.address,
+            step=step.value,
+            reason=error,
+            paused=paused,
+        )
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -0,0 +1,174 @@
+"""Serve one client request: choose engines, retry, refuse, give up."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+import gevent
+
+from bendlead_gateway._fleet.balancer import pick_service
+from bendlead_gateway._fleet.fleet import Fleet
+from bendlead_gateway._http.server import ClientGoneError, Request, Responder
+from bendlead_gateway._log import Log
+from bendlead_gateway._metrics import Metrics
+from bendlead_gateway._online.attempt import Attempts
+from bendlead_gateway._online.exchange import Exchange
+from bendlead_gateway._online.outcomes import (
+    BrokenStreamError,
+    DeadlineError,
+    NotRunError,
+    UnknownOutcomeError,
+)
+from bendlead_gateway.dialect import Dialect
+from bendlead_gateway.types import Engine, RequestFacts, Route
+
+#: Below this many seconds left an engine is not asked any more.
+_LEAST_LEFT = 0.03
+#: When a refused client should come back (s): bursts pass in seconds, and a
+#: place gets free every few tens of ms.
+_RETRY_AFTER = 0.1
+#: Past this share of the aim a request is offered no further engine that
+#: refuses; an early refusal lets the client try another entry.
+_REFUSE_SHARE = 0.2
+_SHORTEST_TIMER = 0.001
+
+#: What came of an attempt; nothing where another may be made.
+_Verdict = str | None
+
+
+class OnlinePath:
+    """Serve the requests of clients on plain and streaming routes."""
+
+    def __init__(
+        self, dialect: Dialect, fleet: Fleet, log: Log, metrics: Metrics
+    ) -> None:
+        self._fleet = fleet
+        self._attempts = Attempts(dialect, fleet, log, metrics)
+        self._log = log
+        self._metrics = metrics
+
+    def serve(
+        self,
+        request: Request,
+        responder: Responder,
+        facts: RequestFacts,
+        route: Route,
+    ) -> None:
+        """Serve one request and write one line on how it ended."""
+        patience = route.timeout
+        if facts.patience is not None:
+            patience = min(patience, facts.patience)
+        exchange = Exchange(
+            request,
+            responder,
+            facts,
+            route,
+            request.received + patience,
+            last_event=facts.resume_after,
+        )
+        outcome = 'client_gone'
+        try:
+            outcome = self._serve_in_time(exchange)
+        except ClientGoneError:
+            # Nobody is left to tell; the line says so.
+            outcome = 'client_gone'
+        finally:
+            self._conclude(exchange, outcome)
+
+    def _serve_in_time(self, exchange: Exchange) -> str:
+        left = max(exchange.left, _SHORTEST_TIMER)
+        try:
+            with gevent.Timeout(left, DeadlineError):
+                return self._serve(exchange)
+        except DeadlineError:
+            return self._time_out(exchange)
+
+    def _serve(self, exchange: Exchange) -> str:
+        service = pick_service(exchange.route)
+        while True:
+            engine = self._fleet.balancer.choose(service, exchange.tried)
+            if engine is None or exchange.left < _LEAST_LEFT:
+                return self._give_up(exchange, 'no engine left to ask')
+            exchange.tried.add(engine.engine)
+            verdict = self._attempt(exchange, engine)
+            if verdict:
+                return verdict
+
+    def _attempt(self, exchange: Exchange, engine: Engine) -> _Verdict:
+        try:
+            self._attempts.make(exchange, engine)
+        except NotRunError as refused:
+            if self._too_late_to_ask(exchange):
+                return self._give_up(exchange, str(refused))
+            exchange.failure = str(refused)
+            return None
+        except UnknownOutcomeError as unknown:
+            return self._count_run(exchange, unknown, self._give_up)
+        except BrokenStreamError as broken:
+            return self._count_run(exchange, broken, self._break_off)
+        return 'answered'
+
+    def _count_run(
+        self,
+        exchange: Exchange,
+        error: Exception,
+        otherwise: Callable[[Exchange, str], str],
+    ) -> _Verdict:
+        exchange.runs += 1
+        exchange.failure = str(error)
+        if exchange.may_run_again:
+            return None
+        return otherwise(exchange, exchange.failure)
+
+    def _too_late_to_ask(self, exchange: Exchange) -> bool:
+        if exchange.runs or exchange.responder.started:
+            return False
+        return exchange.waited > exchange.route.target * _REFUSE_SHARE
+
+    def _give_up(self, exchange: Exchange, reason: str) -> str:
+        exchange.failure = f'{reason} ({exchange.failure})'
+        if exchange.responder.started:
+            return self._break_off(exchange, exchange.failure)
+        if exchange.runs:
+            # An engine may have run it, so nothing is promised.
+            exchange.answer(HTTPStatus.BAD_GATEWAY)
+            return 'unknown'
+        if exchange.left < _LEAST_LEFT:
+            return self._time_out(exchange)
+        headers = [('Retry-After', f'{_RETRY_AFTER:.3f}')]
+        exchange.answer(HTTPStatus.SERVICE_UNAVAILABLE, headers)
+        return 'refused'
+
+    def _break_off(self, exchange: Exchange, reason: str) -> str:
+        exchange.failure = reason
+        exchange.responder.abort()
+        return 'broken_off'
+
+    def _time_out(self, exchange: Exchange) -> str:
+        if exchange.responder.started:
+            exchange.responder.abort()
+            return 'timed_out_midway'
+        exchange.responder.close_after()
+        exchange.answer(HTTPStatus.GATEWAY_TIMEOUT)
+        return 'timed_out'
+
+    def _conclude(self, exchange: Exchange, outcome: str) -> None:
+        first = 0.0
+        if exchange.first_event:
+            first = exchange.first_event - exchange.request.received
+            self._metrics.first_event.observe(first)
+        self._metrics.requests.labels(outcome).inc()
+        self._log.event(
+            'request',
+            request=exchange.facts.request,
+            route=exchange.route.name,
+            outcome=outcome,
+            status=exchange.status,
+            engine=exchange.choice.engine,
+            online_seen=exchange.choice.online,
+            batch_seen=exchange.choice.batch,
+            sends=exchange.sends,
+            runs=exchange.runs,
+            first_ms=round(first * 1000, 1),
+            total_ms=round(exchange.waited * 1000, 1),
+            reason=exchange.failure,
+        )
--- a/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
@@ -33,34 +33,19 @@
             store, self.record, self.peers, self.log, settings.status_kept
         )
         self._runner = ItemRunner(
-            self._keeper,
-            dialect,
-            self.configuration,
-            self.config_watch,
-            self.engines,
-            self.loads,
-            self.health,
-            self.pool,
-            self.log,
-            self.metrics,
+            self._keeper, dialect, self.fleet, self.log, self.metrics
         )
         self._api = JobApi(
             self._keeper,
             self._runner,
-            self.configuration,
+            self.fleet.configuration,
             dialect,
             self.log,
             settings.settle,
         )
 
     def start(self) -> None:
-        """Watch the store, hold shards, run items."""
-        for watcher in (
-            self.config_watch,
-            self.engines_watch,
-            self.peers_watch,
-        ):
-            gevent.spawn(watcher.run)
+        """Hold shards, run items."""
         gevent.spawn(self._keeper.run, self._sound)
         gevent.spawn(self._runner.run)
         gevent.spawn(self._forget)
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/__init__.py
@@ -0,0 +1,1 @@
+"""Types that the whole gateway and its adapters share."""
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/ids.py
@@ -0,0 +1,11 @@
+"""Ids, each of its own type."""
+
+from typing import NewType
+
+RequestId = NewType('RequestId', str)
+JobId = NewType('JobId', str)
+ItemId = NewType('ItemId', str)
+EngineId = NewType('EngineId', str)
+ServiceName = NewType('ServiceName', str)
+DataHall = NewType('DataHall', str)
+NodeName = NewType('NodeName', str)
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/jobs.py
@@ -0,0 +1,71 @@
+"""Batch jobs, calls about them, and their results."""
+
+import enum
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from bendlead_gateway._types.ids import ItemId, JobId
+
+
+@dataclass(frozen=True, slots=True)
+class JobItem:
+    """Hold one request of a batch job."""
+
+    item: ItemId
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """Hold a batch job as a client hands it in."""
+
+    job: JobId
+    host: str
+    path: str
+    items: Sequence[JobItem]
+
+
+@dataclass(frozen=True, slots=True)
+class ReadResults:
+    """Ask for the results of a job from a position on; wait in seconds."""
+
+    job: JobId
+    after: int
+    wait: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReadBody:
+    """Ask for the body of one item."""
+
+    job: JobId
+    item: ItemId
+
+
+@dataclass(frozen=True, slots=True)
+class EndJob:
+    """Ask for the end of a job."""
+
+    job: JobId
+
+
+JobCall = ReadResults | ReadBody | EndJob
+
+
+class ItemOutcome(enum.Enum):
+    """Say how an item ended."""
+
+    COMPLETED = 'completed'
+    GIVEN_UP = 'given_up'
+
+
+@dataclass(frozen=True, slots=True)
+class ItemResult:
+    """Hold the final result of one item."""
+
+    item: ItemId
+    outcome: ItemOutcome
+    text: str
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/nodes.py
@@ -0,0 +1,55 @@
+"""The processes of the gateway."""
+
+import enum
+from dataclasses import dataclass
+
+from bendlead_gateway._types.ids import DataHall, NodeName
+
+
+class NodeRole(enum.Enum):
+    """Say what a process does."""
+
+    ENTRY = 'entry'
+    OWNER = 'owner'
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Hold what one process is told at its start; times in seconds."""
+
+    node: NodeName
+    role: NodeRole
+    hall: DataHall
+    address: str
+    store_address: str
+    internal_port: int
+    last_internal_port: int
+    clients_address: str | None
+    ready_address: str | None
+    descriptors: int
+    memory_bytes: int
+    grace: float
+    drain: float
+    settle: float
+    status_kept: float
+    value_bytes: int
+    heartbeat: float
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRecord:
+    """Say where a process of ours answers its peers."""
+
+    node: NodeName
+    role: NodeRole
+    hall: DataHall
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class StopOrder:
+    """Ask to empty a node within some seconds, or tell that it is empty."""
+
+    node: NodeName
+    seconds: float
+    revision: int
--- a/packages/bendlead-ledger/src/bendlead_ledger/__init__.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/__init__.py
@@ -27,6 +27,7 @@
     head_key,
     read_parts,
     write_once,
+    write_parts,
 )
 from bendlead_ledger._shard import Shard, open_shard
 from bendlead_ledger._state import ShardState
@@ -62,4 +63,5 @@
     'unique',
     'unpack_items',
     'write_once',
+    'write_parts',
 )
--- a/packages/bendlead-ledger/src/bendlead_ledger/_log.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_log.py
@@ -138,7 +138,7 @@
         """Replace all records by a snapshot of the state they led to."""
         head = self._owned_head()
         snapshot = _codec.encode(state.snapshot())
-        parts = self.write_parts(_codec.compress(snapshot))
+        parts = write_parts(self._store, self._shard, _codec.compress(snapshot))
         if isinstance(parts, Err):
             return parts
         folded = msgspec.structs.replace(
@@ -247,7 +247,7 @@
         if len(tail) < self._settings.tail_bytes:
             return Ok(head)
         key = f'ledger/{self._shard:04x}/segment/{unique()}'
-        written = self._write_once(key, _codec.compress(tail))
+        written = write_once(self._store, key, _codec.compress(tail))
         if isinstance(written, Err):
             return written
         segment = SegmentRef(
@@ -263,21 +263,6 @@
             ),
         )
 
-    def write_parts(self, packed: bytes) -> Result[list[str], Failure]:
-        """Write bulk bytes into immutable objects and name them."""
-        parts = []
-        for start in range(0, len(packed), _PART_BYTES):
-            key = f'ledger/{self._shard:04x}/snapshot/{unique()}'
-            part = packed[start : start + _PART_BYTES]
-            written = self._write_once(key, part)
-            if isinstance(written, Err):
-                return written
-            parts.append(key)
-        return Ok(parts)
-
-    def _write_once(self, key: str, body: bytes) -> Result[None, Failure]:
-        return write_once(self._store, key, body)
-
     def _delete_replaced(self, head: Head) -> None:
         replaced = [segment.key for segment in head.segments]
         if head.snapshot:
@@ -313,6 +298,23 @@
         backoff = min(_LAST_BACKOFF, backoff * 2)
 
 
+def write_parts(
+    store: ValueStore,
+    shard: ShardId,
+    packed: bytes,
+) -> Result[list[str], Failure]:
+    """Write bulk bytes into immutable objects and name them."""
+    parts = []
+    for start in range(0, len(packed), _PART_BYTES):
+        key = f'ledger/{shard:04x}/part/{unique()}'
+        part = packed[start : start + _PART_BYTES]
+        written = write_once(store, key, part)
+        if isinstance(written, Err):
+            return written
+        parts.append(key)
+    return Ok(parts)
+
+
 def load_state(store: ValueStore, head: Head) -> Result[ShardState, Failure]:
     """Rebuild the state that a head refers to."""
     state = ShardState()
--- a/testing/src/bendlead_testing/platform_store.py
+++ b/testing/src/bendlead_testing/platform_store.py
@@ -132,8 +132,9 @@
         elif request.method == 'GET':
             _json(responder, 200, found)
         elif request.method == 'DELETE':
-            if int(query.get('revision', found['metadata']['revision'])) != (
-                found['metadata']['revision']
+            if (
+                int(query.get('revision', found['metadata']['revision']))
+                != (found['metadata']['revision'])
             ):
                 _json(responder, 409, found)
                 return
@@ -185,9 +186,7 @@
         }
         _json(responder, 200, listed)
 
-    def _watch(
-        self, kind: str, query: dict[str, str], responder: Any
-    ) -> None:
+    def _watch(self, kind: str, query: dict[str, str], responder: Any) -> None:
         since = int(query['watch'])
         left = int(query.get('wait_ms', '0')) / 1000
         until = time.monotonic() + left
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -24,7 +24,7 @@
         self._sock = socket.socket()
         self._sock.bind(('127.0.0.1', 0))
         self._sock.listen(64)
-        self.address = '127.0.0.1:%d' % self._sock.getsockname()[1]
+        self.address = f'127.0.0.1:{self._sock.getsockname()[1]}'
         self.requests: list[bytes] = []
         self._task = gevent.spawn(self._accept)
 
--- a/tests/test_gateway_balancer.py
+++ b/tests/test_gateway_balancer.py
@@ -51,8 +51,16 @@
     @parameterized.expand(
         [
             ('fewest_online', {'a': (3, 0), 'b': (1, 0)}, 'b'),
-            ('a_free_place_before_a_full_engine', {'a': (1, 7), 'b': (5, 0)}, 'b'),
-            ('batch_counts_less_while_places_are_free', {'a': (2, 4), 'b': (5, 0)}, 'a'),
+            (
+                'a_free_place_before_a_full_engine',
+                {'a': (1, 7), 'b': (5, 0)},
+                'b',
+            ),
+            (
+                'batch_counts_less_while_places_are_free',
+                {'a': (2, 4), 'b': (5, 0)},
+                'a',
+            ),
             ('all_full_fewest_online', {'a': (4, 4), 'b': (8, 0)}, 'a'),
         ],
     )
@@ -60,7 +68,10 @@
         loads = LoadTable()
         loads.report(
             NodeName('peer'),
-            {EngineId(one): online for one, (online, _batch) in running.items()},
+            {
+                EngineId(one): online
+                for one, (online, _batch) in running.items()
+            },
             {EngineId(one): batch for one, (_online, batch) in running.items()},
         )
         engines = _Engines(*(_engine(one) for one in running))
@@ -78,9 +89,7 @@
     def test_all_paused_are_asked_all_the_same(self):
         health = EngineHealth()
         health.failed(EngineId('a'), unreachable=True)
-        balancer = Balancer(
-            _Engines(_engine('a')), LoadTable(), health, _HALL
-        )
+        balancer = Balancer(_Engines(_engine('a')), LoadTable(), health, _HALL)
         self.assertEqual('a', balancer.choose(_SERVICE, ()).engine)
 
 
--- a/tests/test_gateway_client.py
+++ b/tests/test_gateway_client.py
@@ -18,8 +18,20 @@
 
     @parameterized.expand(
         [
-            ('apart', [chunked(b'old', headers=_EARLIER), chunked(b'new', headers=_OWN)]),
-            ('together', [chunked(b'old', headers=_EARLIER) + chunked(b'new', headers=_OWN)]),
+            (
+                'apart',
+                [
+                    chunked(b'old', headers=_EARLIER),
+                    chunked(b'new', headers=_OWN),
+                ],
+            ),
+            (
+                'together',
+                [
+                    chunked(b'old', headers=_EARLIER)
+                    + chunked(b'new', headers=_OWN)
+                ],
+            ),
             (
                 'own_begins_in_the_same_bytes',
                 [
@@ -55,7 +67,11 @@
     @parameterized.expand(
         [
             ('chunked_cut', chunked(b'half', last=False), None),
-            ('length_cut', b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf', None),
+            (
+                'length_cut',
+                b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf',
+                None,
+            ),
             ('no_http', b'garbage\r\n\r\n', None),
             ('unframed', b'HTTP/1.1 200 OK\r\n\r\nwhole', b'whole'),
             ('framed', chunked(b'whole'), b'whole'),
--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -29,7 +29,9 @@
 _TAIL = chunked(event(2, 'b'), headers='X-Response-Seal: s2\r\n')
 _CUT = chunked(event(1, 'a'), headers=_SEAL, last=False)
 _MID_EVENT = chunked(event(1, 'a') + b'id: 2\nda', headers=_SEAL, last=False)
-_PLAIN = b'HTTP/1.1 200 OK\r\nX-Response-Seal: s1\r\nContent-Length: 2\r\n\r\nok'
+_PLAIN = (
+    b'HTTP/1.1 200 OK\r\nX-Response-Seal: s1\r\nContent-Length: 2\r\n\r\nok'
+)
 _ERROR = b'HTTP/1.1 500 x\r\nX-Response-Seal: s1\r\nContent-Length: 0\r\n\r\n'
 _STREAM = event(1, 'a') + event(2, 'b')
 
@@ -50,11 +52,12 @@
         made = settings('entry-1', NodeRole.ENTRY, self.store.address)
         store = PlatformStore(made.store_address)
         self.entry = EntryNode(made, store, PlatformDialect())
-        self.entry.internal.start()
-        self.entry.start()
+        self.entry.serve()
         eventually(
-            lambda: self.entry.configuration.known
-            and len(self.entry.engines.all()) == len(answers) + others
+            lambda: (
+                self.entry.fleet.configuration.known
+                and len(self.entry.fleet.engines.all()) == len(answers) + others
+            )
         )
 
     def ask(self, path='/x/1', patience=2000, extra=()):
@@ -101,24 +104,80 @@
         [
             ('stream', 'streaming', {}, [_WHOLE], 200, _STREAM, 1),
             ('plain', 'safe', {}, [_PLAIN], 200, b'ok', 1),
-            ('shed_goes_elsewhere', 'unsafe', {'max_attempts': 1}, [_SHED, _PLAIN], 200, b'ok', None),
-            ('moved_goes_elsewhere', 'unsafe', {'max_attempts': 1}, [_MOVED, _PLAIN], 200, b'ok', None),
+            (
+                'shed_goes_elsewhere',
+                'unsafe',
+                {'max_attempts': 1},
+                [_SHED, _PLAIN],
+                200,
+                b'ok',
+                None,
+            ),
+            (
+                'moved_goes_elsewhere',
+                'unsafe',
+                {'max_attempts': 1},
+                [_MOVED, _PLAIN],
+                200,
+                b'ok',
+                None,
+            ),
             ('all_shed', 'unsafe', {}, [_SHED, _SHED], 503, b'', 2),
-            ('unsafe_lost', 'unsafe', {'max_attempts': 3}, [b'', b''], 502, b'', 1),
+            (
+                'unsafe_lost',
+                'unsafe',
+                {'max_attempts': 3},
+                [b'', b''],
+                502,
+                b'',
+                1,
+            ),
             ('safe_lost_once', 'safe', {}, [b'', _PLAIN], 200, b'ok', None),
             ('safe_lost_twice', 'safe', {}, [b'', b'', b''], 502, b'', 2),
-            ('stream_lost', 'streaming', {'max_attempts': 3}, [b'', b''], 502, b'', 1),
-            ('safe_error_replaced', 'safe', {}, [_ERROR, _PLAIN], 200, b'ok', None),
+            (
+                'stream_lost',
+                'streaming',
+                {'max_attempts': 3},
+                [b'', b''],
+                502,
+                b'',
+                1,
+            ),
+            (
+                'safe_error_replaced',
+                'safe',
+                {},
+                [_ERROR, _PLAIN],
+                200,
+                b'ok',
+                None,
+            ),
             ('unsafe_error_passed', 'unsafe', {}, [_ERROR], 500, b'', 1),
-            ('resumed', 'streaming', {'resumable': True}, [_CUT, _TAIL], 200, _STREAM, 2),
-            ('resumed_mid_event', 'streaming', {'resumable': True}, [_MID_EVENT, _TAIL], 200, _STREAM, 2),
+            (
+                'resumed',
+                'streaming',
+                {'resumable': True},
+                [_CUT, _TAIL],
+                200,
+                _STREAM,
+                2,
+            ),
+            (
+                'resumed_mid_event',
+                'streaming',
+                {'resumable': True},
+                [_MID_EVENT, _TAIL],
+                200,
+                _STREAM,
+                2,
+            ),
         ],
     )
     def test_outcome(self, name, kind, changed, answers, status, body, sends):
         self.start(route(kind, **changed), answers=answers)
         if name.startswith('resumed'):
             # The engine that breaks off has to be the first one asked.
-            self.entry.loads.own.online['i-1'] += 3
+            self.entry.fleet.loads.own.online['i-1'] += 3
         head, got = self.read(self.ask())
         self.assertEqual((status, body), (head.status, got))
         if sends is not None:
@@ -131,7 +190,7 @@
     def test_resume_asks_behind_the_last_event(self):
         changed = route('streaming', resumable=True)
         self.start(changed, answers=[_CUT, _TAIL])
-        self.entry.loads.own.online['i-1'] += 3
+        self.entry.fleet.loads.own.online['i-1'] += 3
         self.read(self.ask())
         self.assertIn(b'Last-Event-Id: 1', self.engines[1].requests[0])
         self.assertIn(b'X-Expect-Instance: i-1', self.engines[1].requests[0])
@@ -178,18 +237,20 @@
 
     def test_unknown_route_while_the_store_is_away(self):
         self.start(route('safe'), answers=[_PLAIN])
-        self.entry.config_watch._current = False
+        self.entry.fleet.config_watch._current = False
         self.store.trouble = Trouble.AWAY
         head, _body = self.read(self.ask('/other/1'))
         self.assertEqual(503, head.status)
 
     def test_new_configuration_and_no_way_back(self):
         self.start(route('safe'), answers=[_PLAIN])
-        self.store.set('config', 'main', configuration(3, route('safe', path_prefix='/y/')))
-        eventually(lambda: self.entry.configuration.known.version == 3)
+        self.store.set(
+            'config', 'main', configuration(3, route('safe', path_prefix='/y/'))
+        )
+        eventually(lambda: self.entry.fleet.configuration.known.version == 3)
         self.store.set('config', 'main', configuration(2, route('safe')))
         gevent.sleep(0.1)
-        self.assertEqual(3, self.entry.configuration.known.version)
+        self.assertEqual(3, self.entry.fleet.configuration.known.version)
         head, _body = self.read(self.ask('/x/1'))
         self.assertEqual(404, head.status)
 
@@ -197,13 +258,13 @@
         self.start(route('safe'), answers=[_PLAIN])
         self.store.set('config', 'main', configuration(3, route('safe')))
         self.store.forget_history()
-        eventually(lambda: self.entry.configuration.known.version == 3)
+        eventually(lambda: self.entry.fleet.configuration.known.version == 3)
 
     def test_draining_engine_gets_nothing(self):
         self.start(route('safe'), answers=[_PLAIN, _PLAIN])
         address = self.engines[0].address
         self.store.set('servers', 'i-0', engine(address, state='draining'))
-        eventually(lambda: len(self.entry.engines.ready('s1')) == 1)
+        eventually(lambda: len(self.entry.fleet.engines.ready('s1')) == 1)
         for _attempt in range(3):
             self.read(self.ask())
         self.assertEqual([], self.engines[0].requests)
@@ -212,18 +273,18 @@
         self.start(route('safe'), answers=[_PLAIN, _PLAIN])
         self.store.trouble = Trouble.AWAY
         self.store.forget_history()
-        eventually(lambda: not self.entry.engines_watch.current)
+        eventually(lambda: not self.entry.fleet.engines_watch.current)
         self.store.remove('servers', 'i-0')
         self.store.trouble = Trouble.NONE
-        eventually(lambda: self.entry.engines_watch.current)
-        self.assertEqual(2, len(self.entry.engines.all()))
-        eventually(lambda: len(self.entry.engines.all()) == 1, 3)
+        eventually(lambda: self.entry.fleet.engines_watch.current)
+        self.assertEqual(2, len(self.entry.fleet.engines.all()))
+        eventually(lambda: len(self.entry.fleet.engines.all()) == 1, 3)
 
     def test_not_ready_before_the_first_configuration(self):
         made = settings('entry-1', NodeRole.ENTRY, self.store.address)
         store = PlatformStore(made.store_address)
         self.entry = EntryNode(made, store, PlatformDialect())
-        self.entry.start()
+        self.entry.serve()
         self.assertEqual(503, self._ready())
         self.store.set('config', 'main', configuration(1, route('safe')))
         eventually(lambda: self._ready() == 200)
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -82,8 +82,7 @@
         made = settings(name, NodeRole.OWNER, self.store.address)
         store = PlatformStore(made.store_address)
         node = OwnerNode(made, store, PlatformDialect())
-        node.internal.start()
-        node.start()
+        node.serve()
         return node
 
     def holding(self, name='owner-1'):
@@ -141,9 +140,9 @@
         self.submit(node)
         eventually(lambda: len(self.engine.requests) == 1)
         gevent.sleep(0.1)
-        node.loads.own.online['i-1'] += 8
-        eventually(lambda: not node._runner._runs)
-        node.loads.own.online['i-1'] -= 8
+        node.fleet.loads.own.online['i-1'] += 8
+        eventually(lambda: not node._runner.running)
+        node.fleet.loads.own.online['i-1'] -= 8
         found = eventually(lambda: self.results(node))
         self.assertEqual('a\nb', found[0]['text'])
         self.assertIn(b'Last-Event-Id: 1', self.engine.requests[1])
@@ -194,7 +193,7 @@
         self.assertEqual(b'pppppp', body.body)
         ended = self.call(node, 'DELETE', '/-/lots/j1')
         self.assertEqual(200, ended.head.status)
-        eventually(lambda: not node._runner._runs)
+        eventually(lambda: not node._runner.running)
         again = self.call(node, 'DELETE', '/-/lots/j1')
         self.assertEqual(200, again.head.status)
 
--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -69,7 +69,9 @@
         route = found.routes[0]
         self.assertEqual(7, found.version)
         self.assertIs(RouteKind.STREAM, route.kind)
-        self.assertEqual((5.0, 0.3, 0.2), (route.timeout, route.target, route.gap_target))
+        self.assertEqual(
+            (5.0, 0.3, 0.2), (route.timeout, route.target, route.gap_target)
+        )
         self.assertTrue(route.repeatable)
         self.assertEqual(['s1'], [one.service for one in route.shares])
 
@@ -194,7 +196,12 @@
 
     @parameterized.expand(
         [
-            ('read', 'GET', '/-/lots/j1?watch_after=12', ReadResults('j1', 12, 0.5)),
+            (
+                'read',
+                'GET',
+                '/-/lots/j1?watch_after=12',
+                ReadResults('j1', 12, 0.5),
+            ),
             ('read_all', 'GET', '/-/lots/j1', ReadResults('j1', 0, 0.5)),
             ('body', 'GET', '/-/items/j1?id=i1', ReadBody('j1', 'i1')),
             ('end', 'DELETE', '/-/lots/j1', EndJob('j1')),
@@ -260,7 +267,12 @@
     @parameterized.expand(
         [
             ('no_node', 'node = "frontend-1"', '', 'node must be a text'),
-            ('no_role', '["frontend","control"]', '["side"]', 'serves must name'),
+            (
+                'no_role',
+                '["frontend","control"]',
+                '["side"]',
+                'serves must name',
+            ),
             ('no_bound', 'drain_ms = 2000', '', '[bounds]: drain_ms'),
             ('no_toml', 'node = ', 'node ', 'toml'),
         ],
