--- /dev/null
+++ b/packages/bendlead-cli/src/bendlead_cli/_explain.py
@@ -0,0 +1,121 @@
+"""Find out from log lines what became of a request, an item or a job."""
+
+import sys
+from collections import deque
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from bendlead_cli._printing import say
+
+#: How much before and after its own lines (s) others may explain a request.
+_BEFORE_SECONDS = 3.0
+_AFTER_SECONDS = 0.5
+#: Events that change what a process believes, and whom they concern.
+_CONTEXT = frozenset(
+    (
+        'config-in-force',
+        'engine-failed',
+        'engine-gone',
+        'engine-listed',
+        'engines-awaited',
+        'leaving',
+        'left',
+        'peer-heard',
+        'shard-given-up',
+        'start',
+        'stop',
+        'takeover',
+        'takeover-failed',
+        'watch-history-gone',
+        'watch-lost',
+        'watch-regained',
+    ),
+)
+_SUBJECTS = ('request', 'job', 'item', 'belongs_to')
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """Hold one line of a log, taken apart."""
+
+    raw: str
+    fields: dict[str, str]
+
+    @property
+    def moment(self) -> float:
+        """Give the time of the line in Unix seconds."""
+        return float(self.fields.get('time', 0))
+
+    @property
+    def event(self) -> str:
+        """Give the name of the event."""
+        return self.fields.get('event', '')
+
+    def concerns(self, name: str) -> bool:
+        """Tell whether the line is about a request, an item or a job."""
+        return any(self.fields.get(subject) == name for subject in _SUBJECTS)
+
+    def shares(self, own: Iterable['LogLine']) -> bool:
+        """Tell whether the line is about an engine or node of others."""
+        engine = self.fields.get('engine')
+        node = self.fields.get('node')
+        return any(
+            engine == one.fields.get('engine')
+            if engine
+            else node == one.fields.get('node')
+            for one in own
+        )
+
+
+def read_line(raw: str) -> LogLine | None:
+    """Take a line apart, or nothing where it is no event."""
+    start = raw.find('time=')
+    if start < 0:
+        return None
+    fields = dict(_pairs(raw[start:].rstrip('\n')))
+    return LogLine(raw.rstrip('\n'), fields) if 'event' in fields else None
+
+
+def find_lines(lines: Iterable[str], name: str) -> list[LogLine]:
+    """Find the lines about a name and those that may explain them."""
+    waiting: deque[LogLine] = deque()
+    events = [line for line in map(read_line, lines) if line]
+    own = [line for line in events if line.concerns(name)]
+    if not own:
+        return []
+    first = min(line.moment for line in own) - _BEFORE_SECONDS
+    last = max(line.moment for line in own) + _AFTER_SECONDS
+    for line in events:
+        if line.concerns(name):
+            waiting.append(line)
+        elif line.event in _CONTEXT and first <= line.moment <= last:
+            if line.shares(own):
+                waiting.append(line)
+    return sorted(waiting, key=lambda line: line.moment)
+
+
+def explain(name: str, *, log: str = '-') -> None:
+    """Show what became of a request, item or job, from a log (- is stdin)."""
+    if log == '-':
+        found = find_lines(sys.stdin, name)
+    else:
+        with open(log, encoding='utf-8', errors='replace') as source:
+            found = find_lines(source, name)
+    if not found:
+        say(f'no line names {name}; is this the log of every node it met?')
+        sys.exit(1)
+    for line in found:
+        mark = '>' if line.concerns(name) else ' '
+        say(f'{mark} {line.raw}')
+
+
+def _pairs(text: str) -> Iterator[tuple[str, str]]:
+    """Yield the key=value pairs of a line; values may stand in quotes."""
+    rest = text
+    while '=' in rest:
+        name, _equals, rest = rest.partition('=')
+        if rest.startswith('"'):
+            shown, _quote, rest = rest[1:].partition('"')
+        else:
+            shown, _blank, rest = rest.partition(' ')
+        yield name.strip(), shown
--- a/packages/bendlead-cli/src/bendlead_cli/main.py
+++ b/packages/bendlead-cli/src/bendlead_cli/main.py
@@ -7,6 +7,7 @@
 
 from bendlead_cli import _fleet, _jobs
 from bendlead_cli._connection import connect
+from bendlead_cli._explain import explain
 from bendlead_cli._printing import Output, say, show
 
 _DATA_FIELD = b'data: '
@@ -66,6 +67,7 @@
     defopt.run(
         {
             'chat': chat,
+            'explain': explain,
             'load': load,
             'job': {
                 'submit': _jobs.submit,
--- /dev/null
+++ b/tests/test_cli_explain.py
@@ -0,0 +1,58 @@
+"""What bendlead explain finds in a log."""
+
+import unittest
+
+from bendlead_cli._explain import find_lines, read_line
+from parameterized import parameterized
+
+_EVENTS = (
+    'time=100.0 event=engine-failed node=n1 engine=i-1 reason="timed out"',
+    'time=101.0 event=request node=n1 request=r1 engine=i-1 outcome=unknown',
+    'time=101.1 event=request node=n1 request=r2 engine=i-2 outcome=answered',
+    'time=101.2 event=engine-failed node=n2 engine=i-9 reason=reset',
+    'time=101.3 event=watch-lost node=n1 prefix=config/',
+    'time=109.0 event=engine-gone node=n1 engine=i-1 reason=removed',
+    'no event at all',
+)
+_LOG = [f' 1.0 n1 {event}' for event in _EVENTS]
+
+
+class ReadLineTest(unittest.TestCase):
+    """Lines are taken apart."""
+
+    @parameterized.expand(
+        [
+            (
+                'plain',
+                'time=1.5 event=stop node=n1',
+                {'time': '1.5', 'event': 'stop', 'node': 'n1'},
+            ),
+            (
+                'quoted',
+                'time=1 event=x reason="a b=c"',
+                {'time': '1', 'event': 'x', 'reason': 'a b=c'},
+            ),
+            ('prefixed', ' 3.2 n1 time=1 event=x', {'time': '1', 'event': 'x'}),
+        ],
+    )
+    def test_fields(self, _name, raw, expected):
+        self.assertEqual(expected, read_line(raw).fields)
+
+    @parameterized.expand([('empty', ''), ('no_event', 'time=1 node=n1')])
+    def test_no_event(self, _name, raw):
+        self.assertIsNone(read_line(raw))
+
+
+class FindLinesTest(unittest.TestCase):
+    """The lines about a request come with those that may explain them."""
+
+    @parameterized.expand(
+        [
+            ('failed', 'r1', ['engine-failed', 'request', 'watch-lost']),
+            ('other_engine', 'r2', ['request', 'watch-lost']),
+            ('unknown', 'r9', []),
+        ],
+    )
+    def test_found(self, _name, request, expected):
+        found = find_lines(_LOG, request)
+        self.assertEqual(expected, [line.event for line in found])
