Retirement, engines missing after a cut watch, results larger than a value

An engine that left while a watch was cut for a moment was kept for the two seconds meant for lapsed entries, long enough to break the draining bound. Many results committed together could exceed a value of the store. Change: owners follow the orders, hand their shards over, then report; the wait applies after more than a second without the store; long tails become several segments.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/watcher.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/watcher.py
@@ -21,6 +21,10 @@
 #: How long one call may wait for a change (s). Each call is paid for, and a
 #: connection that died silently is noticed by its keep-alive probes.
 _HELD_SECONDS = 20.0
+#: Away for longer than this (s), the service may have let entries of live
+#: engines lapse. A watch that was merely cut is listed again within it, and
+#: what is missing then has left.
+_OUTAGE_SECONDS = 1.0
 _FIRST_PAUSE = 0.05
 _LAST_PAUSE = 0.4
 
@@ -73,12 +77,12 @@
             self._fail(listed.err_value)
             return
         listing = listed.ok_value
-        self._follower.reset(listing.entries, bool(self._lost_at))
+        away = time.monotonic() - self._lost_at if self._lost_at else 0
+        self._follower.reset(listing.entries, away > _OUTAGE_SECONDS)
         self._as_of = listing.as_of
-        self._regain(len(listing.entries))
+        self._regain(len(listing.entries), away)
 
-    def _regain(self, count: int) -> None:
-        away = time.monotonic() - self._lost_at if self._lost_at else 0
+    def _regain(self, count: int, away: float) -> None:
         self._log.event(
             'watch-regained',
             prefix=self._prefix,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
@@ -64,6 +64,15 @@
         for shard in list(self.boards):
             self._give_up(shard, 'leaving')
 
+    def hand_over(self) -> None:
+        """Give up the shards whose commits are through, if others are able."""
+        self._leaving = True
+        if not self._peers.able_owners():
+            return
+        for shard, board in list(self.boards.items()):
+            if not board.busy:
+                self._give_up(shard, 'handed over')
+
     def _consider(self, shard: int, sound: bool) -> None:
         held = self.boards.get(shard)
         holder = self._peers.holder(shard)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -50,6 +50,7 @@
         self.metrics = Metrics()
         self.fleet = Fleet(store, dialect, settings.hall, self.log)
         self.leaving = False
+        self._told_to_stop = False
         self.done = Event()
         address = f'{settings.address}:{settings.internal_port}'
         self.record = PeerRecord(
@@ -151,10 +152,12 @@
             self.fleet.pool.close_expired()
 
     def _on_term(self) -> None:
-        if not self.leaving:
-            self.leaving = True
-            self.log.event('leaving', busy=self.internal.busy)
-            gevent.spawn(self.leave)
+        if self._told_to_stop:
+            return
+        self._told_to_stop = True
+        self.leaving = True
+        self.log.event('leaving', busy=self.internal.busy)
+        gevent.spawn(self.leave)
 
     def _on_hup(self) -> None:
         # Addresses and limits are fixed for the life of a process; what the
--- a/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
@@ -8,9 +8,11 @@
 from msgspec.structs import replace
 
 from bendlead_gateway._fleet.peers import held_shards
+from bendlead_gateway._fleet.watcher import Watcher
 from bendlead_gateway._http.server import Request, Responder
 from bendlead_gateway._jobs.api import JobApi
 from bendlead_gateway._jobs.keeper import ShardKeeper
+from bendlead_gateway._jobs.retirement import Retirement
 from bendlead_gateway._jobs.runner import ItemRunner
 from bendlead_gateway._node import Node
 from bendlead_gateway.dialect import Dialect
@@ -35,6 +37,12 @@
         self._runner = ItemRunner(
             self._keeper, dialect, self.fleet, self.log, self.metrics
         )
+        retirement = Retirement(
+            settings.node, store, dialect, self._keeper, self.log, self.retire
+        )
+        self._orders_watch = Watcher(
+            store, dialect.stops_prefix, retirement, self.log
+        )
         self._api = JobApi(
             self._keeper,
             self._runner,
@@ -46,10 +54,15 @@
 
     def start(self) -> None:
         """Hold shards, run items."""
+        gevent.spawn(self._orders_watch.run)
         gevent.spawn(self._keeper.run, self._sound)
         gevent.spawn(self._runner.run)
         gevent.spawn(self._forget)
 
+    def retire(self) -> None:
+        """Tell peers that this node takes no shard any more."""
+        self.leaving = True
+
     def report(self) -> NodeReport:
         """Tell peers what runs and which shards are held here."""
         return replace(
--- a/packages/bendlead-gateway/src/bendlead_gateway/dialect.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/dialect.py
@@ -48,6 +48,9 @@
     def stop_order(self, entry: Entry) -> Result[StopOrder, Failure]:
         """Decode an order to empty a node."""
 
+    def stop_status(self, finished: bool) -> bytes:
+        """Encode how far the emptying of a node is."""
+
     def request_facts(self, headers: Headers) -> RequestFacts | None:
         """Read a client's headers, or nothing where no id came."""
 
--- a/packages/bendlead-ledger/src/bendlead_ledger/_log.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_log.py
@@ -7,7 +7,7 @@
 
 import random
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 import gevent
@@ -35,7 +35,10 @@
 from bendlead_ledger._state import ShardState
 
 _SEGMENT = msgspec.json.Decoder(list[Record])
-_PART_BYTES = 900_000
+#: Bytes of one object: a value holds a megabyte, and base64 takes a third.
+_PART_BYTES = 700_000
+#: Records of one segment (bytes before they are compressed).
+_SEGMENT_BYTES = 600_000
 _FIRST_BACKOFF = 0.05
 _LAST_BACKOFF = 2.0
 
@@ -243,24 +246,30 @@
         return Ok(None)
 
     def _sealed(self, head: Head) -> Result[Head, Failure]:
-        tail = msgspec.json.encode(head.tail)
-        if len(tail) < self._settings.tail_bytes:
+        """Move a long tail into segments, each small enough for a value."""
+        sizes = [len(msgspec.json.encode(record)) for record in head.tail]
+        if sum(sizes) < self._settings.tail_bytes:
             return Ok(head)
+        first = head.sequence - len(head.tail)
+        segments = list(head.segments)
+        for count in _runs_of(sizes):
+            start = first - head.sequence + len(head.tail)
+            records = head.tail[start : start + count]
+            written = self._write_segment(records, first)
+            if isinstance(written, Err):
+                return written
+            segments.append(written.ok_value)
+            first += count
+        return Ok(msgspec.structs.replace(head, tail=[], segments=segments))
+
+    def _write_segment(
+        self, records: Sequence[Record], first: int
+    ) -> Result[SegmentRef, Failure]:
         key = f'ledger/{self._shard:04x}/segment/{unique()}'
-        written = write_once(self._store, key, _codec.compress(tail))
-        if isinstance(written, Err):
-            return written
-        segment = SegmentRef(
-            key=key,
-            first=head.sequence - len(head.tail),
-            count=len(head.tail),
-        )
-        return Ok(
-            msgspec.structs.replace(
-                head,
-                tail=[],
-                segments=[*head.segments, segment],
-            ),
+        body = _codec.compress(msgspec.json.encode(records))
+        written = write_once(self._store, key, body)
+        return written.map(
+            lambda _done: SegmentRef(key=key, first=first, count=len(records))
         )
 
     def _delete_replaced(self, head: Head) -> None:
@@ -273,6 +282,20 @@
                 self._store.delete(key, found.ok_value.version)
 
 
+def _runs_of(sizes: Sequence[int]) -> Iterator[int]:
+    """Cut records into runs that fit a value each; yield their lengths."""
+    count = 0
+    total = 0
+    for size in sizes:
+        if count and total + size > _SEGMENT_BYTES:
+            yield count
+            count = 0
+            total = 0
+        count += 1
+        total += size
+    yield count
+
+
 def head_key(shard: ShardId) -> str:
     """Name the head object of a shard."""
     return f'ledger/{shard:04x}/head'
--- a/packages/bendlead-store/src/bendlead_store/_protocol.py
+++ b/packages/bendlead-store/src/bendlead_store/_protocol.py
@@ -83,6 +83,9 @@
     def list_entries(self, prefix: str) -> Result[Listing, Failure]:
         """Read every entry under a prefix, with bodies."""
 
+    def put_status(self, key: str, body: bytes) -> Result[Version, Failure]:
+        """Replace the status of an object that others specify."""
+
     def follow(
         self,
         prefix: str,
--- a/testing/src/bendlead_testing/platform_store.py
+++ b/testing/src/bendlead_testing/platform_store.py
@@ -12,12 +12,18 @@
 from urllib.parse import parse_qs, unquote, urlsplit
 
 import gevent
-from bendlead_gateway._http.server import HttpServer, Request, Responder
+from bendlead_gateway._http.server import (
+    ClientGoneError,
+    HttpServer,
+    Request,
+    Responder,
+)
 from bendlead_gateway.types import ClientLimits
 from gevent.event import Event
 
 _LIMITS = ClientLimits(body_bytes=4_194_304, idle_seconds=600)
 _PAGE = 500
+_VALUE_BYTES = 1_048_576
 _HISTORY = 1000
 
 
@@ -28,6 +34,8 @@
     AWAY = 'away'
     LIMITED = 'limited'
     SILENT = 'silent'
+    #: Connections are closed, held ones too.
+    CUT = 'cut'
     #: Writes take effect and are not answered.
     LOST_ANSWERS = 'lost_answers'
     #: Writes are not answered and take effect later.
@@ -68,10 +76,16 @@
         """Write an object as the operator or an engine would."""
         return self._store(kind, name, specification)['metadata']['revision']
 
-    def remove(self, kind: str, name: str) -> None:
-        """Remove an object as the operator or an engine would."""
+    def remove(self, kind: str, name: str, unseen: bool = False) -> None:
+        """Remove an object as the operator or an engine would.
+
+        No watch hears of it where it is unseen.
+        """
         gone = self._objects.pop((kind, name))
-        self._note(kind, gone, removed=True)
+        if unseen:
+            self.revision += 1
+        else:
+            self._note(kind, gone, removed=True)
 
     def get(self, kind: str, name: str) -> dict[str, Any] | None:
         """Look at an object."""
@@ -90,6 +104,8 @@
             responder.answer(503)
         elif self.trouble is Trouble.LIMITED:
             responder.answer(429, [('Retry-After', '0.05')])
+        elif self.trouble is Trouble.CUT:
+            raise ClientGoneError('cut')
         elif self.trouble is Trouble.SILENT:
             _say_nothing()
         elif writes and self.trouble is Trouble.LOST_ANSWERS:
@@ -104,6 +120,9 @@
             self._respond(request, responder)
 
     def _respond(self, request: Request, responder: Any) -> None:
+        if len(request.body) > _VALUE_BYTES:
+            responder.answer(413)
+            return
         parts = urlsplit(request.target)
         names = parts.path.removeprefix('/-/objects/').split('/')
         query = {name: one[0] for name, one in parse_qs(parts.query).items()}
@@ -191,6 +210,8 @@
         left = int(query.get('wait_ms', '0')) / 1000
         until = time.monotonic() + left
         while True:
+            if self.trouble is Trouble.CUT:
+                raise ClientGoneError('cut')
             if since < self._forgotten:
                 responder.answer(410)
                 return
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import random
 import unittest
 
 import gevent
@@ -147,6 +148,17 @@
         self.assertEqual('a\nb', found[0]['text'])
         self.assertIn(b'Last-Event-Id: 1', self.engine.requests[1])
 
+    def test_results_larger_than_a_value(self):
+        noise = random.Random(1)
+        texts = [noise.randbytes(150_000).hex() for _item in range(5)]
+        answers = [chunked(event(1, text)) for text in texts]
+        self.configure(answers)
+        node = self.holding()
+        self.submit(node, job(items=5))
+        eventually(lambda: len(self.results(node)) >= 3, 6)
+        response = self.call(node, 'GET', '/-/lots/j1?watch_after=4')
+        self.assertEqual(1, len(json.loads(response.body)['results']))
+
     def test_job_larger_than_a_value(self):
         self.configure([_WHOLE] * 3)
         node = self.holding()
@@ -255,6 +267,32 @@
         self.assertIn('j1', second._keeper.boards[node_shard()].jobs)
 
 
+class RetirementTest(OwnerCase):
+    """An owner that is to be emptied says when it is."""
+
+    def test_shards_move_before_it_says_so(self):
+        self.configure()
+        first = self.holding()
+        self.submit(first)
+        second = self.owner('owner-2')
+        eventually(second.peers.able_owners)
+        self.store.set('retirements', 'owner-1', {'duration_s': 5})
+        status = eventually(
+            lambda: self.store.get('retirements', 'owner-1')['status'], 4
+        )
+        self.assertEqual('completed', status['state'])
+        self.assertEqual({}, first._keeper.boards)
+        eventually(lambda: len(second._keeper.boards) == 4, 3)
+
+    def test_order_for_another_node(self):
+        self.configure()
+        node = self.holding()
+        self.store.set('retirements', 'owner-9', {'duration_s': 5})
+        gevent.sleep(0.5)
+        self.assertEqual(4, len(node._keeper.boards))
+        self.assertIsNone(self.store.get('retirements', 'owner-9')['status'])
+
+
 def node_shard() -> int:
     """Give the shard of the test's host."""
     from bendlead_gateway._jobs.shards import shard_of
