--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
@@ -15,10 +15,12 @@
     ServiceShare,
 )
 
-#: An item of a batch job steps aside, so it counts less than a request.
-_BATCH_WEIGHT = 0.35
-#: A request that finds no place waits for one; each that waits before it
-#: costs this much, in requests.
+#: Where no place is free an item has to step aside first, which costs this
+#: much, and less on an engine with few online requests.
+_STEP_ASIDE_COST = 1.0
+_ONLINE_SHARE = 0.1
+#: A request that finds all places with online requests waits for one; each
+#: that waits before it costs this much, in requests.
 _WAITING_COST = 3.0
 #: What being in another data hall costs, in requests. Entries of one hall
 #: share its engines and know their load at once or nearly; if all entries
@@ -88,8 +90,7 @@
     def _cost(self, engine: Engine, usual: float) -> float:
         online = self._loads.online(engine.engine)
         batch = self._loads.batch(engine.engine)
-        waiting = max(0, online + batch + 1 - engine.slots)
-        load = online + 1 + batch * _BATCH_WEIGHT + waiting * _WAITING_COST
+        load = _places_cost(online, batch, engine.slots)
         busy_since = self._loads.own_busy_since(engine.engine)
         if self._health.silent(engine.engine, busy_since):
             load += _SILENT_COST
@@ -106,6 +107,16 @@
         return load
 
 
+def _places_cost(online: int, batch: int, slots: int) -> float:
+    """Cost a request at an engine, in requests, by the places taken there."""
+    taken = online + batch
+    if taken < slots:
+        return taken + 1
+    waiting = max(0, online + 1 - slots)
+    cost = slots + _STEP_ASIDE_COST + online * _ONLINE_SHARE
+    return cost + waiting * _WAITING_COST
+
+
 def pick_service(route: Route) -> ServiceName:
     """Pick a service of a route by weight."""
     shares: Sequence[ServiceShare] = route.shares
