--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
@@ -64,6 +64,12 @@
         usual = self._usual_pace(able)
         return min(able, key=lambda one: self._cost(one, usual))
 
+    def expected_wait(self, engine: Engine) -> float:
+        """Estimate the seconds until a request would get a place."""
+        online = self._loads.online(engine.engine)
+        waiting = max(0, online + 1 - engine.slots)
+        return waiting * self._health.run_seconds / engine.slots
+
     def free_places(self, service: ServiceName) -> int:
         """Count the places of a service that no request holds."""
         return sum(
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/health.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/health.py
@@ -34,6 +34,8 @@
 
     def __init__(self) -> None:
         self._records: dict[EngineId, _Record] = {}
+        #: Smoothed seconds for which a request holds its place.
+        self.run_seconds = 0.0
 
     def pace(self, engine: EngineId) -> float:
         """Give the smoothed seconds between events, or 0 if unknown."""
@@ -64,6 +66,12 @@
             record.pace = seconds
         record.pace += (seconds - record.pace) * _NEWEST
 
+    def observe_run(self, seconds: float) -> None:
+        """Take the time from the first event of a stream to its last."""
+        if not self.run_seconds:
+            self.run_seconds = seconds
+        self.run_seconds += (seconds - self.run_seconds) * _NEWEST
+
     def succeeded(self, engine: EngineId) -> None:
         """Note a whole answer."""
         record = self._record(engine)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -10,6 +10,7 @@
 from bendlead_gateway._http.server import ClientGoneError, Request, Responder
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
+from bendlead_gateway._online.admission import Admission
 from bendlead_gateway._online.attempt import Attempts
 from bendlead_gateway._online.exchange import Exchange
 from bendlead_gateway._online.outcomes import (
@@ -43,6 +44,7 @@
     ) -> None:
         self._fleet = fleet
         self._attempts = Attempts(dialect, fleet, log, metrics)
+        self._admission = Admission(fleet.balancer)
         self._log = log
         self._metrics = metrics
 
@@ -88,6 +90,11 @@
             engine = self._fleet.balancer.choose(service, exchange.tried)
             if engine is None or exchange.left < _LEAST_LEFT:
                 return self._give_up(exchange, 'no engine left to ask')
+            refusal = self._admission.judge(exchange, engine)
+            if refusal:
+                return self._refuse(
+                    exchange, refusal.reason, refusal.retry_after
+                )
             exchange.tried.add(engine.engine)
             verdict = self._attempt(exchange, engine)
             if verdict:
@@ -134,7 +141,14 @@
             return 'unknown'
         if exchange.left < _LEAST_LEFT:
             return self._time_out(exchange)
-        headers = [('Retry-After', f'{_RETRY_AFTER:.3f}')]
+        return self._refuse(exchange, exchange.failure, _RETRY_AFTER)
+
+    def _refuse(
+        self, exchange: Exchange, reason: str, retry_after: float
+    ) -> str:
+        """Promise that the request has not run; tell when to come back."""
+        exchange.failure = reason
+        headers = [('Retry-After', f'{retry_after:.3f}')]
         exchange.answer(HTTPStatus.SERVICE_UNAVAILABLE, headers)
         return 'refused'
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -60,6 +60,7 @@
         self._engine = engine
         self._connection = connection
         self._health = health
+        self._first_part = 0.0
         self._last_part = 0.0
 
     def relay(self, head: ResponseHead) -> None:
@@ -76,6 +77,9 @@
             self._relay_whole(head)
         if head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             self._health.succeeded(self._engine.engine)
+            if self._first_part:
+                held = time.monotonic() - self._first_part
+                self._health.observe_run(held)
 
     def _relay_bytes(self, head: ResponseHead) -> None:
         """Pass a stream on as it comes; it can't be taken up elsewhere."""
@@ -138,6 +142,8 @@
         self._health.heard(name)
         if not self._exchange.first_event:
             self._exchange.first_event = now
+        if not self._first_part:
+            self._first_part = now
         if self._last_part:
             self._health.observe_gap(name, now - self._last_part)
         self._last_part = now
--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -227,6 +227,33 @@
         self.assertEqual([b''], gone)
 
 
+class OverloadTest(EntryCase):
+    """A request that would be late is refused once, early, and truly."""
+
+    @parameterized.expand(
+        [
+            ('free_place', 7, 2000, 200),
+            ('short_wait', 9, 2000, 200),
+            ('long_wait', 14, 2000, 503),
+            ('long_wait_but_it_came_back', 14, 1500, 200),
+        ],
+    )
+    def test_admission(self, _name, online, patience, status):
+        self.start(route('safe'), answers=[_PLAIN, _PLAIN])
+        self.entry.fleet.health.run_seconds = 0.5
+        # A first request shows how long a fresh client waits.
+        self.read(self.ask(patience=2000))
+        before = self.sent()
+        self.entry.fleet.health.run_seconds = 0.5
+        for name in ('i-0', 'i-1'):
+            self.entry.fleet.loads.own.online[name] += online
+        head, _body = self.read(self.ask(patience=patience))
+        self.assertEqual(status, head.status)
+        if status == 503:
+            self.assertGreater(float(head.find('retry-after')), 0.2)
+            self.assertEqual(before, self.sent())
+
+
 class RoutingTest(EntryCase):
     """Which configuration and which engines are in force."""
 
