--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/places.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/places.py
@@ -3,8 +3,8 @@
 #: Places left to online requests, by how much of a job's time has passed.
 #: A burst doubles online load within 0.2 s, and a report of it takes up to
 #: 0.1 s; what is due soon takes the risk that it has to step aside.
-_HEADROOM = ((0.25, 3), (0.5, 2))
-_LEAST_HEADROOM = 1
+_HEADROOM = ((0.2, 2), (0.4, 1))
+_LEAST_HEADROOM = 0
 
 
 def idle_places(slots: int, online: int, batch: int, age: float) -> int:
