--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
@@ -63,11 +63,8 @@
     running: bool = False
     finished: bool = False
     not_before: float = 0
-
-    def restart(self) -> None:
-        """Forget events that can't be continued."""
-        self.texts.clear()
-        self.last_event = None
+    #: Seconds for which runs of the item have held places so far.
+    spent: float = 0
 
 
 class HeldJob:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -7,6 +7,7 @@
 from bendlead_gateway._fleet.fleet import Fleet
 from bendlead_gateway._http.client import HttpConnection, ResponseHead
 from bendlead_gateway._jobs.board import Board, HeldJob, Progress
+from bendlead_gateway._jobs.urgency import Urgency
 from bendlead_gateway._online.events import EventSplitter, StreamEvent
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import Engine, ItemOutcome
@@ -31,6 +32,7 @@
     job: HeldJob
     progress: Progress
     began: float
+    urgency: Urgency
     connection: HttpConnection | None = None
     stopped: bool = False
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 import gevent
 from gevent.event import Event
@@ -16,6 +17,7 @@
 )
 from bendlead_gateway._jobs.keeper import ShardKeeper
 from bendlead_gateway._jobs.places import idle_places
+from bendlead_gateway._jobs.urgency import ItemPace, Urgency
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway.dialect import Dialect
@@ -36,6 +38,17 @@
 _Waiting = tuple[Board, HeldJob, Progress]
 
 
+@dataclass(frozen=True, slots=True)
+class _Candidate:
+    """Hold an item that could start, with its rank."""
+
+    urgency: Urgency
+    board: Board
+    job: HeldJob
+    progress: Progress
+    route: Route
+
+
 class ItemRunner:
     """Start, stop and finish runs of items."""
 
@@ -53,6 +66,7 @@
         self._attempts = ItemAttempts(dialect, fleet)
         self._log = log
         self._metrics = metrics
+        self._pace = ItemPace()
         self._runs: set[ItemRun] = set()
         self._wake = Event()
 
@@ -84,7 +98,13 @@
             online = self._loads.online(engine)
             over = online + len(runs) - runs[0].engine.slots
             if over > 0:
-                _stop_youngest(runs, over)
+                self._stop_least_urgent(runs, over)
+
+    def _stop_least_urgent(self, runs: list[ItemRun], count: int) -> None:
+        """Stop runs; each goes on later behind its last event."""
+        runs.sort(key=_urgency_of)
+        for run in runs[-count:]:
+            run.stop()
 
     def _stop_orphans(self) -> None:
         """Stop runs of jobs that ended or whose shard is held elsewhere."""
@@ -96,6 +116,20 @@
 
     def _start_runs(self) -> None:
         full: set[str] = set()
+        for candidate in self._candidates():
+            route = candidate.route
+            if route.name in full:
+                continue
+            job = candidate.job
+            engine = self._idle_engine(route, _age(job, route))
+            if engine is None:
+                full.add(route.name)
+            else:
+                self._start(candidate, engine)
+
+    def _candidates(self) -> list[_Candidate]:
+        """List the items that could start, the most urgent first."""
+        found: list[_Candidate] = []
         for board, job, progress in self._waiting():
             route = self._fleet.configuration.match(
                 job.host, progress.item.path
@@ -104,29 +138,27 @@
                 self._give_up_unrouted(board, job, progress)
             elif _expired(job, route):
                 self._finish(board, job, progress, ItemOutcome.GIVEN_UP)
-            elif route.name not in full:
-                engine = self._idle_engine(route, _age(job, route))
-                if engine is None:
-                    full.add(route.name)
-                else:
-                    run = ItemRun(
-                        engine, board, job, progress, time.monotonic()
-                    )
-                    self._start(run, route)
+            else:
+                urgency = self._urgency(job, progress, route)
+                found.append(_Candidate(urgency, board, job, progress, route))
+        found.sort(key=_urgency_of)
+        return found
+
+    def _urgency(
+        self, job: HeldJob, progress: Progress, route: Route
+    ) -> Urgency:
+        accepted_at = job.state.accepted.accepted_at
+        return self._pace.urgency(
+            accepted_at, _seconds_since(job), progress.spent, route.run_target
+        )
 
     def _waiting(self) -> Iterator[_Waiting]:
-        """List the items that could start, oldest job first."""
+        """List the items that could start now."""
         now = time.monotonic()
-        jobs = [
-            (job.state.accepted.accepted_at, board, job)
-            for board in self._keeper.boards.values()
-            for job in board.jobs.values()
-            if job.state.open
-        ]
-        jobs.sort(key=lambda one: one[0])
-        for _accepted_at, board, job in jobs:
-            for progress in list(job.waiting(now)):
-                yield board, job, progress
+        for board in list(self._keeper.boards.values()):
+            for job in list(board.jobs.values()):
+                for progress in list(job.waiting(now)):
+                    yield board, job, progress
 
     def _idle_engine(self, route: Route, age: float) -> Engine | None:
         """Find the engine with most idle places for a job of an age."""
@@ -142,11 +174,19 @@
                 found, most = one, places
         return found
 
-    def _start(self, run: ItemRun, route: Route) -> None:
+    def _start(self, candidate: _Candidate, engine: Engine) -> None:
+        run = ItemRun(
+            engine,
+            candidate.board,
+            candidate.job,
+            candidate.progress,
+            time.monotonic(),
+            candidate.urgency,
+        )
         run.progress.running = True
         self._runs.add(run)
-        self._loads.own.batch[run.engine.engine] += 1
-        gevent.spawn(self._run_item, run, route)
+        self._loads.own.batch[engine.engine] += 1
+        gevent.spawn(self._run_item, run, candidate.route)
 
     def _run_item(self, run: ItemRun, route: Route) -> None:
         outcome = None
@@ -165,6 +205,7 @@
 
     def _conclude(self, run: ItemRun) -> None:
         self._runs.discard(run)
+        run.progress.spent += time.monotonic() - run.began
         self._loads.own.batch[run.engine.engine] -= 1
         connection = run.connection
         if connection is not None and not connection.reusable:
@@ -198,6 +239,7 @@
         progress.finished = True
         text = ''
         if outcome is ItemOutcome.COMPLETED:
+            self._pace.observe(progress.spent)
             text = '\n'.join(progress.texts)
         found = ItemResult(progress.item.item, outcome, text)
         self._metrics.items[outcome.value] += 1
@@ -223,11 +265,8 @@
             self._finish(board, job, progress, ItemOutcome.GIVEN_UP)
 
 
-def _stop_youngest(runs: list[ItemRun], count: int) -> None:
-    """Stop the runs that lose least: their prompt is read again only."""
-    runs.sort(key=lambda one: one.began)
-    for run in runs[-count:]:
-        run.stop()
+def _urgency_of(one: _Candidate | ItemRun) -> Urgency:
+    return one.urgency
 
 
 def _expired(job: HeldJob, route: Route) -> bool:
