One watcher of a process asks while the store is away; commits pause 0.4 s at most

Ruled out: longer pauses for watchers (the draining bound counts from the store's return). Change: a semaphore for probes, pauses 0.5 to 1.5 of the nominal one; last backoff of a commit 0.4 s.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
@@ -2,13 +2,14 @@
 
 import gevent
 from bendlead_store import FollowedStore
+from gevent.lock import Semaphore
 
 from bendlead_gateway._fleet.balancer import Balancer
 from bendlead_gateway._fleet.catalog import ConfigurationHolder, EngineList
 from bendlead_gateway._fleet.health import EngineHealth
 from bendlead_gateway._fleet.loads import LoadTable
 from bendlead_gateway._fleet.pool import EnginePool
-from bendlead_gateway._fleet.watcher import Watcher
+from bendlead_gateway._fleet.watcher import Follower, Watcher
 from bendlead_gateway._log import Log
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import DataHall, Engine
@@ -20,6 +21,9 @@
     def __init__(
         self, store: FollowedStore, dialect: Dialect, hall: DataHall, log: Log
     ) -> None:
+        self._store = store
+        self._log = log
+        self._probing = Semaphore()
         self.loads = LoadTable()
         self.health = EngineHealth()
         self.pool = EnginePool()
@@ -27,12 +31,12 @@
         self.engines = EngineList(dialect, log, self._forget)
         self.balancer = Balancer(self.engines, self.loads, self.health, hall)
         prefix = dialect.config_key.partition('/')[0]
-        self.config_watch = Watcher(
-            store, f'{prefix}/', self.configuration, log
-        )
-        self.engines_watch = Watcher(
-            store, dialect.engines_prefix, self.engines, log
-        )
+        self.config_watch = self.watcher(f'{prefix}/', self.configuration)
+        self.engines_watch = self.watcher(dialect.engines_prefix, self.engines)
+
+    def watcher(self, prefix: str, follower: Follower) -> Watcher:
+        """Make a watcher that shares its probes with the others."""
+        return Watcher(self._store, prefix, follower, self._log, self._probing)
 
     def start(self) -> None:
         """Follow the store from now on."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/watcher.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/watcher.py
@@ -14,6 +14,7 @@
     FollowedStore,
     Version,
 )
+from gevent.lock import Semaphore
 from result import Err
 
 from bendlead_gateway._log import Log
@@ -48,8 +49,10 @@
         prefix: str,
         follower: Follower,
         log: Log,
+        probing: Semaphore,
     ) -> None:
         self._store = store
+        self._probing = probing
         self._prefix = prefix
         self._follower = follower
         self._log = log
@@ -68,6 +71,11 @@
         while True:
             if self._current:
                 self._follow()
+            elif self._lost_at:
+                # While the service is away one watcher of a process asks
+                # for all of them: each call is paid for, refused ones too.
+                with self._probing:
+                    self._list()
             else:
                 self._list()
 
@@ -111,5 +119,6 @@
         if not self._lost_at:
             self._lost_at = time.monotonic()
             self._log.event('watch-lost', prefix=self._prefix, reason=failure)
-        gevent.sleep(max(failure.retry_after, self._pause * random.random()))
+        pause = self._pause * (0.5 + random.random())
+        gevent.sleep(max(failure.retry_after, pause))
         self._pause = min(_LAST_PAUSE, self._pause * 2)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -13,7 +13,6 @@
 
 from bendlead_gateway._fleet.fleet import Fleet
 from bendlead_gateway._fleet.peers import REPORT_PATH, PeerTable
-from bendlead_gateway._fleet.watcher import Watcher
 from bendlead_gateway._http.server import HttpServer, Request, Responder
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
@@ -59,9 +58,7 @@
         self.peers = PeerTable(
             self.record, store, dialect, self.fleet.loads, self.log, self.report
         )
-        self.peers_watch = Watcher(
-            store, dialect.peers_prefix, self.peers, self.log
-        )
+        self.peers_watch = self.fleet.watcher(dialect.peers_prefix, self.peers)
         self.internal = HttpServer(
             address,
             self._answer_internal,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
@@ -8,7 +8,6 @@
 from msgspec.structs import replace
 
 from bendlead_gateway._fleet.peers import held_shards
-from bendlead_gateway._fleet.watcher import Watcher
 from bendlead_gateway._http.server import Request, Responder
 from bendlead_gateway._jobs.api import JobApi
 from bendlead_gateway._jobs.keeper import ShardKeeper
@@ -40,8 +39,8 @@
         retirement = Retirement(
             settings.node, store, dialect, self._keeper, self.log, self.retire
         )
-        self._orders_watch = Watcher(
-            store, dialect.stops_prefix, retirement, self.log
+        self._orders_watch = self.fleet.watcher(
+            dialect.stops_prefix, retirement
         )
         self._api = JobApi(
             self._keeper,
--- a/packages/bendlead-ledger/src/bendlead_ledger/_log.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_log.py
@@ -40,7 +40,8 @@
 #: Records of one segment (bytes before they are compressed).
 _SEGMENT_BYTES = 600_000
 _FIRST_BACKOFF = 0.05
-_LAST_BACKOFF = 2.0
+#: Longest pause between tries (s): what waits is refused until one is through.
+_LAST_BACKOFF = 0.4
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -316,6 +316,23 @@
         self.assertEqual(kept, len(self.entry.fleet.engines.all()))
         eventually(lambda: len(self.entry.fleet.engines.all()) == 1, 3)
 
+    def test_one_watcher_asks_while_the_store_is_away(self):
+        self.start(route('safe'), answers=[_PLAIN])
+        self.store.trouble = Trouble.AWAY
+        self.store.forget_history()
+        self.store.set('config', 'main', configuration(2, route('safe')))
+        watches = [
+            self.entry.fleet.config_watch,
+            self.entry.fleet.engines_watch,
+            self.entry.peers_watch,
+        ]
+        eventually(lambda: not any(one.current for one in watches[:1]))
+        before = len(self.store.calls)
+        gevent.sleep(1)
+        self.assertLess(len(self.store.calls) - before, 8)
+        self.store.trouble = Trouble.NONE
+        eventually(lambda: all(one.current for one in watches), 1.5)
+
     def test_not_ready_before_the_first_configuration(self):
         made = settings('entry-1', NodeRole.ENTRY, self.store.address)
         store = PlatformStore(made.store_address)
