Owners cut off from one another leave shards that entries still hear of

Ruled out: slower takeover (a dead owner must be replaced in about a second); the fence (no rule was at risk, only work). Change: a report tells the claims its sender hears; an owner takes a shard only if no live peer hears a holder of it. Tests: 5 rows of ClaimTest; second_hand and newer_at_second_hand can't be said before.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -100,6 +100,26 @@
                 best = Claim(peer.record.node, peer.record.address, epoch)
         return best if best and best.epoch else None
 
+    def claimed(self, shard: int) -> int:
+        """Give the highest epoch at which a live node holds a shard, or 0.
+
+        What peers hear counts too: an owner that is cut off from this node
+        alone still holds its shards.
+        """
+        return max(
+            (_highest(peer.report, shard) for peer in self._live()),
+            default=0,
+        )
+
+    def heard(self) -> list[HeldShard]:
+        """List the claims that this node hears itself."""
+        return [
+            held
+            for peer in self._live()
+            if peer.report
+            for held in peer.report.shards
+        ]
+
     def able_owners(self) -> list[NodeName]:
         """List the live peers that can hold shards."""
         return [
@@ -230,6 +250,14 @@
     )
 
 
+def _highest(report: NodeReport | None, shard: int) -> int:
+    """Give the highest epoch of a shard that a report claims or tells of."""
+    if report is None:
+        return 0
+    told = (*report.shards, *report.heard)
+    return max((one.epoch for one in told if one.shard == shard), default=0)
+
+
 def held_shards(epochs: dict[int, int]) -> list[HeldShard]:
     """Make the claims of a report."""
     return [
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
@@ -75,15 +75,15 @@
 
     def _consider(self, shard: int, sound: bool) -> None:
         held = self.boards.get(shard)
-        holder = self._peers.holder(shard)
+        claimed = self._peers.claimed(shard)
         if held is not None:
-            if holder is not None and holder.epoch > held.epoch:
-                self._give_up(shard, f'held by {holder.node}')
+            if claimed > held.epoch:
+                self._give_up(shard, f'held by another at epoch {claimed}')
             elif not sound and self._peers.able_owners():
                 self._give_up(shard, 'object service away from here')
             return
         calm = time.monotonic() - self._lost_at.get(shard, 0) > _CALM_SECONDS
-        if not sound or not calm or holder is not None:
+        if not sound or not calm or claimed:
             return
         nodes = [*self._peers.able_owners(), self._record.node]
         if preferred_owner(shard, nodes) == self._record.node:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -104,6 +104,7 @@
             node=self.settings.node,
             sound=True,
             leaving=self.leaving,
+            heard=self.peers.heard(),
             online={name: count for name, count in own.online.items() if count},
             batch={name: count for name, count in own.batch.items() if count},
             shards=[],
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
@@ -38,3 +38,10 @@
         | UnsetType
     ) = field(default_factory=dict)
     shards: list[HeldShard] | UnsetType = field(default_factory=list)
+    heard: (
+        Annotated[
+            list[HeldShard],
+            Meta(description='Claims of others that this node hears itself.'),
+        ]
+        | UnsetType
+    ) = field(default_factory=list)
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -243,9 +243,9 @@
         before = eventually(lambda: self.results(first))
         second = self.owner('owner-2')
         # The second hears nothing of the first, as when the two are cut.
-        second.peers.holder = lambda _shard: None
+        second.peers.claimed = lambda _shard: 0
         second.peers.able_owners = list
-        first.peers.holder = lambda _shard: None
+        first.peers.claimed = lambda _shard: 0
         eventually(lambda: len(second._keeper.boards) == 4, 5)
         self.assertEqual(before, self.results(second))
         response = eventually(
--- /dev/null
+++ b/tests/test_gateway_peers.py
@@ -0,0 +1,83 @@
+"""What a node knows of its peers from their reports."""
+
+import os
+import unittest
+
+import msgspec
+from bendlead_gateway._fleet.loads import LoadTable
+from bendlead_gateway._fleet.peers import PeerTable
+from bendlead_gateway._log import Log
+from bendlead_gateway.types import DataHall, NodeName, NodeRole, PeerRecord
+from bendlead_platform import PlatformDialect
+from bendlead_schema.gateway import HeldShard, NodeReport
+from bendlead_store import Entry, Version
+from parameterized import parameterized
+
+
+def record(name: str, role: NodeRole = NodeRole.OWNER) -> PeerRecord:
+    """Make the record of a node that answers nobody."""
+    return PeerRecord(NodeName(name), role, DataHall('hall-1'), '127.0.0.1:1')
+
+
+def shards(*pairs: tuple[int, int]) -> list[HeldShard]:
+    """Make claims from pairs of shard and epoch."""
+    return [HeldShard(shard=shard, epoch=epoch) for shard, epoch in pairs]
+
+
+class ClaimTest(unittest.TestCase):
+    """Who holds a shard, by what is heard at first and at second hand."""
+
+    def setUp(self):
+        dialect = PlatformDialect()
+        sink = os.open(os.devnull, os.O_WRONLY)
+        self.addCleanup(os.close, sink)
+        # The name sorts last, so that this node waits for the others to ask.
+        own = record('z')
+        self.peers = PeerTable(
+            own,
+            None,
+            dialect,
+            LoadTable(),
+            Log('z', sink),
+            lambda: NodeReport(node='z', sound=True, leaving=False),
+        )
+        entries = [
+            Entry(
+                f'{dialect.peers_prefix}{one.node}',
+                Version(1),
+                dialect.encode_peer(one),
+            )
+            for one in (record('a'), record('e', NodeRole.ENTRY), own)
+        ]
+        self.peers.reset(entries, after_outage=False)
+
+    def hear(self, node, held=(), heard=()):
+        """Take a report."""
+        report = NodeReport(
+            node=node,
+            sound=True,
+            leaving=False,
+            shards=shards(*held),
+            heard=shards(*heard),
+        )
+        self.peers.exchange(msgspec.json.encode(report))
+
+    @parameterized.expand(
+        [
+            ('nobody', [], [], 0, None),
+            ('direct', [(1, 3)], [], 3, 'a'),
+            ('second_hand', [], [(1, 3)], 3, None),
+            ('newer_at_second_hand', [(1, 3)], [(1, 4)], 4, 'a'),
+            ('other_shard', [(2, 3)], [(2, 3)], 0, None),
+        ],
+    )
+    def test_claim(self, _name, held, heard, claimed, holder):
+        self.hear('a', held)
+        self.hear('e', heard=heard)
+        self.assertEqual(claimed, self.peers.claimed(1))
+        found = self.peers.holder(1)
+        self.assertEqual(holder, found and found.node)
+
+    def test_unheard_peer_counts_for_nothing(self):
+        self.assertEqual(0, self.peers.claimed(1))
+        self.assertEqual([], self.peers.able_owners())
