--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
@@ -70,13 +70,6 @@
         waiting = max(0, online + 1 - engine.slots)
         return waiting * self._health.run_seconds / engine.slots
 
-    def free_places(self, service: ServiceName) -> int:
-        """Count the places of a service that no request holds."""
-        return sum(
-            max(0, one.slots - self._loads.online(one.engine))
-            for one in self._able(service, ())
-        )
-
     def _able(
         self, service: ServiceName, tried: Collection[EngineId]
     ) -> Sequence[Engine]:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
@@ -60,10 +60,6 @@
                 return route
         return None
 
-    def hosts_job(self, host: str) -> bool:
-        """Tell whether a host has routes at all."""
-        return host in self._by_host
-
     def _take(self, entry: Entry) -> None:
         if entry.key != self._dialect.config_key:
             return
@@ -111,10 +107,6 @@
         """List the engines of a service that take new requests."""
         return self._ready.get(service, ())
 
-    def find(self, engine: EngineId) -> Engine | None:
-        """Find an engine that may still answer."""
-        return self._engines.get(engine)
-
     def all(self) -> Sequence[Engine]:
         """List all engines, draining ones too."""
         return list(self._engines.values())
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
@@ -320,11 +320,6 @@
         self._most = most
         self._open: set[Any] = set()
 
-    @property
-    def connections(self) -> int:
-        """Count the open connections."""
-        return len(self._open)
-
     @property
     def busy(self) -> int:
         """Count the connections with a request under way."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/nodes.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/nodes.py
@@ -23,17 +23,12 @@
     address: str
     store_address: str
     internal_port: int
-    last_internal_port: int
     clients_address: str | None
     ready_address: str | None
     descriptors: int
-    memory_bytes: int
     grace: float
-    drain: float
     settle: float
     status_kept: float
-    value_bytes: int
-    heartbeat: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -95,17 +95,12 @@
         address='127.0.0.1',
         store_address=store,
         internal_port=free_port(),
-        last_internal_port=0,
         clients_address=f'127.0.0.1:{free_port()}',
         ready_address=f'127.0.0.1:{free_port()}',
         descriptors=4000,
-        memory_bytes=300_000_000,
         grace=4,
-        drain=2,
         settle=1,
         status_kept=120,
-        value_bytes=1_048_576,
-        heartbeat=1.2,
     )
 
 
--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -262,7 +262,7 @@
         found = self._load(_SETTINGS)
         self.assertIs(NodeRole.ENTRY, found.role)
         self.assertEqual('10.1.0.10:8161', found.clients_address)
-        self.assertEqual((2.0, 1.0), (found.drain, found.settle))
+        self.assertEqual((8, 1.0), (found.grace, found.settle))
 
     @parameterized.expand(
         [
@@ -273,7 +273,7 @@
                 '["side"]',
                 'serves must name',
             ),
-            ('no_bound', 'drain_ms = 2000', '', '[bounds]: drain_ms'),
+            ('no_bound', 'settle_ms = 1000', '', '[bounds]: settle_ms'),
             ('no_toml', 'node = ', 'node ', 'toml'),
         ],
     )
