An owner that can't write is replaced by one that can, and not before

The owner took itself for sound and refused jobs from second 16 to 24 (11 items lost), with no takeover. Ruled out: giving shards up as soon as a watch is lost (as it was): with the store away for all it threws runs away for nothing. Change: sound also means no commit tried for more than 2 s; a stuck holder keeps its shards and runs until another owner has raised the epoch. Before: test_owner_that_the_store_turns_away_is_replaced fails.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -64,6 +64,7 @@
         report: Callable[[], NodeReport],
     ) -> None:
         self._own = own
+        self._own_key = f'{dialect.peers_prefix}{own.node}'
         self._store = store
         self._dialect = dialect
         self._loads = loads
@@ -74,7 +75,7 @@
     def reset(self, entries: Sequence[Entry], after_outage: bool) -> None:
         """Take the whole list of processes."""
         versions = {entry.key: entry for entry in entries}
-        own = versions.get(self._own_key())
+        own = versions.get(self._own_key)
         for entry in entries:
             self._take(entry)
         body = self._dialect.encode_peer(self._own)
@@ -111,6 +112,15 @@
             default=0,
         )
 
+    def holder_is_stuck(self, shard: int, epoch: int) -> bool:
+        """Tell whether the holder at an epoch says it can't write."""
+        return any(
+            peer.report is not None
+            and not peer.report.sound
+            and _epoch_of(peer, shard) == epoch
+            for peer in self._live()
+        )
+
     def heard(self) -> list[HeldShard]:
         """List the claims that this node hears itself."""
         return [
@@ -139,9 +149,6 @@
             for node, peer in self._peers.items()
         }
 
-    def _own_key(self) -> str:
-        return f'{self._dialect.peers_prefix}{self._own.node}'
-
     def _differs(self, entry: Entry) -> bool:
         decoded = self._dialect.peer(entry)
         return isinstance(decoded, Err) or decoded.ok_value != self._own
@@ -149,12 +156,12 @@
     def _register(self, present: Entry | None, body: bytes) -> None:
         while present is None or self._differs(present):
             version = present.version if present else ABSENT
-            written = self._store.put(self._own_key(), body, version)
+            written = self._store.put(self._own_key, body, version)
             if isinstance(written, Ok):
                 self._log.event('registered', address=self._own.address)
                 return
             gevent.sleep(_FIRST_PAUSE * (1 + random.random()))
-            found = self._store.fetch(self._own_key())
+            found = self._store.fetch(self._own_key)
             present = found.unwrap_or(present)
 
     def _take(self, entry: Entry) -> None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
@@ -46,6 +46,9 @@
 _COMMIT_INTERVAL = 0.08
 #: A client waits about this long (s) for its job to be accepted.
 _ACCEPT_SECONDS = 2.0
+#: A commit that has been tried for this long (s) is not merely one or two
+#: lost answers: the object service turns this process away, or is down.
+_STUCK_SECONDS = 2.0
 #: Kept beyond the time a job's status must be readable (s).
 _KEPT_SLACK = 60.0
 _TAIL_BYTES = 65_536
@@ -162,6 +165,11 @@
         """Tell the epoch at which the shard is held."""
         return self._log.epoch
 
+    @property
+    def stuck(self) -> bool:
+        """Tell whether this process can't write to the object service."""
+        return self._committer.writing_seconds > _STUCK_SECONDS
+
     @property
     def busy(self) -> bool:
         """Tell whether results or acceptances wait for their commit."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
@@ -19,6 +19,8 @@
 _SETTLING_SECONDS = 0.8
 #: Leave a shard that was just lost to its new owner (s).
 _CALM_SECONDS = 1.5
+#: Pause between two tries to take a shard (s); each costs a call or two.
+_TRY_SECONDS = 0.4
 
 
 class ShardKeeper:
@@ -38,6 +40,7 @@
         self._log = log
         self._kept = kept
         self._lost_at: dict[int, float] = {}
+        self._tried_at: dict[int, float] = {}
         self._leaving = False
         self.boards: dict[int, Board] = {}
 
@@ -77,16 +80,21 @@
         held = self.boards.get(shard)
         claimed = self._peers.claimed(shard)
         if held is not None:
+            # A holder that can't write goes on until another one can: its
+            # items keep running, and nothing it does can count by mistake.
             if claimed > held.epoch:
                 self._give_up(shard, f'held by another at epoch {claimed}')
-            elif not sound and self._peers.able_owners():
-                self._give_up(shard, 'object service away from here')
             return
-        calm = time.monotonic() - self._lost_at.get(shard, 0) > _CALM_SECONDS
-        if not sound or not calm or claimed:
+        now = time.monotonic()
+        calm = now - self._lost_at.get(shard, 0) > _CALM_SECONDS
+        tried = now - self._tried_at.get(shard, 0) < _TRY_SECONDS
+        if not sound or not calm or tried:
+            return
+        if claimed and not self._peers.holder_is_stuck(shard, claimed):
             return
         nodes = [*self._peers.able_owners(), self._record.node]
         if preferred_owner(shard, nodes) == self._record.node:
+            self._tried_at[shard] = now
             self._take(shard)
 
     def _take(self, shard: int) -> None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
@@ -83,8 +83,12 @@
         self.done.set()
 
     def _sound(self) -> bool:
-        """Tell whether the object service can be reached from here."""
-        return self.peers_watch.current
+        """Tell whether the object service can be written from here.
+
+        A held watch may live on while new calls are turned away.
+        """
+        stuck = any(one.stuck for one in self._keeper.boards.values())
+        return self.peers_watch.current and not stuck
 
     def _forget(self) -> None:
         while True:
--- a/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
@@ -53,9 +53,14 @@
     @property
     def stalled(self) -> bool:
         """Tell whether the store has not answered a write for a while."""
+        return self.writing_seconds > _STALLED_SECONDS
+
+    @property
+    def writing_seconds(self) -> float:
+        """Tell for how long the write under way has been tried."""
         if not self._writing_since:
-            return False
-        return time.monotonic() - self._writing_since > _STALLED_SECONDS
+            return 0
+        return time.monotonic() - self._writing_since
 
     def commit(
         self,
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -10,8 +10,10 @@
 from bendlead_gateway.http import HttpConnection
 from bendlead_gateway.types import NodeRole
 from bendlead_platform import PlatformDialect, PlatformStore
+from bendlead_store import Failure, FailureKind
 from bendlead_testing.platform_store import PlatformStandIn, Trouble
 from parameterized import parameterized
+from result import Err
 
 from tests.gateway_standins import (
     ScriptedPeer,
@@ -254,6 +256,35 @@
         )
         self.assertTrue(response)
 
+    def test_owner_that_the_store_turns_away_is_replaced(self):
+        self.configure()
+        first = self.holding()
+        self.submit(first)
+        second = self.owner('owner-2')
+        eventually(second.peers.able_owners)
+        # The held watches of the first live on; its new calls are refused.
+        refused = Err(Failure(FailureKind.NOT_DONE, 'put', 'store', 'busy'))
+        first.store.put = lambda *_call: refused
+        gevent.spawn(self.call, first, 'DELETE', '/-/lots/j1')
+        eventually(lambda: len(second._keeper.boards) == 4, 6)
+        self.assertIn('j1', second._keeper.boards[node_shard()].jobs)
+        eventually(lambda: not first._keeper.boards, 2)
+
+    def test_store_down_for_all_moves_nothing(self):
+        self.configure()
+        first = self.holding()
+        self.submit(first)
+        second = self.owner('owner-2')
+        eventually(second.peers.able_owners)
+        epochs = first._keeper.epochs()
+        self.store.trouble = Trouble.AWAY
+        gevent.spawn(self.call, first, 'DELETE', '/-/lots/j1')
+        gevent.sleep(3)
+        self.store.trouble = Trouble.NONE
+        gevent.sleep(0.5)
+        held = {**first._keeper.epochs(), **second._keeper.epochs()}
+        self.assertEqual(set(epochs), set(held))
+
     def test_leaving_owner_hands_over_at_once(self):
         self.configure()
         first = self.holding()
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -78,6 +78,20 @@
         found = self.peers.holder(1)
         self.assertEqual(holder, found and found.node)
 
+    @parameterized.expand(
+        [
+            ('sound', True, 3, False),
+            ('stuck', False, 3, True),
+            ('stuck_but_another_holds_it', False, 4, False),
+        ],
+    )
+    def test_stuck_holder(self, _name, sound, epoch, expected):
+        report = NodeReport(
+            node='a', sound=sound, leaving=False, shards=shards((1, 3))
+        )
+        self.peers.exchange(msgspec.json.encode(report))
+        self.assertEqual(expected, self.peers.holder_is_stuck(1, epoch))
+
     def test_unheard_peer_counts_for_nothing(self):
         self.assertEqual(0, self.peers.claimed(1))
         self.assertEqual([], self.peers.able_owners())
