A leaving entry takes no new connections once its successors have them

Cause: an entry that was told to stop went on accepting for as long as any request was under way. Where a data hall has one entry the platform goes on sending clients to it, so it was never idle, and what it took 6.7 s after SIGTERM was cut by its own end at 7.4 s. Ruled out: kept connections (their answers carry Connection: close already), engines (the run ended because we closed the connection). Change: the listening socket is closed 2.5 s after SIGTERM (the platform takes a node out after two questions a second apart); a dead port sends the client elsewhere at once.

--- a/Makefile
+++ b/Makefile
@@ -50,6 +50,6 @@
 slopes: $(STAMP)
 	$(BIN)/python -m bendlead_testing.bench slopes
 
-# The users' bench lies outside the repository; SITE is one of its site files.
-days:
-	for day in platform/days/*.toml; do $(BENCH) run $(SITE) $$day --why "make days" || exit 1; done
+# The users' bench lies outside the repository; SITES are its site files.
+days: $(STAMP)
+	$(BIN)/python -m bendlead_testing.days --bench $(BENCH) $(SITES:%=--site %) --days platform/days --only "$(ONLY)" --jobs $(or $(JOBS),4) --why "$(or $(WHY),make days)"
--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -15,9 +15,11 @@
 
 #: Descriptors kept for the store, engines and files.
 _RESERVED_DESCRIPTORS = 1200
-#: After SIGTERM new connections may come for this long (s): the platform
-#: asks once a second and takes a node out after two misses.
-_NEW_CLIENTS_SECONDS = 3.0
+#: After SIGTERM new connections are taken for this long (s): the platform
+#: asks once a second and takes a node out after two misses. It goes on sending
+#: clients where a data hall has no other node; what came later could not end
+#: before the process is killed.
+_NEW_CLIENTS_SECONDS = 2.5
 #: Stop this long (s) before the platform would kill.
 _GRACE_LEFT = 0.6
 _CHECK_SECONDS = 0.05
@@ -57,13 +59,14 @@
         began = time.monotonic()
         last = began + self.settings.grace - _GRACE_LEFT
         calm = began + min(_NEW_CLIENTS_SECONDS, self.settings.grace / 2)
+        gevent.sleep(max(0, calm - began))
+        self._clients.stop_accepting()
+        self.log.event('clients-refused', busy=self._clients.busy)
         while time.monotonic() < last:
-            gevent.sleep(_CHECK_SECONDS)
-            if time.monotonic() < calm:
-                continue
             self._clients.close_idle()
             if not self._clients.busy:
                 break
+            gevent.sleep(_CHECK_SECONDS)
         self.log.event('left', cut=self._clients.busy)
         self.done.set()
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
@@ -329,6 +329,10 @@
         """Accept connections from now on."""
         gevent.spawn(self._accept)
 
+    def stop_accepting(self) -> None:
+        """Take no new connections; those that are open stay."""
+        self._sock.close()
+
     def close_idle(self) -> None:
         """Close the connections without a request."""
         for one in list(self._open):
--- /dev/null
+++ b/testing/src/bendlead_testing/gateway_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Break a fleet of real gateway processes at random and check its promises."""
--- /dev/null
+++ b/testing/src/bendlead_testing/gateway_soak/__main__.py
@@ -0,0 +1,43 @@
+"""Soak the gateway: one JSON line a seed, non-zero where one broke."""
+
+import bendlead_testing.patched  # noqa: F401, I001
+
+import argparse
+import json
+import sys
+
+from bendlead_testing.gateway_soak.run import Size, run
+
+
+def main() -> None:
+    """Run seeds one after the other."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1, help='the first seed')
+    parser.add_argument('--seeds', type=int, default=1, help='how many')
+    parser.add_argument('--seconds', type=float, default=20)
+    parser.add_argument('--entries', type=int, default=3)
+    parser.add_argument('--owners', type=int, default=3)
+    parser.add_argument('--engines', type=int, default=4)
+    parser.add_argument('--online', type=int, default=12)
+    parser.add_argument('--batch', type=int, default=2)
+    asked = parser.parse_args()
+    size = Size(
+        asked.entries, asked.owners, asked.engines, asked.online, asked.batch
+    )
+    broken = 0
+    for seed in range(asked.seed, asked.seed + asked.seeds):
+        outcome = run(seed, asked.seconds, size)
+        broken += bool(outcome.breaches)
+        shown = {
+            'seed': seed,
+            'breaches': [vars(one) for one in outcome.breaches],
+            **outcome.counts,
+            'folder': outcome.folder,
+        }
+        sys.stdout.write(f'{json.dumps(shown)}\n')
+        sys.stdout.flush()
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/testing/src/bendlead_testing/gateway_soak/deployment.py
@@ -0,0 +1,344 @@
+"""Start and stop the processes of a fleet, each reached through links."""
+
+import json
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import gevent
+from bendlead_gateway.http import HttpConnection
+
+from bendlead_testing.gateway_soak.links import LinkMode, LinkSpec
+from bendlead_testing.platform_store import Door, PlatformStandIn
+
+_ROOT = pathlib.Path(__file__).resolve().parents[4]
+_PROGRAM = _ROOT / 'deploy' / 'bendleadd.py'
+_HALLS = ('hall-1', 'hall-2', 'hall-3')
+#: Below the ports that the system gives to outgoing connections.
+_PORTS = range(12_000, 32_000)
+_CALL_SECONDS = 1.0
+_LAPSE_SECONDS = 1.5
+GRACE_SECONDS = 8
+STATUS_SECONDS = 120
+
+
+class Ports:
+    """Hand out ports that nothing listens on."""
+
+    def __init__(self) -> None:
+        start = random.SystemRandom().randrange(len(_PORTS) // 2)
+        self._next: Iterator[int] = iter(_PORTS[start:])
+
+    def take(self) -> int:
+        """Give a port."""
+        for port in self._next:
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind(('127.0.0.1', port))
+                except OSError:
+                    # Taken by another process: go on to the next one.
+                    continue
+            return port
+        raise RuntimeError('no free port left below the outgoing ones')
+
+    def address(self) -> str:
+        """Give an address on loopback."""
+        return f'127.0.0.1:{self.take()}'
+
+
+@dataclass
+class Process:
+    """Hold one process that the soak started, and how it ended."""
+
+    name: str
+    command: list[str]
+    log: pathlib.Path
+    environment: dict[str, str] | None = None
+    told_to_end: bool = False
+    starts: int = 0
+    unasked_ends: list[int] = field(default_factory=list)
+    _popen: subprocess.Popen[bytes] | None = None
+
+    @property
+    def running(self) -> bool:
+        """Tell whether it runs; note an end that nobody asked for."""
+        if self._popen is None:
+            return False
+        ended = self._popen.poll()
+        if ended is None:
+            return True
+        if not self.told_to_end:
+            self.unasked_ends.append(ended)
+        self._popen = None
+        return False
+
+    def start(self) -> None:
+        """Start it unless it runs."""
+        if self.running:
+            return
+        self.told_to_end = False
+        self.starts += 1
+        with open(self.log, 'ab') as output:
+            self._popen = subprocess.Popen(
+                self.command,
+                stdout=output,
+                stderr=output,
+                env=self.environment,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process alone."""
+        if number in {signal.SIGTERM, signal.SIGKILL}:
+            self.told_to_end = True
+        if self._popen is not None and self._popen.poll() is None:
+            self._popen.send_signal(number)
+
+    def end(self) -> None:
+        """End it and wait until it is gone."""
+        self.signal(signal.SIGKILL)
+        self.signal(signal.SIGCONT)
+        if self._popen is not None:
+            self._popen.wait()
+        self._popen = None
+
+
+@dataclass
+class NodeSpot:
+    """Hold the addresses of one process of ours."""
+
+    name: str
+    entry: bool
+    hall: str
+    internal: str
+    clients: str
+    ready: str
+    door: str
+
+
+@dataclass
+class EngineSpot:
+    """Hold the address of one engine."""
+
+    name: str
+    hall: str
+    address: str
+    process: Process
+
+
+class Deployment:
+    """Know all processes and links of one fleet."""
+
+    def __init__(self, entries: int, owners: int, engines: int) -> None:
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix='gateway-soak-'))
+        self.ports = Ports()
+        self.journal = self.folder / 'engines.jsonl'
+        self.store = PlatformStandIn(self.ports.address())
+        self.doors: dict[str, Door] = {}
+        self.nodes: dict[str, Process] = {}
+        self.spots: dict[str, NodeSpot] = {}
+        self.engines = [self._engine(number) for number in range(engines)]
+        for number in range(entries):
+            self._spot(f'entry-{number}', number, entry=True)
+        for number in range(owners):
+            self._spot(f'owner-{number}', number, entry=False)
+        self._links: list[LinkSpec] = []
+        self._ways: dict[tuple[str, str], str] = {}
+        for spot in self.spots.values():
+            self._connect(spot)
+        self._carrier: subprocess.Popen[str] | None = None
+
+    @property
+    def entries(self) -> list[NodeSpot]:
+        """List the entries."""
+        return [one for one in self.spots.values() if one.entry]
+
+    @property
+    def owners(self) -> list[NodeSpot]:
+        """List the owners."""
+        return [one for one in self.spots.values() if not one.entry]
+
+    def client_way(self, entry: str) -> str:
+        """Give the address at which clients reach an entry."""
+        return self._ways['client', entry]
+
+    def start(self) -> None:
+        """Start the store, the links, the engines and the nodes."""
+        self.store.start()
+        for door in self.doors.values():
+            self.store.open_door(door)
+        links = self.folder / 'links.json'
+        links.write_text(json.dumps([vars(one) for one in self._links]))
+        self._carrier = subprocess.Popen(
+            [sys.executable, '-m', f'{__package__}.links', str(links)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        assert self._carrier.stdout is not None
+        self._carrier.stdout.readline()
+        for engine in self.engines:
+            engine.process.start()
+        for node in self.nodes.values():
+            node.start()
+        gevent.spawn(self._lapse)
+
+    def stop(self) -> None:
+        """End every process that was started here."""
+        for process in self.all():
+            process.end()
+        if self._carrier is not None:
+            self._carrier.kill()
+            self._carrier.wait()
+
+    def all(self) -> list[Process]:
+        """List the nodes and the engines."""
+        return [*self.nodes.values(), *(one.process for one in self.engines)]
+
+    def turn(self, links: str, mode: LinkMode, delay: float = 0) -> None:
+        """Turn all links whose names match a pattern."""
+        assert self._carrier is not None
+        assert self._carrier.stdin is not None
+        order = {'links': links, 'mode': mode.value, 'delay': delay}
+        self._carrier.stdin.write(f'{json.dumps(order)}\n')
+        self._carrier.stdin.flush()
+
+    def trouble(self, engine: EngineSpot, trouble: str) -> None:
+        """Have an engine misbehave; one that is down can't be told."""
+        try:
+            connection = HttpConnection(engine.address, _CALL_SECONDS)
+            connection.request(
+                'POST', '/-/trouble', (), trouble.encode(), _CALL_SECONDS
+            )
+        except OSError:
+            return
+        connection.close()
+
+    def _engine(self, number: int) -> EngineSpot:
+        hall = _HALLS[number % len(_HALLS)]
+        address = self.ports.address()
+        command = [
+            sys.executable,
+            '-m',
+            f'{__package__}.engine_process',
+            f'--listen={address}',
+            f'--store={self.store.address}',
+            f'--journal={self.journal}',
+            '--service=s1',
+            f'--hall={hall}',
+        ]
+        name = f'engine-{number}'
+        log = self.folder / f'{name}.log'
+        return EngineSpot(name, hall, address, Process(name, command, log))
+
+    def _spot(self, name: str, number: int, *, entry: bool) -> None:
+        spot = NodeSpot(
+            name,
+            entry,
+            _HALLS[number % len(_HALLS)],
+            internal=self.ports.address(),
+            clients=self.ports.address(),
+            ready=self.ports.address(),
+            door=self.ports.address(),
+        )
+        self.spots[name] = spot
+
+    def _connect(self, spot: NodeSpot) -> None:
+        """Give a node links to all it may reach, and its own settings."""
+        door = Door(spot.door, show=self._shown_to(spot.name))
+        self.doors[spot.name] = door
+        way = self._link(spot.name, 'store', spot.door)
+        if spot.entry:
+            self._link('client', spot.name, spot.clients)
+        for peer in self.spots.values():
+            if peer.name != spot.name:
+                self._link(spot.name, peer.name, peer.internal)
+        for engine in self.engines:
+            self._link(spot.name, engine.name, engine.address)
+        settings = self.folder / f'{spot.name}.toml'
+        settings.write_text(_settings(spot, way))
+        self.nodes[spot.name] = Process(
+            spot.name,
+            [
+                sys.executable,
+                '-m',
+                f'{__package__}.node_process',
+                str(_PROGRAM),
+            ],
+            self.folder / f'{spot.name}.log',
+            {'BENDLEAD_CONFIG': str(settings), 'PYTHONHASHSEED': '0'},
+        )
+
+    def _link(self, source: str, target: str, address: str) -> str:
+        port = self.ports.take()
+        self._links.append(LinkSpec(f'{source}>{target}', port, address))
+        self._ways[source, target] = f'127.0.0.1:{port}'
+        return self._ways[source, target]
+
+    def _shown_to(self, caller: str) -> Any:
+        """Show a caller the addresses of its own links."""
+
+        def show(kind: str, found: dict[str, Any]) -> dict[str, Any]:
+            told = found['specification']
+            if kind not in {'servers', 'bendlead-nodes'} or not told:
+                return found
+            target = self._name_at(told['address'])
+            way = self._ways.get((caller, target), told['address'])
+            return {**found, 'specification': {**told, 'address': way}}
+
+        return show
+
+    def _name_at(self, address: str) -> str:
+        for engine in self.engines:
+            if engine.address == address:
+                return engine.name
+        for spot in self.spots.values():
+            if spot.internal == address:
+                return spot.name
+        return ''
+
+    def _lapse(self) -> None:
+        """Remove engines that have not written for three heartbeats."""
+        seen: dict[str, tuple[int, float]] = {}
+        while True:
+            gevent.sleep(_LAPSE_SECONDS / 10)
+            now = gevent.get_hub().loop.now()
+            for name in self.store.list_names('servers'):
+                found = self.store.get('servers', name)
+                assert found is not None
+                revision = found['metadata']['revision']
+                before, since = seen.get(name, (0, now))
+                if revision != before:
+                    seen[name] = (revision, now)
+                elif now - since > _LAPSE_SECONDS:
+                    self.store.remove('servers', name)
+
+
+def _settings(spot: NodeSpot, store: str) -> str:
+    ip, port = spot.internal.split(':')
+    serves = 'frontend' if spot.entry else 'storage'
+    return f'''node = "{spot.name}"
+role = "soak"
+serves = ["{serves}"]
+ip = "{ip}"
+zone = "{spot.hall}"
+internal_ports = [{port}, {port}]
+[listen]
+frontend = "{spot.clients}"
+ready = "{spot.ready}"
+[limits]
+file_descriptors = 4200
+[bounds]
+grace_s = {GRACE_SECONDS}
+settle_ms = 1000
+status_s = {STATUS_SECONDS}
+[platform]
+address = "{store}"
+'''
--- /dev/null
+++ b/testing/src/bendlead_testing/gateway_soak/engine_process.py
@@ -0,0 +1,258 @@
+"""A stand-in for the users' engines that keeps a journal of what it ran."""
+
+import bendlead_testing.patched  # noqa: F401, I001
+
+import argparse
+import enum
+import hashlib
+import json
+import os
+import random
+import signal
+import socket
+import struct
+import time
+import uuid
+from typing import Any
+
+import gevent
+from bendlead_gateway._http.server import HttpServer, Request, Responder
+from bendlead_gateway.http import HttpConnection
+from bendlead_gateway.types import ClientLimits
+from gevent.lock import BoundedSemaphore
+
+_LIMITS = ClientLimits(idle_seconds=20)
+_BEAT_SECONDS = 0.5
+_CALL_SECONDS = 1.0
+_EVENT_SECONDS = 0.02
+_FIRST_SECONDS = 0.03
+_QUEUE = 16
+#: A draining engine serves on this long (s) once the store knows.
+_SERVES_ON = 3.5
+_RESETS = struct.pack('ii', 1, 0)
+#: Part of the requests that a troubled engine treats badly.
+_BAD_SHARE = 0.3
+
+
+class EngineTrouble(enum.Enum):
+    """Say how an engine misbehaves for now."""
+
+    NONE = 'none'
+    ERRORS = 'errors'
+    SHED = 'shed'
+    HANG = 'hang'
+    RESET = 'reset'
+    BREAK_OFF = 'break-off'
+    SURPLUS = 'surplus'
+    SLOW = 'slow'
+
+
+def text_of(request: str, number: int) -> str:
+    """Give the right data of one event of a request."""
+    return f'{request}/{number}'
+
+
+def seal_of(request: str) -> str:
+    """Give the right seal of a request."""
+    return hashlib.sha256(request.encode()).hexdigest()[:12]
+
+
+class Journal:
+    """Append lines that outlive the process."""
+
+    def __init__(self, path: str, engine: str) -> None:
+        flags = os.O_APPEND | os.O_CREAT | os.O_WRONLY
+        self._file = os.open(path, flags)
+        self._engine = engine
+
+    def note(self, kind: str, **fields: Any) -> None:
+        """Write one line in one call."""
+        line = {'at': time.monotonic(), 'kind': kind, 'engine': self._engine}
+        os.write(self._file, f'{json.dumps(line | fields)}\n'.encode())
+
+
+class EngineStandIn:
+    """Serve requests in slots and tell the store about itself."""
+
+    def __init__(self, asked: argparse.Namespace) -> None:
+        self._asked = asked
+        self._name = f'i-{uuid.uuid4().hex[:10]}'
+        self._journal = Journal(asked.journal, self._name)
+        self._slots = BoundedSemaphore(asked.slots)
+        self._queued = 0
+        self._trouble = EngineTrouble.NONE
+        self._sequence = 0
+        self._leaving = False
+        self._key = f'/-/objects/servers/{self._name}'
+
+    def run(self) -> None:
+        """Serve until told to leave."""
+        HttpServer(
+            self._asked.listen, self._answer, lambda: _LIMITS, time.monotonic
+        ).start()
+        gevent.signal_handler(signal.SIGTERM, lambda: gevent.spawn(self._leave))
+        self._journal.note('life')
+        while True:
+            self._beat()
+            gevent.sleep(_BEAT_SECONDS)
+
+    def _call(self, method: str, path: str, shown: Any = None) -> int:
+        try:
+            connection = HttpConnection(self._asked.store, _CALL_SECONDS)
+        except OSError:
+            return 0
+        body = b'' if shown is None else json.dumps(shown).encode()
+        try:
+            headers = [('Host', 'store')]
+            answered = connection.request(
+                method, path, headers, body, _CALL_SECONDS
+            )
+        except OSError:
+            return 0
+        finally:
+            connection.close()
+        return answered.head.status
+
+    def _beat(self) -> bool:
+        self._sequence += 1
+        told = {
+            'service': self._asked.service,
+            'address': self._asked.listen,
+            'zone': self._asked.hall,
+            'version': 1,
+            'slots': self._asked.slots,
+            'state': 'draining' if self._leaving else 'ready',
+            'sequence': self._sequence,
+        }
+        shown = {'metadata': {'name': self._name}, 'specification': told}
+        status = self._call('PUT', self._key, shown)
+        if status == 404:
+            status = self._call('POST', '/-/objects/servers', shown)
+        return status == 200
+
+    def _leave(self) -> None:
+        self._leaving = True
+        while not self._beat():
+            gevent.sleep(_BEAT_SECONDS / 4)
+        self._journal.note('draining')
+        gevent.sleep(_SERVES_ON)
+        self._call('DELETE', self._key)
+        self._journal.note('left')
+        os._exit(0)
+
+    def _answer(self, request: Request, responder: Responder) -> None:
+        headers = {name.lower(): text for name, text in request.headers}
+        if request.path == '/-/trouble':
+            self._trouble = EngineTrouble(request.body.decode())
+            responder.answer(200)
+            return
+        name = headers.get('x-attempt-id', '')
+        facts = {
+            'request': name,
+            'path': request.target,
+            'body': hashlib.sha256(request.body).hexdigest(),
+            'after': int(headers.get('last-event-id', 0)),
+        }
+        instance = headers.get('x-expect-instance', self._name)
+        if instance != self._name:
+            self._journal.note('misdirected', **facts)
+            responder.answer(421, [('X-Attempt-Id', name)])
+            return
+        self._journal.note('arrival', **facts)
+        if self._queued >= _QUEUE or self._bad(EngineTrouble.SHED):
+            refused = [('X-Not-Executed', '1'), ('X-Attempt-Id', name)]
+            responder.answer(503, refused)
+            return
+        self._queued += 1
+        try:
+            self._wait_and_run(name, headers, facts, responder)
+        finally:
+            self._queued -= 1
+
+    def _wait_and_run(
+        self,
+        name: str,
+        headers: dict[str, str],
+        facts: dict[str, Any],
+        responder: Responder,
+    ) -> None:
+        patience = float(headers.get('x-deadline-ms', 60_000)) / 1000
+        until = time.monotonic() + patience
+        if not self._slots.acquire(timeout=patience):
+            refused = [('X-Not-Executed', '1'), ('X-Attempt-Id', name)]
+            responder.answer(503, refused)
+            return
+        self._journal.note('start', **facts)
+        ending = 'dropped'
+        try:
+            ending = self._run(name, headers, facts['after'], responder, until)
+        finally:
+            self._slots.release()
+            self._journal.note('end', request=name, ending=ending)
+
+    def _run(
+        self,
+        name: str,
+        headers: dict[str, str],
+        after: int,
+        responder: Responder,
+        until: float,
+    ) -> str:
+        if self._bad(EngineTrouble.HANG):
+            gevent.sleep(until - time.monotonic())
+            return 'hung'
+        if self._bad(EngineTrouble.ERRORS) or name.endswith('bad500'):
+            responder.answer(500, self._marks(name))
+            return 'failed'
+        if name.endswith('bad422'):
+            responder.answer(422, self._marks(name))
+            return 'failed'
+        if self._bad(EngineTrouble.RESET):
+            responder._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESETS
+            )
+            responder.abort()
+            return 'reset'
+        total = int(headers.get('x-token-usage', '0,5').split(',')[1])
+        gevent.sleep(_FIRST_SECONDS)
+        responder.start(200, 'OK', self._marks(name), None)
+        cut = total // 2 if self._bad(EngineTrouble.BREAK_OFF) else total
+        pause = _EVENT_SECONDS
+        if self._trouble is EngineTrouble.SLOW:
+            pause *= 5
+        for number in range(after + 1, total + 1):
+            if number > cut:
+                responder.abort()
+                return 'broken-off'
+            if time.monotonic() > until:
+                responder.abort()
+                return 'deadline'
+            event = f'id: {number}\ndata: {text_of(name, number)}\n\n'
+            responder.write(event.encode())
+            gevent.sleep(pause)
+        responder.finish()
+        if self._bad(EngineTrouble.SURPLUS):
+            responder._send(
+                b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\n' % name.encode()
+            )
+            responder._send(b'Content-Length: 4\r\n\r\nmore')
+        return 'done'
+
+    def _marks(self, name: str) -> list[tuple[str, str]]:
+        return [('X-Attempt-Id', name), ('X-Response-Seal', seal_of(name))]
+
+    def _bad(self, trouble: EngineTrouble) -> bool:
+        return self._trouble is trouble and random.random() < _BAD_SHARE
+
+
+def main() -> None:
+    """Serve until ended."""
+    parser = argparse.ArgumentParser()
+    for name in ('listen', 'store', 'journal', 'service', 'hall'):
+        parser.add_argument(f'--{name}', required=True)
+    parser.add_argument('--slots', type=int, default=4)
+    EngineStandIn(parser.parse_args()).run()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/testing/src/bendlead_testing/gateway_soak/plan.py
@@ -0,0 +1,54 @@
+"""What a seed brings, and when: drawn before anything runs."""
+
+import random
+from dataclasses import dataclass
+
+from bendlead_testing.gateway_soak.deployment import Deployment
+from bendlead_testing.gateway_soak.disruptions import DISRUPTIONS
+
+_GAP = (0.1, 1.6)
+_LASTS = (0.3, 3.5)
+#: Part of the steps that come twice, overlapping, on the same target.
+_TWICE_SHARE = 0.15
+#: Part of the steps that are planned work.
+_PLANNED_SHARE = 0.35
+#: Part of the steps that change the configuration.
+_CHANGE_SHARE = 0.15
+#: Calm before the first disruption, for the fleet to come up (s).
+WARM_SECONDS = 3.0
+
+
+@dataclass(frozen=True)
+class Step:
+    """Do one thing to one target at a time, for a time (s)."""
+
+    at: float
+    name: str
+    target: str
+    seconds: float
+
+
+CHANGE = 'change configuration'
+
+
+def draw(
+    chance: random.Random, fleet: Deployment, seconds: float
+) -> list[Step]:
+    """Draw the steps of a run."""
+    steps: list[Step] = []
+    at = WARM_SECONDS
+    planned = sorted(one for one, kind in DISRUPTIONS.items() if kind.planned)
+    others = sorted(set(DISRUPTIONS) - set(planned))
+    while at < WARM_SECONDS + seconds:
+        lasts = chance.uniform(*_LASTS)
+        if chance.random() < _CHANGE_SHARE:
+            steps.append(Step(at, CHANGE, 'store', 0))
+        else:
+            pool = planned if chance.random() < _PLANNED_SHARE else others
+            name = chance.choice(pool)
+            target = chance.choice(DISRUPTIONS[name].targets(fleet))
+            steps.append(Step(at, name, target, lasts))
+            if chance.random() < _TWICE_SHARE:
+                steps.append(Step(at + lasts / 2, name, target, lasts))
+        at += chance.uniform(*_GAP)
+    return sorted(steps, key=lambda step: step.at)
--- /dev/null
+++ b/testing/src/bendlead_testing/gateway_soak/promises.py
@@ -0,0 +1,297 @@
+"""Check what clients saw against the engines' journal."""
+
+import json
+import pathlib
+from collections import defaultdict
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from bendlead_testing.gateway_soak.engine_process import seal_of, text_of
+from bendlead_testing.gateway_soak.sightings import Attempt, Sightings, calm
+
+#: How long a disruption goes on to excuse what depends on time (s). Source:
+#: contact_ms of the users' sheets, and a second for a busy test machine.
+CONTACT_SECONDS = 4.0
+#: Bounds of the users' sheets (drain_ms, configuration_ms, cancel_ms), and a
+#: second each for a busy test machine (s).
+_DRAIN_SECONDS = 3.0
+_CONFIG_SECONDS = 3.0
+_CANCEL_SECONDS = 4.0
+_GONE_SECONDS = 1.5
+#: Part of the abandoned runs that may go on, and how many always may.
+_GONE_SHARE = 0.25
+_GONE_FEW = 3
+_PROMISES = frozenset((408, 421, 429, 503))
+_MOST_FAILED_RUNS = 9
+_MOST_IMPOSSIBLE_RUNS = 2
+#: Served in the calm at the end, as a share of what was asked.
+_RECOVERED_SHARE = 0.8
+
+
+@dataclass(frozen=True)
+class Breach:
+    """Tell which promise was broken, and how."""
+
+    promise: str
+    detail: str
+
+
+@dataclass
+class EngineJournal:
+    """Index what the engines noted."""
+
+    arrivals: list[dict[str, Any]] = field(default_factory=list)
+    starts: dict[str, list[dict[str, Any]]] = field(default_factory=dict)
+    ends: dict[str, list[dict[str, Any]]] = field(default_factory=dict)
+    draining: dict[str, float] = field(default_factory=dict)
+
+    def take(self, line: dict[str, Any]) -> None:
+        """Index one line."""
+        kind = line['kind']
+        if kind == 'arrival':
+            self.arrivals.append(line)
+        elif kind == 'start':
+            self.starts.setdefault(line['request'], []).append(line)
+        elif kind == 'end':
+            self.ends.setdefault(line['request'], []).append(line)
+        elif kind == 'draining':
+            self.draining[line['engine']] = line['at']
+
+
+def read_journal(path: pathlib.Path) -> EngineJournal:
+    """Read the lines of all engines."""
+    journal = EngineJournal()
+    for line in path.read_text(encoding='utf-8').splitlines():
+        journal.take(json.loads(line))
+    return journal
+
+
+def check(seen: Sightings, journal: EngineJournal) -> list[Breach]:
+    """Check every promise."""
+    breaches = [
+        Breach(name, detail)
+        for name, rule in _RULES.items()
+        for detail in rule(seen, journal)
+    ]
+    breaches.extend(Breach('ends', one) for one in seen.unasked_ends)
+    return breaches
+
+
+def _mixed(seen: Sightings, _journal: EngineJournal) -> Iterator[str]:
+    """A success is whole, sealed, and the request's own."""
+    for one in seen.attempts:
+        if not one.whole or one.status != 200:
+            continue
+        right = '\n'.join(
+            text_of(one.request, number) for number in range(1, one.total + 1)
+        )
+        if one.seal != seal_of(one.request):
+            yield f'{one.request} at {one.entry}: seal {one.seal}'
+        elif one.text != right:
+            yield f'{one.request} at {one.entry}: text {one.text!r}'
+
+
+def _out_of_order(seen: Sightings, _journal: EngineJournal) -> Iterator[str]:
+    """What came of a stream before it broke is its beginning."""
+    for one in seen.attempts:
+        if one.whole or one.status != 200:
+            continue
+        numbers = [line.rpartition('/')[2] for line in one.text.split('\n')]
+        right = [str(number) for number in range(1, len(numbers) + 1)]
+        if one.text and numbers != right:
+            yield f'{one.request} at {one.entry}: events {numbers}'
+
+
+def _twice(seen: Sightings, journal: EngineJournal) -> Iterator[str]:
+    """What may run once runs once."""
+    for one in seen.attempts:
+        runs = len(journal.starts.get(one.request, ()))
+        if not one.kind.repeatable and runs > 1:
+            yield f'{one.request} ran {runs} times'
+
+
+def _refused(seen: Sightings, journal: EngineJournal) -> Iterator[str]:
+    """A refusal that says not run is true, then and later."""
+    for one in seen.attempts:
+        promised = one.whole and one.status in _PROMISES
+        if promised and not one.kind.repeatable:
+            if one.request in journal.starts:
+                yield f'{one.request} got {one.status} and ran'
+    for job in seen.jobs.values():
+        ran = [item for item in job.items if item in journal.starts]
+        if job.only_refused and ran:
+            yield f'job {job.job} was refused, {len(ran)} items ran'
+
+
+def _unasked(seen: Sightings, journal: EngineJournal) -> Iterator[str]:
+    """Engines get only what clients sent, unaltered."""
+    right = {one.request: (one.path, one.body) for one in seen.attempts}
+    for job in seen.jobs.values():
+        right.update(
+            {item: (f'/jobs/{item}', job.bodies[item]) for item in job.items}
+        )
+    for line in journal.arrivals:
+        if right.get(line['request']) != (line['path'], line['body']):
+            yield f'{line["engine"]} got {line["request"]} {line["path"]}'
+
+
+def _lost(seen: Sightings, journal: EngineJournal) -> Iterator[str]:
+    """A planned stop or change cuts off no request that an engine got."""
+    for one in seen.attempts:
+        cut = not one.whole and not one.left and one.ended
+        if not cut or one.request not in journal.starts:
+            continue
+        since = one.sent - CONTACT_SECONDS
+        if not calm(seen.troubles, since, one.ended, also_planned=False):
+            continue
+        if not _engine_ended_it(one, journal):
+            yield f'{one.request} at {one.entry} was cut off'
+
+
+def _engine_ended_it(one: Attempt, journal: EngineJournal) -> bool:
+    endings = {line['ending'] for line in journal.ends.get(one.request, ())}
+    return bool(endings - {'done', 'dropped'})
+
+
+def _drain(seen: Sightings, journal: EngineJournal) -> Iterator[str]:
+    """A leaving engine gets no new work after the bound."""
+    for line in journal.arrivals:
+        acknowledged = journal.draining.get(line['engine'])
+        if acknowledged is None:
+            continue
+        late = line['at'] - acknowledged
+        since = acknowledged - CONTACT_SECONDS
+        if late <= _DRAIN_SECONDS:
+            continue
+        if calm(seen.troubles, since, line['at'], also_planned=False):
+            yield f'{line["engine"]} got {line["request"]} {late:.1f} s late'
+
+
+def _config(seen: Sightings, _journal: EngineJournal) -> Iterator[str]:
+    """An accepted configuration is in force within its bound."""
+    for probe in seen.probes:
+        acknowledged = seen.versions[probe.version]
+        later = seen.versions.get(probe.version + 2)
+        since = acknowledged - CONTACT_SECONDS
+        if not calm(seen.troubles, since, probe.sent, also_planned=False):
+            continue
+        if not probe.found and later is None:
+            if probe.sent > acknowledged + _CONFIG_SECONDS:
+                yield f'{probe.entry} lacks version {probe.version}'
+        elif probe.found and later and probe.sent > later + _CONFIG_SECONDS:
+            yield f'{probe.entry} still has version {probe.version}'
+
+
+def _reverted(seen: Sightings, _journal: EngineJournal) -> Iterator[str]:
+    """No process goes back to an older configuration."""
+    highest: dict[tuple[str, int], int] = defaultdict(int)
+    for probe in sorted(seen.probes, key=lambda one: one.sent):
+        life = (probe.entry, probe.life)
+        if not probe.found:
+            continue
+        # A route of version N is there in N and N + 1 alone.
+        if probe.version + 1 < highest[life]:
+            yield f'{probe.entry} went back to {probe.version}'
+        highest[life] = max(highest[life], probe.version)
+
+
+def _jobs(seen: Sightings, journal: EngineJournal) -> Iterator[str]:
+    """Each item of an accepted job ends once, with its own whole text."""
+    for job in seen.jobs.values():
+        yield from job.wrongs
+        if not job.accepted:
+            continue
+        listed = [name for name, _state, _text in job.results.values()]
+        if len(set(listed)) != len(listed):
+            yield f'job {job.job}: an item stands twice'
+        missing = set(job.items) - set(listed)
+        if missing and not job.end_answered:
+            yield f'job {job.job}: {len(missing)} of {len(job.items)} missing'
+        for item, state, text in job.results.values():
+            yield from _judge_item(job.items, item, state, text)
+        for item in job.items:
+            yield from _judge_poison(item, journal)
+
+
+def _judge_item(
+    items: dict[str, int], item: str, state: str, text: str
+) -> Iterator[str]:
+    if item not in items:
+        yield f'{item} is of another job'
+        return
+    right = '\n'.join(
+        text_of(item, number) for number in range(1, items[item] + 1)
+    )
+    if state == 'completed' and (text != right or '-bad' in item):
+        yield f'{item} completed with text {text[:60]!r}'
+    if state != 'completed' and '-bad' not in item:
+        yield f'{item} was given up'
+
+
+def _judge_poison(item: str, journal: EngineJournal) -> Iterator[str]:
+    runs = len(journal.starts.get(item, ()))
+    if item.endswith('bad500') and runs > _MOST_FAILED_RUNS:
+        yield f'{item} failed {runs} times'
+    if item.endswith('bad422') and runs > _MOST_IMPOSSIBLE_RUNS:
+        yield f'{item} was tried {runs} times'
+
+
+def _ended_jobs(seen: Sightings, journal: EngineJournal) -> Iterator[str]:
+    """Nothing of an ended job starts after the bound."""
+    for job in seen.jobs.values():
+        for item in job.items if job.end_answered else ():
+            for line in journal.starts.get(item, ()):
+                late = line['at'] - job.end_answered
+                if late > _CANCEL_SECONDS:
+                    yield f'{item} ran {late:.1f} s after the end'
+
+
+def _gone(seen: Sightings, journal: EngineJournal) -> Iterator[str]:
+    """What a client gave up does not keep engines at work."""
+    left = working = 0
+    for one in seen.attempts:
+        starts = journal.starts.get(one.request)
+        since = one.left - CONTACT_SECONDS
+        until = one.left + _GONE_SECONDS
+        if not one.left or not starts or starts[0]['at'] > one.left:
+            continue
+        if not calm(seen.troubles, since, until):
+            continue
+        left += 1
+        ends = [line['at'] for line in journal.ends.get(one.request, ())]
+        working += not ends or max(ends) > until
+    if working > max(_GONE_FEW, left * _GONE_SHARE):
+        yield f'{working} of {left} abandoned requests went on'
+
+
+def _recovered(seen: Sightings, _journal: EngineJournal) -> Iterator[str]:
+    """After all is healed requests are served again."""
+    healed = max((one.ended for one in seen.troubles), default=0)
+    after = [
+        one
+        for one in seen.attempts
+        if one.sent > healed + CONTACT_SECONDS and not one.left
+    ]
+    served = sum(one.whole and one.status == 200 for one in after)
+    if not after or served < len(after) * _RECOVERED_SHARE:
+        yield f'{served} of {len(after)} served after all was healed'
+
+
+_Rule = Callable[[Sightings, EngineJournal], Iterator[str]]
+_RULES: dict[str, _Rule] = {
+    'mixed': _mixed,
+    'order': _out_of_order,
+    'twice': _twice,
+    'refused': _refused,
+    'unasked': _unasked,
+    'lost': _lost,
+    'drain': _drain,
+    'config': _config,
+    'reverted': _reverted,
+    'jobs': _jobs,
+    'ended jobs': _ended_jobs,
+    'gone': _gone,
+    'recovered': _recovered,
+}
+RULE_NAMES: Sequence[str] = tuple(_RULES)
--- /dev/null
+++ b/testing/src/bendlead_testing/gateway_soak/run.py
@@ -0,0 +1,191 @@
+"""Run one seed: a fleet, its clients, its disruptions, and the checks."""
+
+import random
+import sys
+import time
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+
+from bendlead_testing.gateway_soak.clients import HOST, Clients
+from bendlead_testing.gateway_soak.deployment import Deployment
+from bendlead_testing.gateway_soak.disruptions import DISRUPTIONS
+from bendlead_testing.gateway_soak.plan import CHANGE, WARM_SECONDS, Step, draw
+from bendlead_testing.gateway_soak.promises import (
+    CONTACT_SECONDS,
+    Breach,
+    check,
+    read_journal,
+)
+from bendlead_testing.gateway_soak.sightings import Kind, Sightings
+
+#: Calm at the end, in which everything must be served again (s).
+_CALM_SECONDS = CONTACT_SECONDS + 4.0
+#: Clients of jobs read this long (s) after traffic has ended.
+_DRAIN_SECONDS = 32.0
+
+
+@dataclass(frozen=True)
+class Size:
+    """Say how many processes and clients there are."""
+
+    entries: int = 3
+    owners: int = 3
+    engines: int = 4
+    online: int = 12
+    batch: int = 2
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """Hold what a run came to."""
+
+    seed: int
+    breaches: Sequence[Breach]
+    counts: dict[str, int]
+    folder: str
+
+
+def run(
+    seed: int,
+    seconds: float,
+    size: Size,
+    steps: Sequence[Step] | None = None,
+) -> Outcome:
+    """Run a seed, or given steps, and check every promise."""
+    chance = random.Random(seed)
+    fleet = Deployment(size.entries, size.owners, size.engines)
+    planned = draw(chance, fleet, seconds) if steps is None else list(steps)
+    seen = Sightings()
+    operator = _Operator(fleet, seen)
+    clients = Clients(fleet, seen, chance)
+    try:
+        operator.change()
+        fleet.start()
+        clients.start(size.online, size.batch)
+        _play(fleet, seen, operator, planned, chance)
+        gevent.sleep(_CALM_SECONDS)
+        clients.stop(_DRAIN_SECONDS)
+        _note_ends(fleet, seen)
+    finally:
+        fleet.stop()
+    journal = read_journal(fleet.journal)
+    return Outcome(
+        seed, check(seen, journal), _count(seen, planned), str(fleet.folder)
+    )
+
+
+class _Operator:
+    """Write configurations; each version brings a route and drops one."""
+
+    def __init__(self, fleet: Deployment, seen: Sightings) -> None:
+        self._fleet = fleet
+        self._seen = seen
+        self._version = 0
+
+    def change(self) -> None:
+        """Write the next version."""
+        self._version += 1
+        routes = [_route(kind.value, kind) for kind in Kind]
+        routes.append(_route('/jobs/', None))
+        for version in (self._version - 1, self._version):
+            if version:
+                routes.append(_route(f'/version-{version}/', Kind.SAFE))
+        self._fleet.store.set(
+            'config',
+            'main',
+            {
+                'version': self._version,
+                'routes': routes,
+                'services': [{'name': 's1'}],
+            },
+        )
+        self._seen.versions[self._version] = time.monotonic()
+
+
+_WIRE_KINDS = {
+    Kind.ONCE: 'unsafe',
+    Kind.SAFE: 'safe',
+    Kind.STREAM: 'streaming',
+    Kind.RESUMABLE: 'streaming',
+    None: 'batch',
+}
+
+
+def _route(prefix: str, kind: Kind | None) -> dict[str, Any]:
+    return {
+        'name': prefix.strip('/'),
+        'host': HOST,
+        'path_prefix': prefix,
+        'kind': _WIRE_KINDS[kind],
+        'timeout_ms': 3500,
+        'target_latency_ms': 400,
+        'service': 's1',
+        'max_attempts': 3,
+        'resumable': kind is Kind.RESUMABLE,
+        'gap_target_ms': 200,
+        'run_target_ms': 20_000,
+        'retention_s': 120,
+        'max_queued_tokens': 100_000,
+    }
+
+
+def _play(
+    fleet: Deployment,
+    seen: Sightings,
+    operator: _Operator,
+    steps: Sequence[Step],
+    chance: random.Random,
+) -> None:
+    began = time.monotonic()
+    tasks = []
+    for step in steps:
+        gevent.sleep(max(0, began + step.at - time.monotonic()))
+        sys.stderr.write(f'{step.at:6.1f} {step.name}: {step.target}\n')
+        if step.name == CHANGE:
+            trouble = seen.begin(step.name, step.target, planned=True)
+            operator.change()
+            trouble.ended = time.monotonic()
+        else:
+            tasks.append(gevent.spawn(_disrupt, fleet, seen, step, chance))
+    gevent.joinall(tasks)
+    # A disruption may be healed by another's end: nothing stays broken.
+    for process in fleet.all():
+        process.start()
+    gevent.sleep(max(0, began + WARM_SECONDS - time.monotonic()))
+
+
+def _disrupt(
+    fleet: Deployment, seen: Sightings, step: Step, chance: random.Random
+) -> None:
+    kind = DISRUPTIONS[step.name]
+    trouble = seen.begin(step.name, step.target, planned=kind.planned)
+    heal = kind.begin(fleet, step.target, chance)
+    gevent.sleep(step.seconds)
+    heal()
+    trouble.ended = time.monotonic() + (0 if kind.planned else CONTACT_SECONDS)
+
+
+def _note_ends(fleet: Deployment, seen: Sightings) -> None:
+    for name, process in fleet.nodes.items():
+        if not process.running:
+            seen.unasked_ends.append(f'{name} does not run at the end')
+        for code in process.unasked_ends:
+            seen.unasked_ends.append(f'{name} ended by itself with {code}')
+
+
+def _count(seen: Sightings, steps: Sequence[Step]) -> dict[str, int]:
+    told = Counter(one.status for one in seen.attempts if one.whole)
+    return {
+        'steps': len(steps),
+        'requests': len(seen.attempts),
+        'served': told[200],
+        'refused': told[503] + told[429],
+        'jobs': len(seen.jobs),
+        'accepted': sum(bool(one.accepted) for one in seen.jobs.values()),
+        'items': sum(len(one.results) for one in seen.jobs.values()),
+        'versions': len(seen.versions),
+    }
--- /dev/null
+++ b/testing/src/bendlead_testing/gateway_soak/sightings.py
@@ -0,0 +1,116 @@
+"""What clients and the operator saw, as the checks need it."""
+
+import enum
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+
+class Kind(enum.Enum):
+    """Name a kind of request by the prefix of its route."""
+
+    ONCE = '/once/'
+    SAFE = '/safe/'
+    STREAM = '/stream/'
+    RESUMABLE = '/resumable/'
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request of this kind may run more than once."""
+        return self in {Kind.SAFE, Kind.RESUMABLE}
+
+
+@dataclass
+class Attempt:
+    """Keep one try of a request; times are on the steady clock (s)."""
+
+    request: str
+    kind: Kind
+    entry: str
+    path: str
+    body: str
+    sent: float
+    total: int
+    status: int = 0
+    seal: str | None = None
+    text: str = ''
+    whole: bool = False
+    ended: float = 0
+    left: float = 0
+
+
+@dataclass
+class JobSeen:
+    """Keep what was seen of one batch job."""
+
+    job: str
+    items: dict[str, int]
+    bodies: dict[str, str]
+    statuses: list[int] = field(default_factory=list)
+    accepted: float = 0
+    results: dict[int, tuple[str, str, str]] = field(default_factory=dict)
+    end_answered: float = 0
+    wrongs: list[str] = field(default_factory=list)
+
+    @property
+    def only_refused(self) -> bool:
+        """Tell whether every try was answered with a promise."""
+        return bool(self.statuses) and set(self.statuses) <= {429, 503}
+
+
+@dataclass
+class Probe:
+    """Keep one request that only tests which configuration is in force."""
+
+    entry: str
+    life: int
+    version: int
+    sent: float
+    found: bool
+
+
+@dataclass
+class Trouble:
+    """Keep one disruption; ``planned`` work is a stop, a change, a reload."""
+
+    name: str
+    target: str
+    began: float
+    ended: float = 0
+    planned: bool = False
+
+
+@dataclass
+class Sightings:
+    """Gather everything that is checked."""
+
+    attempts: list[Attempt] = field(default_factory=list)
+    jobs: dict[str, JobSeen] = field(default_factory=dict)
+    probes: list[Probe] = field(default_factory=list)
+    troubles: list[Trouble] = field(default_factory=list)
+    #: When each version of the configuration was acknowledged.
+    versions: dict[int, float] = field(default_factory=dict)
+    unasked_ends: list[str] = field(default_factory=list)
+
+    def begin(self, name: str, target: str, *, planned: bool) -> Trouble:
+        """Note that a disruption begins."""
+        trouble = Trouble(name, target, time.monotonic(), planned=planned)
+        self.troubles.append(trouble)
+        return trouble
+
+
+def calm(
+    troubles: Sequence[Trouble],
+    since: float,
+    until: float,
+    *,
+    also_planned: bool = True,
+) -> bool:
+    """Tell whether no disruption touches a span of time."""
+    for one in troubles:
+        if one.planned and not also_planned:
+            continue
+        ended = one.ended or float('inf')
+        if one.began < until and ended > since:
+            return False
+    return True
--- a/testing/src/bendlead_testing/platform_store.py
+++ b/testing/src/bendlead_testing/platform_store.py
@@ -7,6 +7,7 @@
 import enum
 import json
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -40,6 +41,8 @@
     LOST_ANSWERS = 'lost_answers'
     #: Writes are not answered and take effect later.
     LATE_EFFECTS = 'late_effects'
+    #: Answers come late.
+    SLOW = 'slow'
 
 
 @dataclass(slots=True)
@@ -50,6 +53,23 @@
     removed: bool
 
 
+def _as_it_is(_kind: str, shown: dict[str, Any]) -> dict[str, Any]:
+    return shown
+
+
+@dataclass(slots=True)
+class Door:
+    """Keep how the store treats the callers of one address.
+
+    ``show`` may change what they read, so that each caller can be given
+    addresses of links of its own.
+    """
+
+    address: str
+    trouble: Trouble = Trouble.NONE
+    show: Callable[[str, dict[str, Any]], dict[str, Any]] = _as_it_is
+
+
 @dataclass(slots=True)
 class PlatformStandIn:
     """Serve objects on a loopback address."""
@@ -57,6 +77,7 @@
     address: str
     trouble: Trouble = Trouble.NONE
     late_seconds: float = 0.3
+    slow_seconds: float = 0.3
     revision: int = 10
     calls: list[str] = field(default_factory=list)
     _objects: dict[tuple[str, str], dict[str, Any]] = field(
@@ -68,8 +89,15 @@
 
     def start(self) -> None:
         """Listen from now on."""
+        self.open_door(Door(self.address))
+
+    def open_door(self, door: Door) -> None:
+        """Listen on one more address, with troubles of its own."""
         HttpServer(
-            self.address, self._answer, lambda: _LIMITS, time.monotonic
+            door.address,
+            lambda request, responder: self._answer(door, request, responder),
+            lambda: _LIMITS,
+            time.monotonic,
         ).start()
 
     def set(self, kind: str, name: str, specification: Any) -> int:
@@ -97,29 +125,41 @@
         self._forgotten = self.revision
         self._wake()
 
-    def _answer(self, request: Request, responder: Responder) -> None:
+    def list_names(self, kind: str) -> list[str]:
+        """List the names of the objects of a kind."""
+        return [name for found, name in self._objects if found == kind]
+
+    def _trouble(self, door: Door) -> Trouble:
+        return door.trouble if self.trouble is Trouble.NONE else self.trouble
+
+    def _answer(
+        self, door: Door, request: Request, responder: Responder
+    ) -> None:
         self.calls.append(f'{request.method} {request.target}')
         writes = request.method != 'GET'
-        if self.trouble is Trouble.AWAY:
+        trouble = self._trouble(door)
+        if trouble is Trouble.AWAY:
             responder.answer(503)
-        elif self.trouble is Trouble.LIMITED:
+        elif trouble is Trouble.LIMITED:
             responder.answer(429, [('Retry-After', '0.05')])
-        elif self.trouble is Trouble.CUT:
+        elif trouble is Trouble.CUT:
             raise ClientGoneError('cut')
-        elif self.trouble is Trouble.SILENT:
+        elif trouble is Trouble.SILENT:
             _say_nothing()
-        elif writes and self.trouble is Trouble.LOST_ANSWERS:
-            self._respond(request, _Unheard())
+        elif writes and trouble is Trouble.LOST_ANSWERS:
+            self._respond(door, request, _Unheard())
             _say_nothing()
-        elif writes and self.trouble is Trouble.LATE_EFFECTS:
+        elif writes and trouble is Trouble.LATE_EFFECTS:
             gevent.spawn_later(
-                self.late_seconds, self._respond, request, _Unheard()
+                self.late_seconds, self._respond, door, request, _Unheard()
             )
             _say_nothing()
         else:
-            self._respond(request, responder)
+            if trouble is Trouble.SLOW:
+                gevent.sleep(self.slow_seconds)
+            self._respond(door, request, responder)
 
-    def _respond(self, request: Request, responder: Any) -> None:
+    def _respond(self, door: Door, request: Request, responder: Any) -> None:
         if len(request.body) > _VALUE_BYTES:
             responder.answer(413)
             return
@@ -130,9 +170,9 @@
         if request.method == 'POST':
             self._post(kind, json.loads(request.body), responder)
         elif len(names) == 1 and 'watch' in query:
-            self._watch(kind, query, responder)
+            self._watch(door, kind, query, responder)
         elif len(names) == 1:
-            self._list(kind, query.get('watch_after', ''), responder)
+            self._list(door, kind, query.get('watch_after', ''), responder)
         else:
             self._one(request, kind, names[1:], query, responder)
 
@@ -191,13 +231,15 @@
         made = self._store(kind, name, sent['specification'])
         _json(responder, 200, made)
 
-    def _list(self, kind: str, after: str, responder: Any) -> None:
+    def _list(self, door: Door, kind: str, after: str, responder: Any) -> None:
         names = sorted(
             name
             for found, name in self._objects
             if found == kind and name > after
         )
-        page = [self._objects[kind, name] for name in names[:_PAGE]]
+        page = [
+            door.show(kind, self._objects[kind, name]) for name in names[:_PAGE]
+        ]
         listed = {
             'items': page,
             'has_more': len(names) > _PAGE,
@@ -205,18 +247,20 @@
         }
         _json(responder, 200, listed)
 
-    def _watch(self, kind: str, query: dict[str, str], responder: Any) -> None:
+    def _watch(
+        self, door: Door, kind: str, query: dict[str, str], responder: Any
+    ) -> None:
         since = int(query['watch'])
         left = int(query.get('wait_ms', '0')) / 1000
         until = time.monotonic() + left
         while True:
-            if self.trouble is Trouble.CUT:
+            if self._trouble(door) is Trouble.CUT:
                 raise ClientGoneError('cut')
             if since < self._forgotten:
                 responder.answer(410)
                 return
             events = [
-                {'removed': one.removed, 'object': one.body}
+                {'removed': one.removed, 'object': door.show(kind, one.body)}
                 for one in self._history
                 if one.kind == kind and one.revision > since
             ]
--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -84,8 +84,10 @@
 
     def _start_engine(self, number, given):
         def script(sock):
-            peer.read_request(sock)
-            if given:
+            request = peer.read_request(sock)
+            if callable(given):
+                given(sock, request)
+            elif given:
                 sock.sendall(given)
             if given is None:
                 # The engine stays silent.
