A holder that waits for the store is not replaced as the store returns

Cause: a holder whose write has been tried for 2 s counts as stuck, and a process that sees the store takes its shards. When the store returns to all, whoever asks first takes the shards of the others, and the results and the progress that they keep in memory are lost. While it answers 503 or not at all the held watches live on, so the others believed in the store all the time and tried every 0.4 s. Ruled out: fencing (nothing was doubled), the pause of the holder's own commit (0.4 s at most). Change: HolderPatience. The process that would take over asks the store itself and takes the shard after 1.5 s of answers without a failure between them. Tests failed first: holder_that_returns_a_moment_later (both), and the test store_down_for_all_moves_nothing, which compared the numbers of the shards alone and now compares holders and epochs.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
@@ -10,6 +10,7 @@
 
 from bendlead_gateway._fleet.peers import PeerTable
 from bendlead_gateway._jobs.board import Board, open_board
+from bendlead_gateway._jobs.patience import HolderPatience
 from bendlead_gateway._jobs.shards import SHARDS, preferred_owner
 from bendlead_gateway._log import Log
 from bendlead_gateway.types import PeerRecord
@@ -42,6 +43,7 @@
         self._lost_at: dict[int, float] = {}
         self._tried_at: dict[int, float] = {}
         self._leaving = False
+        self._patience = HolderPatience(store)
         self.boards: dict[int, Board] = {}
 
     def epochs(self) -> dict[int, int]:
@@ -90,13 +92,20 @@
         tried = now - self._tried_at.get(shard, 0) < _TRY_SECONDS
         if not sound or not calm or tried:
             return
-        if claimed and not self._peers.holder_is_stuck(shard, claimed):
-            return
         nodes = [*self._peers.able_owners(), self._record.node]
-        if preferred_owner(shard, nodes) == self._record.node:
+        if preferred_owner(shard, nodes) != self._record.node:
+            return
+        if not claimed or self._may_replace(shard, claimed):
             self._tried_at[shard] = now
             self._take(shard)
 
+    def _may_replace(self, shard: int, epoch: int) -> bool:
+        """Tell whether the holder at an epoch can't write while we can."""
+        if not self._peers.holder_is_stuck(shard, epoch):
+            return False
+        self._tried_at[shard] = time.monotonic()
+        return self._patience.is_over(shard)
+
     def _take(self, shard: int) -> None:
         began = time.monotonic()
         owner = Owner(self._record.node, self._record.address)
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -282,8 +282,33 @@
         gevent.sleep(3)
         self.store.trouble = Trouble.NONE
         gevent.sleep(0.5)
-        held = {**first._keeper.epochs(), **second._keeper.epochs()}
-        self.assertEqual(set(epochs), set(held))
+        self.assertEqual(epochs, first._keeper.epochs())
+        self.assertEqual({}, second._keeper.epochs())
+
+    @parameterized.expand([('watches_end', True), ('watches_live_on', False)])
+    def test_holder_that_returns_a_moment_later(self, _name, watches_end):
+        """What it holds in memory would run again at another owner."""
+        self.configure()
+        first = self.holding()
+        self.submit(first)
+        second = self.owner('owner-2')
+        eventually(second.peers.able_owners)
+        epochs = first._keeper.epochs()
+        put = first.store.put
+        refused = Err(Failure(FailureKind.NOT_DONE, 'put', 'store', 'busy'))
+        first.store.put = lambda *_call: refused
+        self.store.trouble = Trouble.AWAY
+        if watches_end:
+            self.store.forget_history()
+        gevent.spawn(self.call, first, 'DELETE', '/-/lots/j1')
+        gevent.sleep(4)
+        self.store.trouble = Trouble.NONE
+        eventually(lambda: second.peers_watch.current)
+        gevent.sleep(0.8)
+        first.store.put = put
+        gevent.sleep(1.5)
+        self.assertEqual(epochs, first._keeper.epochs())
+        self.assertEqual({}, second._keeper.epochs())
 
     def test_leaving_owner_hands_over_at_once(self):
         self.configure()
