Engines that vanish together are awaited for 1.5 s

Cause: a held watch outlives an outage of the store in which it answers new calls with 503 or nothing. All engines lapse meanwhile, the watch tells of all of them as it returns, and each process dropped every engine at once. The wait for lapsed engines hung on a watch that had failed. Ruled out: refusing less early (there was nobody left to ask). Tests failed first: half_of_them_vanish, all_vanish, the_only_one_vanishes.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
@@ -1,7 +1,7 @@
 """The configuration and the engines that this process believes in."""
 
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import gevent
 from bendlead_store import Change, Entry
@@ -22,6 +22,13 @@
 #: An engine that left the list while the store was away is kept this long
 #: (s) after the store's return. Source: the users' second letter.
 _LAPSE_SECONDS = 2.0
+#: Engines of a service that vanish together, this share of them or more, have
+#: rather lapsed than left: a held watch lives on while the store is away, and
+#: tells of all of them when it returns.
+_TOGETHER_SHARE = 0.5
+#: They are kept this long (s) to be listed again. Within the 2 s in which an
+#: engine that has left must get no more work, less the way of the news.
+_TOGETHER_SECONDS = 1.5
 
 
 class ConfigurationHolder:
@@ -102,6 +109,7 @@
         self._since: dict[EngineId, float] = {}
         self._revision: dict[EngineId, int] = {}
         self._awaited: set[EngineId] = set()
+        self._vanished: set[EngineId] = set()
 
     def ready(self, service: ServiceName) -> Sequence[Engine]:
         """List the engines of a service that take new requests."""
@@ -124,25 +132,64 @@
             if taken:
                 listed.add(taken)
         missing = [one for one in self._engines if one not in listed]
-        if missing and after_outage:
-            self._log.event('engines-awaited', engines=','.join(missing))
-            self._awaited.update(missing)
-            gevent.spawn_later(_LAPSE_SECONDS, self._drop_lapsed)
+        if after_outage:
+            self._await(missing, _LAPSE_SECONDS)
             return
         for engine in missing:
-            self._drop(engine, 'not listed')
+            self._vanish(engine)
 
     def change(self, change: Change) -> None:
         """Take one change."""
         if change.deleted:
             name = EngineId(change.key.rpartition('/')[2])
-            self._drop(name, 'removed')
             self._revision[name] = int(change.version)
+            if name in self._engines:
+                self._vanish(name)
         else:
             self._take(Entry(change.key, change.version, change.body))
 
-    def _drop_lapsed(self) -> None:
-        lapsed, self._awaited = self._awaited, set()
+    def _vanish(self, name: EngineId) -> None:
+        """Judge what vanished once all of the same news have been read."""
+        if not self._vanished:
+            gevent.spawn(self._judge_vanished)
+        self._vanished.add(name)
+
+    def _judge_vanished(self) -> None:
+        vanished = self._vanished.intersection(self._engines)
+        self._vanished = set()
+        awaited = [
+            one for one in vanished if self._vanished_together(one, vanished)
+        ]
+        self._await(awaited, _TOGETHER_SECONDS)
+        for engine in vanished.difference(awaited):
+            self._drop(engine, 'not listed any more')
+
+    def _vanished_together(
+        self, name: EngineId, vanished: Collection[EngineId]
+    ) -> bool:
+        service = self._engines[name].service
+        known = [
+            one.engine
+            for one in self._engines.values()
+            if one.service == service
+        ]
+        gone = sum(one in vanished for one in known)
+        together = gone > 1 or len(known) == 1
+        return together and gone >= len(known) * _TOGETHER_SHARE
+
+    def _await(self, missing: Collection[EngineId], seconds: float) -> None:
+        """Keep engines that may have lapsed, for some seconds."""
+        if not missing:
+            return
+        self._log.event(
+            'engines-awaited', engines=','.join(missing), seconds=seconds
+        )
+        self._awaited.update(missing)
+        gevent.spawn_later(seconds, self._drop_lapsed, set(missing))
+
+    def _drop_lapsed(self, missing: Collection[EngineId]) -> None:
+        lapsed = self._awaited.intersection(missing)
+        self._awaited -= lapsed
         for engine in lapsed:
             self._drop(engine, 'lapsed and did not come back')
 
@@ -157,6 +204,7 @@
             return engine.engine
         self._revision[engine.engine] = int(entry.version)
         self._awaited.discard(engine.engine)
+        self._vanished.discard(engine.engine)
         self._since[engine.engine] = time.monotonic()
         if known != engine:
             self._engines[engine.engine] = engine
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
@@ -14,7 +14,6 @@
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import DataHall, Engine
 
-
 #: Changes of the configuration and of engines are due within 2 s; a storm of
 #: them comes every 60 to 300 ms, a release takes one every 100 ms or so.
 _GATHER_SECONDS = 0.15
--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -318,6 +318,36 @@
         self.assertEqual(kept, len(self.entry.fleet.engines.all()))
         eventually(lambda: len(self.entry.fleet.engines.all()) == 1, 3)
 
+    @parameterized.expand(
+        [
+            ('one_leaves', 4, 1, 3),
+            ('one_of_two_leaves', 2, 1, 1),
+            ('half_of_them_vanish', 4, 2, 4),
+            ('all_vanish', 3, 3, 3),
+            ('the_only_one_vanishes', 1, 1, 1),
+        ],
+    )
+    def test_engines_that_vanish(self, _name, listed, removed, kept):
+        """A held watch that outlives an outage tells of all that lapsed."""
+        self.start(route('safe'), answers=[_PLAIN] * listed)
+        for number in range(removed):
+            self.store.remove('servers', f'i-{number}')
+        gevent.sleep(0.4)
+        self.assertEqual(kept, len(self.entry.fleet.engines.ready('s1')))
+        gevent.sleep(1.5)
+        left = len(self.entry.fleet.engines.ready('s1'))
+        self.assertEqual(listed - removed, left)
+
+    def test_lapsed_engine_that_is_listed_again(self):
+        self.start(route('safe'), answers=[_PLAIN] * 2)
+        for number in range(2):
+            self.store.remove('servers', f'i-{number}')
+        gevent.sleep(0.4)
+        self.store.set('servers', 'i-0', engine(self.engines[0].address))
+        gevent.sleep(1.6)
+        names = [one.engine for one in self.entry.fleet.engines.ready('s1')]
+        self.assertEqual(['i-0'], names)
+
     def test_one_watcher_asks_while_the_store_is_away(self):
         self.start(route('safe'), answers=[_PLAIN])
         self.store.trouble = Trouble.AWAY
