Loads at second hand, and watches that have fallen silent are noticed

Ruled out: engine reports (priced), shorter holds (each call is paid for). Change: a report names the peers that are not heard, to two witnesses at a time, and these tell what those peers said last, with its age; loads are taken so, liveness and claims are not. Reports carry the newest revision seen below the configuration and the engines; a process whose held call has not brought it within 0.6 s drops the call and lists again. PeerTable was split: claims, peer. Tests failed first: test_loads_at_second_hand, test_peer_is_told_what_it_misses, test_unheard_peer_is_asked_for, test_watch_that_has_fallen_silent.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
@@ -1,5 +1,7 @@
 """All that a process knows of the engines and may use to reach them."""
 
+from collections.abc import Mapping
+
 import gevent
 from bendlead_store import FollowedStore
 from gevent.lock import Semaphore
@@ -46,11 +48,23 @@
             self._store, prefix, follower, self._log, self._probing, gather
         )
 
+    def revisions(self) -> dict[str, int]:
+        """Tell peers the newest revision seen below each prefix."""
+        return {one.prefix: one.newest for one in self._watches()}
+
+    def notice(self, revisions: Mapping[str, int]) -> None:
+        """Take the newest revisions that a peer has seen."""
+        for watch in self._watches():
+            watch.notice(revisions.get(watch.prefix, 0))
+
     def start(self) -> None:
         """Follow the store from now on."""
         gevent.spawn(self.config_watch.run)
         gevent.spawn(self.engines_watch.run)
 
+    def _watches(self) -> tuple[Watcher, Watcher]:
+        return self.config_watch, self.engines_watch
+
     def _forget(self, engine: Engine) -> None:
         self.pool.forget(engine.engine)
         self.health.forget(engine.engine)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
@@ -12,13 +12,18 @@
 
 
 @dataclass(slots=True)
-class _Report:
+class Report:
     """Keep what a peer said of its requests."""
 
     online: Mapping[EngineId, int]
     batch: Mapping[EngineId, int]
     heard: float
 
+    @property
+    def age(self) -> float:
+        """Give the seconds since the peer said so."""
+        return time.monotonic() - self.heard
+
 
 @dataclass(slots=True)
 class OwnLoad:
@@ -34,7 +39,7 @@
 
     def __init__(self) -> None:
         self.own = OwnLoad()
-        self._reports: dict[NodeName, _Report] = {}
+        self._reports: dict[NodeName, Report] = {}
 
     def start_online(self, engine: EngineId) -> None:
         """Count a request that starts here now."""
@@ -53,9 +58,20 @@
         node: NodeName,
         online: Mapping[EngineId, int],
         batch: Mapping[EngineId, int],
+        age: float = 0,
     ) -> None:
-        """Take what a peer tells of its requests."""
-        self._reports[node] = _Report(online, batch, time.monotonic())
+        """Take what a peer told of its requests some seconds ago."""
+        heard = time.monotonic() - age
+        known = self._reports.get(node)
+        if known is None or known.heard < heard:
+            self._reports[node] = Report(online, batch, heard)
+
+    def latest(self, node: NodeName) -> Report | None:
+        """Give what a peer told last, if that still counts."""
+        known = self._reports.get(node)
+        if known is None or known.age > _REPORT_SECONDS:
+            return None
+        return known
 
     def online(self, engine: EngineId) -> int:
         """Count the online requests on an engine."""
@@ -69,6 +85,6 @@
             report.batch.get(engine, 0) for report in self._fresh()
         )
 
-    def _fresh(self) -> list[_Report]:
+    def _fresh(self) -> list[Report]:
         oldest = time.monotonic() - _REPORT_SECONDS
         return [one for one in self._reports.values() if one.heard > oldest]
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -2,21 +2,24 @@
 
 import random
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
 
 import gevent
 import msgspec
-from bendlead_schema.gateway import HeldShard, NodeReport
+from bendlead_schema.gateway import NodeReport
 from bendlead_store import ABSENT, Change, Entry, FollowedStore
 from result import Err, Ok
 
+from bendlead_gateway._fleet.claims import Claims
 from bendlead_gateway._fleet.loads import LoadTable
+from bendlead_gateway._fleet.peer import Peer
+from bendlead_gateway._fleet.second_hand import SecondHand
 from bendlead_gateway._http.client import HttpConnection
 from bendlead_gateway._log import Log
 from bendlead_gateway.dialect import Dialect
-from bendlead_gateway.types import EngineId, NodeName, NodeRole, PeerRecord
+from bendlead_gateway.types import EngineId, NodeName, PeerRecord
 
 REPORT_PATH = '/peer/report'
 #: Seconds between two exchanges with one peer while peers are few.
@@ -29,30 +32,27 @@
 _SILENT_SECONDS = 0.9
 _FIRST_PAUSE = 0.2
 _LAST_PAUSE = 2.0
+#: Loads of a peer that was not heard for this long (s) are asked of others,
+#: for as long (s) as it may only be cut off.
+_MISSED_SECONDS = 0.4
+_CUT_SECONDS = 60.0
+#: How many peers are asked for them, and how often (s) others are chosen.
+_WITNESSES = 2
+_SURVEY_SECONDS = 0.25
 _DECODER = msgspec.json.Decoder(NodeReport)
 
 
-@dataclass(slots=True)
-class _Peer:
-    """Keep what is known of one peer."""
-
-    record: PeerRecord
-    report: NodeReport | None = None
-    heard: float = 0
-    task: gevent.Greenlet | None = None
-
-
 @dataclass(frozen=True, slots=True)
-class Claim:
-    """Say who holds a shard and where to reach it."""
+class _Survey:
+    """Keep who is not heard, and who is asked for news of them."""
 
-    node: NodeName
-    address: str
-    epoch: int
+    made: float = 0
+    missed: Sequence[str] = ()
+    witnesses: Collection[NodeName] = ()
 
 
 class PeerTable:
-    """Know the peers, what they run, and which shards they hold."""
+    """Know the peers and exchange reports with each of them."""
 
     def __init__(
         self,
@@ -62,6 +62,7 @@
         loads: LoadTable,
         log: Log,
         report: Callable[[], NodeReport],
+        on_revisions: Callable[[Mapping[str, int]], None],
     ) -> None:
         self._own = own
         self._own_key = f'{dialect.peers_prefix}{own.node}'
@@ -70,7 +71,11 @@
         self._loads = loads
         self._log = log
         self._report = report
-        self._peers: dict[NodeName, _Peer] = {}
+        self._on_revisions = on_revisions
+        self._second_hand = SecondHand(loads)
+        self._survey = _Survey()
+        self._peers: dict[NodeName, Peer] = {}
+        self.claims = Claims(self._live)
 
     def reset(self, entries: Sequence[Entry], after_outage: bool) -> None:
         """Take the whole list of processes."""
@@ -89,57 +94,9 @@
 
     def exchange(self, body: bytes) -> bytes:
         """Take a peer's report and answer with our own."""
-        self._hear(_DECODER.decode(body))
-        return msgspec.json.encode(self._report())
-
-    def holder(self, shard: int) -> Claim | None:
-        """Find the live peer that holds a shard at the highest epoch."""
-        best: Claim | None = None
-        for peer in self._live():
-            epoch = _epoch_of(peer, shard)
-            if best is None or epoch > best.epoch:
-                best = Claim(peer.record.node, peer.record.address, epoch)
-        return best if best and best.epoch else None
-
-    def claimed(self, shard: int) -> int:
-        """Give the highest epoch at which a live node holds a shard, or 0.
-
-        What peers hear counts too: an owner that is cut off from this node
-        alone still holds its shards.
-        """
-        return max(
-            (_highest(peer.report, shard) for peer in self._live()),
-            default=0,
-        )
-
-    def holder_is_stuck(self, shard: int, epoch: int) -> bool:
-        """Tell whether the holder at an epoch says it can't write."""
-        return any(
-            peer.report is not None
-            and not peer.report.sound
-            and _epoch_of(peer, shard) == epoch
-            for peer in self._live()
-        )
-
-    def heard(self) -> list[HeldShard]:
-        """List the claims that this node hears itself."""
-        return [
-            held
-            for peer in self._live()
-            if peer.report
-            for held in peer.report.shards
-        ]
-
-    def able_owners(self) -> list[NodeName]:
-        """List the live peers that can hold shards."""
-        return [
-            peer.record.node
-            for peer in self._live()
-            if peer.record.role is NodeRole.OWNER
-            and peer.report
-            and peer.report.sound
-            and not peer.report.leaving
-        ]
+        report = _DECODER.decode(body)
+        self._hear(report)
+        return self._report_to(self._peers.get(NodeName(report.node)))
 
     def summary(self) -> dict[str, float]:
         """Show how long ago each peer was heard, for the state dump."""
@@ -177,13 +134,13 @@
             return
         if known is not None and known.task is not None:
             known.task.kill(block=False)
-        peer = _Peer(record)
+        peer = Peer(record)
         self._peers[record.node] = peer
         self._log.event('peer-listed', peer=record.node, address=record.address)
         if self._own.node < record.node:
             peer.task = gevent.spawn(self._talk, peer)
 
-    def _talk(self, peer: _Peer) -> None:
+    def _talk(self, peer: Peer) -> None:
         """Exchange reports with one peer for as long as it is listed."""
         connection: HttpConnection | None = None
         pause = _FIRST_PAUSE
@@ -193,7 +150,7 @@
                     connection = HttpConnection(
                         peer.record.address, _ANSWER_SECONDS
                     )
-                self._exchange_once(connection)
+                self._exchange_once(peer, connection)
             except OSError:
                 # Logged once by the change of its liveness in _live.
                 if connection is not None:
@@ -205,8 +162,8 @@
             pause = _FIRST_PAUSE
             gevent.sleep(self._interval())
 
-    def _exchange_once(self, connection: HttpConnection) -> None:
-        body = msgspec.json.encode(self._report())
+    def _exchange_once(self, peer: Peer, connection: HttpConnection) -> None:
+        body = self._report_to(peer)
         response = connection.request(
             'POST',
             REPORT_PATH,
@@ -218,6 +175,34 @@
             raise OSError(f'status {response.head.status}')
         self._hear(_DECODER.decode(response.body))
 
+    def _report_to(self, peer: Peer | None) -> bytes:
+        """Make the report for one peer, with what it misses or may know."""
+        report = self._report()
+        if peer is not None:
+            survey = self._current_survey()
+            report.told = self._second_hand.tell(peer.missed)
+            if peer.record.node in survey.witnesses:
+                report.missed = list(survey.missed)
+        return msgspec.json.encode(report)
+
+    def _current_survey(self) -> _Survey:
+        now = time.monotonic()
+        if now - self._survey.made > _SURVEY_SECONDS:
+            live = [one.record.node for one in self._live()]
+            chosen = random.sample(live, min(_WITNESSES, len(live)))
+            self._survey = _Survey(now, self._missed(now), frozenset(chosen))
+        return self._survey
+
+    def _missed(self, now: float) -> list[str]:
+        """List the peers that may run requests and are not heard here."""
+        late = now - max(_MISSED_SECONDS, 3 * self._interval())
+        cut = now - _CUT_SECONDS
+        return [
+            node
+            for node, peer in self._peers.items()
+            if peer.heard < late and max(peer.heard, peer.listed) > cut
+        ]
+
     def _interval(self) -> float:
         shared = len(self._peers) / _EXCHANGES_PER_SECOND
         return max(_EXCHANGE_SECONDS, shared)
@@ -232,6 +217,9 @@
             self._log.event('peer-heard', peer=node)
         peer.report = report
         peer.heard = time.monotonic()
+        peer.missed = report.missed
+        self._second_hand.take(report.told)
+        self._on_revisions(report.revisions)
         self._loads.report(
             node,
             {EngineId(name): count for name, count in report.online.items()},
@@ -241,32 +229,6 @@
     def _silence(self) -> float:
         return max(_SILENT_SECONDS, 4 * self._interval())
 
-    def _live(self) -> list[_Peer]:
+    def _live(self) -> list[Peer]:
         oldest = time.monotonic() - self._silence()
         return [peer for peer in self._peers.values() if peer.heard > oldest]
-
-
-def _epoch_of(peer: _Peer, shard: int) -> int:
-    """Give the epoch at which a peer holds a shard, or 0."""
-    report = peer.report
-    if report is None:
-        return 0
-    return max(
-        (held.epoch for held in report.shards if held.shard == shard),
-        default=0,
-    )
-
-
-def _highest(report: NodeReport | None, shard: int) -> int:
-    """Give the highest epoch of a shard that a report claims or tells of."""
-    if report is None:
-        return 0
-    told = (*report.shards, *report.heard)
-    return max((one.epoch for one in told if one.shard == shard), default=0)
-
-
-def held_shards(epochs: dict[int, int]) -> list[HeldShard]:
-    """Make the claims of a report."""
-    return [
-        HeldShard(shard=shard, epoch=epoch) for shard, epoch in epochs.items()
-    ]
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/watcher.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/watcher.py
@@ -29,6 +29,10 @@
 _OUTAGE_SECONDS = 1.0
 _FIRST_PAUSE = 0.05
 _LAST_PAUSE = 0.4
+#: A change that a peer has seen and this process has not, for this long (s),
+#: will not come by the call that is held: its connection is open and says
+#: nothing more. News takes some ms, and is gathered for 0.15 s.
+_BEHIND_SECONDS = 0.6
 
 
 class Follower(Protocol):
@@ -60,10 +64,14 @@
         self._store = store
         self._probing = probing
         self._gather = gather
-        self._prefix = prefix
+        self.prefix = prefix
         self._follower = follower
         self._log = log
         self._as_of = Version(0)
+        self._newest = 0
+        self._told = 0
+        self._told_at = 0.0
+        self._call: gevent.Greenlet | None = None
         self._current = False
         self._pause = _FIRST_PAUSE
         self._lost_at = 0.0
@@ -73,6 +81,29 @@
         """Tell whether nothing has failed since the last answer."""
         return self._current
 
+    @property
+    def newest(self) -> int:
+        """Give the newest revision of what was seen below the prefix."""
+        return self._newest
+
+    def notice(self, revision: int) -> None:
+        """Take the newest revision that a peer has seen below the prefix."""
+        now = time.monotonic()
+        if revision <= self._as_of or revision < self._told:
+            return
+        if revision > self._told:
+            self._told = revision
+            self._told_at = now
+        if now - self._told_at > _BEHIND_SECONDS and self._call is not None:
+            self._log.event(
+                'watch-behind',
+                prefix=self.prefix,
+                as_of=self._as_of,
+                seen_by_peer=revision,
+            )
+            self._call.kill(block=False)
+            self._call = None
+
     def run(self) -> None:
         """List, then follow, for ever."""
         while True:
@@ -87,7 +118,7 @@
                 self._list()
 
     def _list(self) -> None:
-        listed = self._store.list_entries(self._prefix)
+        listed = self._store.list_entries(self.prefix)
         if isinstance(listed, Err):
             self._fail(listed.err_value)
             return
@@ -95,12 +126,13 @@
         away = time.monotonic() - self._lost_at if self._lost_at else 0
         self._follower.reset(listing.entries, away > _OUTAGE_SECONDS)
         self._as_of = listing.as_of
+        self._see([int(entry.version) for entry in listing.entries])
         self._regain(len(listing.entries), away)
 
     def _regain(self, count: int, away: float) -> None:
         self._log.event(
             'watch-regained',
-            prefix=self._prefix,
+            prefix=self.prefix,
             entries=count,
             as_of=self._as_of,
             away=round(away, 3),
@@ -110,24 +142,36 @@
         self._pause = _FIRST_PAUSE
 
     def _follow(self) -> None:
-        followed = self._store.follow(self._prefix, self._as_of, _HELD_SECONDS)
+        self._call = gevent.spawn(
+            self._store.follow, self.prefix, self._as_of, _HELD_SECONDS
+        )
+        followed = self._call.get()
+        self._call = None
+        if isinstance(followed, gevent.GreenletExit):
+            self._current = False
+            return
         if isinstance(followed, Err):
             self._fail(followed.err_value)
             return
-        for change in followed.ok_value.changes:
+        changes = followed.ok_value.changes
+        for change in changes:
             self._follower.change(change)
+        self._see([int(change.version) for change in changes])
         self._as_of = max(self._as_of, followed.ok_value.as_of)
-        if followed.ok_value.changes:
+        if changes:
             gevent.sleep(self._gather)
 
+    def _see(self, revisions: Sequence[int]) -> None:
+        self._newest = max([self._newest, *revisions])
+
     def _fail(self, failure: Failure) -> None:
         self._current = False
         if failure.kind is FailureKind.HISTORY_GONE:
-            self._log.event('watch-history-gone', prefix=self._prefix)
+            self._log.event('watch-history-gone', prefix=self.prefix)
             return
         if not self._lost_at:
             self._lost_at = time.monotonic()
-            self._log.event('watch-lost', prefix=self._prefix, reason=failure)
+            self._log.event('watch-lost', prefix=self.prefix, reason=failure)
         pause = self._pause * (0.5 + random.random())
         gevent.sleep(max(failure.retry_after, pause))
         self._pause = min(_LAST_PAUSE, self._pause * 2)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
@@ -72,7 +72,7 @@
     def hand_over(self) -> None:
         """Give up the shards whose commits are through, if others are able."""
         self._leaving = True
-        if not self._peers.able_owners():
+        if not self._peers.claims.able_owners():
             return
         for shard, board in list(self.boards.items()):
             if not board.busy:
@@ -80,7 +80,7 @@
 
     def _consider(self, shard: int, sound: bool) -> None:
         held = self.boards.get(shard)
-        claimed = self._peers.claimed(shard)
+        claimed = self._peers.claims.claimed(shard)
         if held is not None:
             # A holder that can't write goes on until another one can: its
             # items keep running, and nothing it does can count by mistake.
@@ -92,7 +92,7 @@
         tried = now - self._tried_at.get(shard, 0) < _TRY_SECONDS
         if not sound or not calm or tried:
             return
-        nodes = [*self._peers.able_owners(), self._record.node]
+        nodes = [*self._peers.claims.able_owners(), self._record.node]
         if preferred_owner(shard, nodes) != self._record.node:
             return
         if not claimed or self._may_replace(shard, claimed):
@@ -101,7 +101,7 @@
 
     def _may_replace(self, shard: int, epoch: int) -> bool:
         """Tell whether the holder at an epoch can't write while we can."""
-        if not self._peers.holder_is_stuck(shard, epoch):
+        if not self._peers.claims.holder_is_stuck(shard, epoch):
             return False
         self._tried_at[shard] = time.monotonic()
         return self._patience.is_over(shard)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
@@ -5,7 +5,8 @@
 
 import gevent
 
-from bendlead_gateway._fleet.peers import Claim, PeerTable
+from bendlead_gateway._fleet.claims import Claim
+from bendlead_gateway._fleet.peers import PeerTable
 from bendlead_gateway._http.client import HttpConnection, Response
 from bendlead_gateway._http.server import Request, Responder
 from bendlead_gateway._jobs.shards import shard_of
@@ -58,7 +59,7 @@
         while reason is not None and time.monotonic() < until:
             if reason:
                 gevent.sleep(_RETRY_SECONDS)
-            claim = self._peers.holder(shard)
+            claim = self._peers.claims.holder(shard)
             reason = 'no owner'
             if claim is not None:
                 reason = self._try(claim, request, responder, repeatable)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -59,7 +59,13 @@
             settings.node, settings.role, settings.hall, address
         )
         self.peers = PeerTable(
-            self.record, store, dialect, self.fleet.loads, self.log, self.report
+            self.record,
+            store,
+            dialect,
+            self.fleet.loads,
+            self.log,
+            self.report,
+            self.fleet.notice,
         )
         self.peers_watch = self.fleet.watcher(
             dialect.peers_prefix, self.peers, _GATHER_PEERS_SECONDS
@@ -109,10 +115,11 @@
             node=self.settings.node,
             sound=True,
             leaving=self.leaving,
-            heard=self.peers.heard(),
+            heard=self.peers.claims.heard(),
             online={name: count for name, count in own.online.items() if count},
             batch={name: count for name, count in own.batch.items() if count},
             shards=[],
+            revisions=self.fleet.revisions(),
         )
 
     def state(self) -> dict[str, object]:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
@@ -7,7 +7,7 @@
 from bendlead_store import FollowedStore
 from msgspec.structs import replace
 
-from bendlead_gateway._fleet.peers import held_shards
+from bendlead_gateway._fleet.claims import held_shards
 from bendlead_gateway._http.server import Request, Responder
 from bendlead_gateway._jobs.api import JobApi
 from bendlead_gateway._jobs.keeper import ShardKeeper
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
@@ -19,6 +19,25 @@
     epoch: Annotated[int, Meta(ge=0)]
 
 
+class ToldLoad(Struct, kw_only=True):
+    """
+    Tell what another node said of its requests.
+    """
+
+    node: str
+    age_ms: Annotated[
+        int, Meta(description='Milliseconds since that node said so.', ge=0)
+    ]
+    online: (
+        Annotated[dict[str, int], Meta(description='Its online requests by engine.')]
+        | UnsetType
+    ) = field(default_factory=dict)
+    batch: (
+        Annotated[dict[str, int], Meta(description='Its items of jobs by engine.')]
+        | UnsetType
+    ) = field(default_factory=dict)
+
+
 class NodeReport(Struct, kw_only=True):
     """
     Tell a peer what runs here and which shards are held.
@@ -45,3 +64,26 @@
         ]
         | UnsetType
     ) = field(default_factory=list)
+    missed: (
+        Annotated[
+            list[str],
+            Meta(
+                description='Nodes that this one does not hear; the other may tell of them.'
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=list)
+    told: (
+        Annotated[
+            list[ToldLoad],
+            Meta(description='What nodes said that the other does not hear.'),
+        ]
+        | UnsetType
+    ) = field(default_factory=list)
+    revisions: (
+        Annotated[
+            dict[str, int],
+            Meta(description='Newest revision seen below each watched prefix.'),
+        ]
+        | UnsetType
+    ) = field(default_factory=dict)
--- a/packages/bendlead-schema/src/bendlead_schema/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/gateway.py
@@ -3,9 +3,11 @@
 from bendlead_schema._generated.gateway import (
     HeldShard,
     NodeReport,
+    ToldLoad,
 )
 
 __all__ = (
     'HeldShard',
     'NodeReport',
+    'ToldLoad',
 )
--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -365,6 +365,24 @@
         self.store.trouble = Trouble.NONE
         eventually(lambda: all(one.current for one in watches), 1.5)
 
+    @parameterized.expand([('told_by_a_peer', True), ('not_told', False)])
+    def test_watch_that_has_fallen_silent(self, _name, told):
+        """Its connection is open and says nothing more: peers know better."""
+        self.start(route('safe'), answers=[_PLAIN])
+        self.store.trouble = Trouble.SILENT
+        self.store.set('config', 'main', configuration(2, route('safe')))
+        holder = self.entry.fleet.configuration
+        eventually(lambda: holder.known.version == 2)
+        gevent.sleep(0.3)
+        self.store.trouble = Trouble.NONE
+        made = configuration(3, route('safe'))
+        revision = self.store.set('config', 'main', made)
+        for _report in range(20):
+            if told:
+                self.entry.fleet.notice({'config/': revision})
+            gevent.sleep(0.05)
+        self.assertEqual(3 if told else 2, holder.known.version)
+
     def test_not_ready_before_the_first_configuration(self):
         made = settings('entry-1', NodeRole.ENTRY, self.store.address)
         store = PlatformStore(made.store_address)
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -245,9 +245,9 @@
         before = eventually(lambda: self.results(first))
         second = self.owner('owner-2')
         # The second hears nothing of the first, as when the two are cut.
-        second.peers.claimed = lambda _shard: 0
-        second.peers.able_owners = list
-        first.peers.claimed = lambda _shard: 0
+        second.peers.claims.claimed = lambda _shard: 0
+        second.peers.claims.able_owners = list
+        first.peers.claims.claimed = lambda _shard: 0
         eventually(lambda: len(second._keeper.boards) == 4, 5)
         self.assertEqual(before, self.results(second))
         response = eventually(
@@ -261,7 +261,7 @@
         first = self.holding()
         self.submit(first)
         second = self.owner('owner-2')
-        eventually(second.peers.able_owners)
+        eventually(second.peers.claims.able_owners)
         # The held watches of the first live on; its new calls are refused.
         refused = Err(Failure(FailureKind.NOT_DONE, 'put', 'store', 'busy'))
         first.store.put = lambda *_call: refused
@@ -275,7 +275,7 @@
         first = self.holding()
         self.submit(first)
         second = self.owner('owner-2')
-        eventually(second.peers.able_owners)
+        eventually(second.peers.claims.able_owners)
         epochs = first._keeper.epochs()
         self.store.trouble = Trouble.AWAY
         gevent.spawn(self.call, first, 'DELETE', '/-/lots/j1')
@@ -292,7 +292,7 @@
         first = self.holding()
         self.submit(first)
         second = self.owner('owner-2')
-        eventually(second.peers.able_owners)
+        eventually(second.peers.claims.able_owners)
         epochs = first._keeper.epochs()
         put = first.store.put
         refused = Err(Failure(FailureKind.NOT_DONE, 'put', 'store', 'busy'))
@@ -315,7 +315,7 @@
         first = self.holding()
         self.submit(first)
         second = self.owner('owner-2')
-        eventually(lambda: second.peers.able_owners())
+        eventually(lambda: second.peers.claims.able_owners())
         first.leaving = True
         gevent.spawn(first.leave)
         eventually(lambda: len(second._keeper.boards) == 4, 3)
@@ -331,7 +331,7 @@
         first = self.holding()
         self.submit(first)
         second = self.owner('owner-2')
-        eventually(second.peers.able_owners)
+        eventually(second.peers.claims.able_owners)
         self.store.set('retirements', 'owner-1', {'duration_s': 5})
         status = eventually(
             lambda: self.store.get('retirements', 'owner-1')['status'], 4
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -1,6 +1,7 @@
 """What a node knows of its peers from their reports."""
 
 import os
+import time
 import unittest
 
 import msgspec
@@ -9,7 +10,7 @@
 from bendlead_gateway._log import Log
 from bendlead_gateway.types import DataHall, NodeName, NodeRole, PeerRecord
 from bendlead_platform import PlatformDialect
-from bendlead_schema.gateway import HeldShard, NodeReport
+from bendlead_schema.gateway import HeldShard, NodeReport, ToldLoad
 from bendlead_store import Entry, Version
 from parameterized import parameterized
 
@@ -24,8 +25,8 @@
     return [HeldShard(shard=shard, epoch=epoch) for shard, epoch in pairs]
 
 
-class ClaimTest(unittest.TestCase):
-    """Who holds a shard, by what is heard at first and at second hand."""
+class PeerCase(unittest.TestCase):
+    """Start a node that knows an owner and an entry."""
 
     def setUp(self):
         dialect = PlatformDialect()
@@ -33,13 +34,15 @@
         self.addCleanup(os.close, sink)
         # The name sorts last, so that this node waits for the others to ask.
         own = record('z')
+        self.loads = LoadTable()
         self.peers = PeerTable(
             own,
             None,
             dialect,
-            LoadTable(),
+            self.loads,
             Log('z', sink),
             lambda: NodeReport(node='z', sound=True, leaving=False),
+            lambda _revisions: None,
         )
         entries = [
             Entry(
@@ -51,6 +54,10 @@
         ]
         self.peers.reset(entries, after_outage=False)
 
+
+class ClaimTest(PeerCase):
+    """Who holds a shard, by what is heard at first and at second hand."""
+
     def hear(self, node, held=(), heard=()):
         """Take a report."""
         report = NodeReport(
@@ -74,8 +81,8 @@
     def test_claim(self, _name, held, heard, claimed, holder):
         self.hear('a', held)
         self.hear('e', heard=heard)
-        self.assertEqual(claimed, self.peers.claimed(1))
-        found = self.peers.holder(1)
+        self.assertEqual(claimed, self.peers.claims.claimed(1))
+        found = self.peers.claims.holder(1)
         self.assertEqual(holder, found and found.node)
 
     @parameterized.expand(
@@ -90,8 +97,43 @@
             node='a', sound=sound, leaving=False, shards=shards((1, 3))
         )
         self.peers.exchange(msgspec.json.encode(report))
-        self.assertEqual(expected, self.peers.holder_is_stuck(1, epoch))
+        self.assertEqual(expected, self.peers.claims.holder_is_stuck(1, epoch))
 
     def test_unheard_peer_counts_for_nothing(self):
-        self.assertEqual(0, self.peers.claimed(1))
-        self.assertEqual([], self.peers.able_owners())
+        self.assertEqual(0, self.peers.claims.claimed(1))
+        self.assertEqual([], self.peers.claims.able_owners())
+
+
+class SecondHandTest(PeerCase):
+    """Loads of a node that only some of the others hear."""
+
+    def tell(self, node, **fields):
+        """Send a report and give the answer."""
+        report = NodeReport(node=node, sound=True, leaving=False, **fields)
+        answer = self.peers.exchange(msgspec.json.encode(report))
+        return msgspec.json.decode(answer, type=NodeReport)
+
+    def test_peer_is_told_what_it_misses(self):
+        self.tell('a', batch={'i-1': 3})
+        self.tell('e', missed=['a', 'nobody'])
+        told = self.tell('e', missed=['a', 'nobody']).told
+        self.assertEqual([('a', {'i-1': 3})], [(t.node, t.batch) for t in told])
+
+    @parameterized.expand(
+        [
+            ('unheard', None, 100, 3),
+            ('heard_since', 1, 100, 1),
+            ('too_old', None, 5000, 0),
+        ],
+    )
+    def test_loads_at_second_hand(self, _name, direct, age_ms, counted):
+        if direct is not None:
+            self.tell('a', batch={'i-1': direct})
+        told = ToldLoad(node='a', age_ms=age_ms, batch={'i-1': 3})
+        self.tell('e', told=[told])
+        self.assertEqual(counted, self.loads.batch('i-1'))
+
+    def test_unheard_peer_is_asked_for(self):
+        self.tell('e')
+        time.sleep(0.5)
+        self.assertEqual(['a'], list(self.tell('e').missed))
