Calls about jobs go by another entry where the owner is not heard

Cause: an entry that is cut off from the owners refused every hand-in, read and end for as long as the cut lasted, though other entries heard the owner. Change: an entry without a holder asks a live entry whose report names the holder; a forwarded call goes to the holder or nowhere. A lost answer stays unclear (504 for a hand-in) over both hops. Test failed first: another_hears_it (503 for 202).

--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -70,6 +70,10 @@
         self.log.event('left', cut=self._clients.busy)
         self.done.set()
 
+    def answer_peer_call(self, request: Request, responder: Responder) -> None:
+        """Pass a call about jobs on for an entry that does not hear owners."""
+        self._relay.answer(request, responder, forwarded=True)
+
     def _answer_ready(self, request: Request, responder: Responder) -> None:
         ready = (
             request.path == self.dialect.ready_path
@@ -87,7 +91,7 @@
             request.method, request.target, request.headers
         )
         if call is not None:
-            self._relay.read(request, responder)
+            self._relay.answer(request, responder)
             return
         facts = self.dialect.request_facts(request.headers)
         if facts is None:
@@ -100,7 +104,7 @@
         if route is None:
             self._answer_unrouted(request, responder, facts.request)
         elif route.kind is RouteKind.BATCH:
-            self._relay.submit(request, responder)
+            self._relay.answer(request, responder)
         else:
             self._online.serve(request, responder, facts, route)
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/claims.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/claims.py
@@ -33,6 +33,17 @@
                 best = Claim(peer.record.node, peer.record.address, epoch)
         return best if best and best.epoch else None
 
+    def way_to(self, shard: int) -> Claim | None:
+        """Find a live entry that hears the holder, which this node does not."""
+        best: Claim | None = None
+        for peer in self._live():
+            if peer.record.role is not NodeRole.ENTRY or not peer.report:
+                continue
+            epoch = _epoch_among(peer.report.heard, shard)
+            if best is None or epoch > best.epoch:
+                best = Claim(peer.record.node, peer.record.address, epoch)
+        return best if best and best.epoch else None
+
     def claimed(self, shard: int) -> int:
         """Give the highest epoch at which a live node holds a shard, or 0.
 
@@ -76,21 +87,18 @@
 
 def _epoch_of(peer: Peer, shard: int) -> int:
     """Give the epoch at which a peer holds a shard, or 0."""
-    report = peer.report
-    if report is None:
-        return 0
-    return max(
-        (held.epoch for held in report.shards if held.shard == shard),
-        default=0,
-    )
+    return _epoch_among(peer.report.shards, shard) if peer.report else 0
+
+
+def _epoch_among(claims: Sequence[HeldShard], shard: int) -> int:
+    return max((one.epoch for one in claims if one.shard == shard), default=0)
 
 
 def _highest(report: NodeReport | None, shard: int) -> int:
     """Give the highest epoch of a shard that a report claims or tells of."""
     if report is None:
         return 0
-    told = (*report.shards, *report.heard)
-    return max((one.epoch for one in told if one.shard == shard), default=0)
+    return _epoch_among((*report.shards, *report.heard), shard)
 
 
 def held_shards(epochs: dict[int, int]) -> list[HeldShard]:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
@@ -24,6 +24,8 @@
 _RETRY_AFTER = (('Retry-After', '0.8'),)
 _PASSED_ANSWER = frozenset(('content-type', 'retry-after'))
 _NOT_HELD = 'x-not-held'
+#: Marks a call that another entry passes on: it goes to the holder or nowhere.
+_FORWARDED = ('X-Forwarded-By-Entry', '1')
 
 
 class NotAskedError(Exception):
@@ -31,50 +33,61 @@
 
 
 class JobRelay:
-    """Find the owner of a job's shard and relay the call."""
+    """Find the owner of a job's shard and relay the call.
+
+    Reads and ends may be repeated; of a job a lost answer promises nothing.
+    """
 
     def __init__(self, peers: PeerTable, log: Log) -> None:
         self._peers = peers
         self._log = log
         self._kept: dict[str, list[HttpConnection]] = {}
 
-    def read(self, request: Request, responder: Responder) -> None:
-        """Relay a read or an end; both may be repeated."""
-        self._relay(request, responder, repeatable=True)
-
-    def submit(self, request: Request, responder: Responder) -> None:
-        """Relay a job; a lost answer promises nothing."""
-        self._relay(request, responder, repeatable=False)
-
-    def _relay(
-        self,
-        request: Request,
-        responder: Responder,
-        *,
-        repeatable: bool,
+    def answer(
+        self, request: Request, responder: Responder, *, forwarded: bool = False
     ) -> None:
+        """Have the holder of a job's shard answer a call.
+
+        A forwarded one comes from an entry that does not hear the holder.
+        """
         shard = shard_of(_host(request))
         until = time.monotonic() + _OWNER_SECONDS
         reason = ''
         while reason is not None and time.monotonic() < until:
             if reason:
                 gevent.sleep(_RETRY_SECONDS)
-            claim = self._peers.claims.holder(shard)
-            reason = 'no owner'
-            if claim is not None:
-                reason = self._try(claim, request, responder, repeatable)
+            reason = self._try_once(shard, request, responder, forwarded)
         if reason is not None:
             self._log.event(
                 'job-call-refused', target=request.target, reason=reason
             )
             responder.answer(HTTPStatus.SERVICE_UNAVAILABLE, _RETRY_AFTER)
 
+    def _try_once(
+        self,
+        shard: int,
+        request: Request,
+        responder: Responder,
+        forwarded: bool,
+    ) -> str | None:
+        """Ask whoever can be asked, or tell why nobody has been."""
+        claim = self._peers.claims.holder(shard)
+        if claim is not None:
+            return self._try(claim, request, responder)
+        way = None if forwarded else self._peers.claims.way_to(shard)
+        if way is None:
+            return 'no owner'
+        self._log.event(
+            'job-call-forwarded', target=request.target, entry=way.node
+        )
+        request.headers = [*request.headers, _FORWARDED]
+        return self._try(way, request, responder)
+
     def _try(
         self,
         claim: Claim,
         request: Request,
         responder: Responder,
-        repeatable: bool,
     ) -> str | None:
         """Have one owner answer, or tell why it has not been asked."""
         try:
@@ -83,7 +96,7 @@
             return f'{claim.node}: {error}'
         except OSError as error:
             self._log_unclear(request, claim, error)
-            _answer_unclear(responder, repeatable)
+            _answer_unclear(responder, request)
             return None
         if answered.head.find(_NOT_HELD):
             return f'{claim.node} does not hold the shard'
@@ -141,12 +154,12 @@
             raise NotAskedError(f'connect: {error}') from error
 
 
-def _answer_unclear(responder: Responder, repeatable: bool) -> None:
-    if repeatable:
-        responder.answer(HTTPStatus.SERVICE_UNAVAILABLE, _RETRY_AFTER)
-    else:
+def _answer_unclear(responder: Responder, request: Request) -> None:
+    if request.method == 'POST':
         # The job may have been accepted: no promise that it does not run.
         responder.answer(HTTPStatus.GATEWAY_TIMEOUT)
+    else:
+        responder.answer(HTTPStatus.SERVICE_UNAVAILABLE, _RETRY_AFTER)
 
 
 def _host(request: Request) -> str:
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -6,6 +6,7 @@
 import unittest
 
 import gevent
+from bendlead_gateway._entry import EntryNode
 from bendlead_gateway._owner import OwnerNode
 from bendlead_gateway.http import HttpConnection
 from bendlead_gateway.types import NodeRole
@@ -323,6 +324,45 @@
         self.assertIn('j1', second._keeper.boards[node_shard()].jobs)
 
 
+class ForwardedCallTest(OwnerCase):
+    """An entry that does not hear the owner asks one that does."""
+
+    def entry(self, name):
+        """Start an entry."""
+        made = settings(name, NodeRole.ENTRY, self.store.address)
+        store = PlatformStore(made.store_address)
+        node = EntryNode(made, store, PlatformDialect())
+        node.serve()
+        return node
+
+    def ask(self, entry, method, target, body=b''):
+        """Call an entry as a client does."""
+        connection = HttpConnection(entry.settings.clients_address, 1)
+        self.addCleanup(connection.close)
+        headers = [('Host', 'a.example'), ('X-Attempt-Id', 'j1')]
+        answered = connection.request(method, target, headers, body, 3)
+        return answered.head.status
+
+    @parameterized.expand([('another_hears_it', True), ('nobody_does', False)])
+    def test_call(self, _name, heard):
+        self.configure()
+        owner = self.holding()
+        entries = [self.entry(name) for name in ('entry-1', 'entry-2')]
+        for entry in entries:
+            eventually(
+                lambda node=entry: node.peers.claims.holder(node_shard())
+            )
+            eventually(lambda node=entry: node.fleet.configuration.known)
+        eventually(lambda: entries[0].peers.claims.way_to(node_shard()))
+        for entry in entries[: 1 if heard else 2]:
+            entry.peers.claims.holder = lambda _shard: None
+        status = self.ask(entries[0], 'POST', '/x/', job())
+        self.assertEqual(202 if heard else 503, status)
+        status = self.ask(entries[0], 'GET', '/-/lots/j1')
+        self.assertEqual(200 if heard else 503, status)
+        self.assertEqual(heard, 'j1' in owner._keeper.boards[node_shard()].jobs)
+
+
 class RetirementTest(OwnerCase):
     """An owner that is to be emptied says when it is."""
 
