Owners whose process has ended are noticed within 0.2 s

Cause: an owner counted as holding its shards until it had been silent for 0.9 s, also where its machine refused connections. Ruled out: a shorter silence (a paused or cut-off owner would lose its shards to a hiccup; a refused connection can't be one). Change: an owner that was not heard for 0.2 s is asked for a connection; if it is refused the owner's claims end at once. Test failed first: test_quiet_owner (ended).

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -19,7 +19,7 @@
 from bendlead_gateway._http.client import HttpConnection
 from bendlead_gateway._log import Log
 from bendlead_gateway.dialect import Dialect
-from bendlead_gateway.types import EngineId, NodeName, PeerRecord
+from bendlead_gateway.types import EngineId, NodeName, NodeRole, PeerRecord
 
 REPORT_PATH = '/peer/report'
 #: Seconds between two exchanges with one peer while peers are few.
@@ -30,6 +30,9 @@
 _ANSWER_SECONDS = 0.6
 #: A peer that was not heard for this long (s) is taken as stopped.
 _SILENT_SECONDS = 0.9
+#: An owner that was not heard for this long (s) is asked for a connection.
+_QUIET_SECONDS = 0.2
+_PROBE_SECONDS = 0.1
 _FIRST_PAUSE = 0.2
 _LAST_PAUSE = 2.0
 #: Loads of a peer that was not heard for this long (s) are asked of others,
@@ -106,6 +109,21 @@
             for node, peer in self._peers.items()
         }
 
+    def watch_owners(self) -> None:
+        """Notice at once that the process of an owner has ended, for ever.
+
+        Its machine refuses connections then; one that is cut off says nothing
+        and counts until it has been silent for long.
+        """
+        while True:
+            gevent.sleep(_QUIET_SECONDS / 2)
+            quiet = time.monotonic() - max(_QUIET_SECONDS, 2 * self._interval())
+            for peer in self._live():
+                owner = peer.record.role is NodeRole.OWNER
+                if owner and peer.heard < quiet and _has_ended(peer):
+                    peer.heard = 0
+                    self._log.event('peer-ended', peer=peer.record.node)
+
     def _differs(self, entry: Entry) -> bool:
         decoded = self._dialect.peer(entry)
         return isinstance(decoded, Err) or decoded.ok_value != self._own
@@ -232,3 +250,14 @@
     def _live(self) -> list[Peer]:
         oldest = time.monotonic() - self._silence()
         return [peer for peer in self._peers.values() if peer.heard > oldest]
+
+
+def _has_ended(peer: Peer) -> bool:
+    try:
+        HttpConnection(peer.record.address, _PROBE_SECONDS).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        # Cut off or slow: it may be alive.
+        return False
+    return False
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
@@ -182,7 +182,7 @@
 
     def load(self) -> Result[None, Failure]:
         """Read the items of the jobs that the log holds."""
-        for name, state in self._state.direct.items():
+        for name, state in list(self._state.direct.items()):
             items: list[JobItem] = []
             if state.open:
                 read = self._read_items(state.accepted)
@@ -190,6 +190,8 @@
                     return read
                 items = read.ok_value
             self.jobs[JobId(name)] = HeldJob(state, items)
+            # Decoding the items of one job takes some ms.
+            gevent.sleep(0)
         return Ok(None)
 
     def close(self) -> None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -93,6 +93,7 @@
         """Follow the store, answer peers, and start what the role adds."""
         self.fleet.start()
         gevent.spawn(self.peers_watch.run)
+        gevent.spawn(self.peers.watch_owners)
         self.internal.start()
         self.start()
 
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -1,9 +1,11 @@
 """What a node knows of its peers from their reports."""
 
 import os
+import socket
 import time
 import unittest
 
+import gevent
 import msgspec
 from bendlead_gateway._fleet.loads import LoadTable
 from bendlead_gateway._fleet.peers import PeerTable
@@ -11,7 +13,7 @@
 from bendlead_gateway.types import DataHall, NodeName, NodeRole, PeerRecord
 from bendlead_platform import PlatformDialect
 from bendlead_schema.gateway import HeldShard, NodeReport, ToldLoad
-from bendlead_store import Entry, Version
+from bendlead_store import Change, Entry, Version
 from parameterized import parameterized
 
 
@@ -137,3 +139,38 @@
         self.tell('e')
         time.sleep(0.5)
         self.assertEqual(['a'], list(self.tell('e').missed))
+
+
+class EndedOwnerTest(PeerCase):
+    """An owner whose process has ended loses its shards within moments."""
+
+    @parameterized.expand([('ended', True, 0), ('cut_off', False, 3)])
+    def test_quiet_owner(self, _name, refuses, claimed):
+        self.listen(refuses)
+        report = NodeReport(
+            node='b', sound=True, leaving=False, shards=shards((1, 3))
+        )
+        self.peers.exchange(msgspec.json.encode(report))
+        task = gevent.spawn(self.peers.watch_owners)
+        self.addCleanup(task.kill)
+        gevent.sleep(0.6)
+        self.assertEqual(claimed, self.peers.claims.claimed(1))
+
+    def listen(self, refuses):
+        """List an owner whose address refuses or accepts connections."""
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.bind(('127.0.0.1', 0))
+        if not refuses:
+            sock.listen(8)
+        port = sock.getsockname()[1]
+        listed = PeerRecord(
+            NodeName('b'),
+            NodeRole.OWNER,
+            DataHall('hall-1'),
+            f'127.0.0.1:{port}',
+        )
+        dialect = PlatformDialect()
+        key = f'{dialect.peers_prefix}b'
+        entry = Entry(key, Version(2), dialect.encode_peer(listed))
+        self.peers.change(Change(key, Version(2), False, entry.body))
