--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -256,6 +256,26 @@
             self.assertEqual(before, self.sent())
 
 
+    @parameterized.expand(
+        [
+            ('queue_stands', 14, 1.2, 503),
+            ('queue_was_gone_between', 0, 1.2, 200),
+            ('queue_is_young', 14, 0.3, 200),
+        ],
+    )
+    def test_came_back(self, _name, between, seconds, status):
+        """A queue that stands makes all answers late; one that passes not."""
+        self.start(route('safe'), answers=[_PLAIN, _PLAIN])
+        self.read(self.ask(patience=2000))
+        for online, patience in ((14, 2000), (between, 2000), (14, 1500)):
+            self.entry.fleet.health.run_seconds = 0.5
+            for name in ('i-0', 'i-1'):
+                self.entry.fleet.loads.own.online[name] = online
+            head, _body = self.read(self.ask(patience=patience))
+            gevent.sleep(seconds / 2)
+        self.assertEqual(status, head.status)
+
+
 class RoutingTest(EntryCase):
     """Which configuration and which engines are in force."""
 
