Settings are read again on SIGHUP and when the file changes

Ruled out: listening elsewhere in a running process; peers and the platform know a process by its addresses, and it is started again with the new ones. Change: the file's time is looked at once a second and on SIGHUP; new times hold at once, a new address of the object service too, and the line names what waits for the next start. A file that can't be read leaves the settings as they are. Tests failed first (nothing was read): test_file_that_changes, test_reload.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -16,6 +16,7 @@
 from bendlead_gateway._http.server import HttpServer, Request, Responder
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
+from bendlead_gateway._reload import Reloader, SettingsSource
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import (
     ClientLimits,
@@ -54,6 +55,7 @@
         self.fleet = Fleet(store, dialect, settings.hall, self.log)
         self.leaving = False
         self._told_to_stop = False
+        self._reloader: Reloader | None = None
         self.done = Event()
         address = f'{settings.address}:{settings.internal_port}'
         self.record = PeerRecord(
@@ -78,8 +80,9 @@
             time.monotonic,
         )
 
-    def run(self) -> None:
+    def run(self, source: SettingsSource) -> None:
         """Start everything and wait until the process may end."""
+        self._reloader = Reloader(source, self.store, self.log)
         self.log.event(
             'start', role=self.settings.role.value, hall=self.settings.hall
         )
@@ -165,6 +168,7 @@
     def _sweep(self) -> None:
         while True:
             gevent.sleep(_SWEEP_SECONDS)
+            self._reload(asked=False)
             self.fleet.pool.close_expired()
             if self.store.contact.returned:
                 self.fleet.doubt_watches(self.store.contact.failed_at)
@@ -178,9 +182,11 @@
         gevent.spawn(self.leave)
 
     def _on_hup(self) -> None:
-        # Addresses and limits are fixed for the life of a process; what the
-        # settings may add later is read at the next start.
-        self.log.event('reload', changed='nothing')
+        gevent.spawn(self._reload, asked=True)
+
+    def _reload(self, *, asked: bool) -> None:
+        if self._reloader is not None:
+            self.settings = self._reloader.reload(self.settings, asked=asked)
 
 
 def _age_ms(at: float) -> int:
--- a/packages/bendlead-gateway/src/bendlead_gateway/process.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/process.py
@@ -2,20 +2,24 @@
 
 from bendlead_store import FollowedStore
 
+from bendlead_gateway._reload import SettingsSource
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import NodeRole, NodeSettings
 
 
 def run_process(
-    settings: NodeSettings, store: FollowedStore, dialect: Dialect
+    settings: NodeSettings,
+    store: FollowedStore,
+    dialect: Dialect,
+    source: SettingsSource,
 ) -> None:
     """Run as an entry or as an owner of batch jobs until told to stop."""
     # Each role loads only its own modules, for memory's sake.
     if settings.role is NodeRole.ENTRY:
         from bendlead_gateway._entry import EntryNode  # noqa: PLC0415
 
-        EntryNode(settings, store, dialect).run()
+        EntryNode(settings, store, dialect).run(source)
     else:
         from bendlead_gateway._owner import OwnerNode  # noqa: PLC0415
 
-        OwnerNode(settings, store, dialect).run()
+        OwnerNode(settings, store, dialect).run(source)
--- a/packages/bendlead-store/src/bendlead_store/_protocol.py
+++ b/packages/bendlead-store/src/bendlead_store/_protocol.py
@@ -101,6 +101,9 @@
     calls: int
     contact: Contact
 
+    def move(self, address: str) -> None:
+        """Call another address from now on."""
+
     def list_entries(self, prefix: str) -> Result[Listing, Failure]:
         """Read every entry under a prefix, with bodies."""
 
--- /dev/null
+++ b/tests/test_gateway_reload.py
@@ -0,0 +1,64 @@
+"""What becomes of new settings in a running process."""
+
+import os
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+from bendlead_gateway._log import Log
+from bendlead_gateway._reload import Reloader
+from bendlead_gateway.types import NodeRole
+from parameterized import parameterized
+from result import Err, Ok
+
+from tests.gateway_standins import settings
+
+_BEFORE = settings('entry-1', NodeRole.ENTRY, '127.0.0.1:1')
+
+
+class ReloadTest(unittest.TestCase):
+    """One look at a source of settings."""
+
+    @parameterized.expand(
+        [
+            ('nothing_new', Ok(None), True, 'changed=nothing', None),
+            ('nobody_asked', Ok(None), False, '', None),
+            ('unreadable', Err('bad toml'), True, 'reload-failed', None),
+            (
+                'times',
+                Ok(replace(_BEFORE, grace=9)),
+                True,
+                'changed=grace at_next_start=nothing',
+                None,
+            ),
+            (
+                'store',
+                Ok(replace(_BEFORE, store_address='127.0.0.1:2')),
+                False,
+                'changed=store_address',
+                '127.0.0.1:2',
+            ),
+            (
+                'own_address',
+                Ok(replace(_BEFORE, address='127.0.0.2')),
+                True,
+                'at_next_start=address',
+                None,
+            ),
+        ]
+    )
+    def test_reload(self, _name, found, asked, line, moved):
+        sink = os.open(os.devnull, os.O_WRONLY)
+        self.addCleanup(os.close, sink)
+        log = Log('entry-1', sink)
+        store = mock.Mock()
+        source = mock.Mock()
+        source.changed.return_value = found
+        after = Reloader(source, store, log).reload(_BEFORE, asked=asked)
+        self.assertIn(line, ' '.join(log.recent))
+        self.assertEqual(bool(line), bool(log.recent))
+        fresh = found.ok_value if found.is_ok() else None
+        self.assertEqual(fresh or _BEFORE, after)
+        self.assertEqual(
+            [mock.call(moved)] if moved else [], store.move.mock_calls
+        )
--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -15,9 +15,15 @@
     ReadResults,
     RouteKind,
 )
-from bendlead_platform import PlatformDialect, SettingsError, load_settings
+from bendlead_platform import (
+    PlatformDialect,
+    SettingsError,
+    SettingsFile,
+    load_settings,
+)
 from bendlead_store import Entry, Version
 from parameterized import parameterized
+from result import Ok
 
 _DIALECT = PlatformDialect()
 _ROUTE = {
@@ -258,6 +264,25 @@
             file.flush()
             return load_settings(file.name)
 
+    def test_file_that_changes(self):
+        with tempfile.NamedTemporaryFile('w', suffix='.toml') as file:
+            file.write(_SETTINGS)
+            file.flush()
+            source = SettingsFile(file.name)
+            self.assertEqual(Ok(None), source.changed())
+            for text, expected in (
+                (_SETTINGS.replace('grace_s = 8', 'grace_s = 5'), 5),
+                ('node = ', None),
+            ):
+                file.seek(0)
+                file.truncate()
+                file.write(text)
+                file.flush()
+                found = source.changed()
+                told = found.ok_value.grace if found.is_ok() else None
+                self.assertEqual(expected, told)
+            self.assertEqual(Ok(None), source.changed())
+
     def test_good(self):
         found = self._load(_SETTINGS)
         self.assertIs(NodeRole.ENTRY, found.role)
