Checks of the soak leave the tests' process unpatched; a test without luck

The right answers are a module of their own now; a test asserts that nothing was patched. - test_one_watcher_asks_while_the_store_is_away: 9 calls, fewer than 8 allowed. The test was wrong: it counted the first second, in which the pauses of three watchers still grow (0.1, 0.2, 0.4 s, each times 0.5 to 1.5), so 7 to 10 calls are right.

--- a/testing/src/bendlead_testing/gateway_soak/engine_process.py
+++ b/testing/src/bendlead_testing/gateway_soak/engine_process.py
@@ -21,6 +21,8 @@
 from bendlead_gateway.types import ClientLimits
 from gevent.lock import BoundedSemaphore
 
+from bendlead_testing.gateway_soak.answers import seal_of, text_of
+
 _LIMITS = ClientLimits(idle_seconds=20)
 _BEAT_SECONDS = 0.5
 _CALL_SECONDS = 1.0
@@ -49,16 +51,6 @@
     SLOW = 'slow'
 
 
-def text_of(request: str, number: int) -> str:
-    """Give the right data of one event of a request."""
-    return f'{request}/{number}'
-
-
-def seal_of(request: str) -> str:
-    """Give the right seal of a request."""
-    return hashlib.sha256(request.encode()).hexdigest()[:12]
-
-
 class Journal:
     """Append lines that outlive the process."""
 
--- a/testing/src/bendlead_testing/gateway_soak/promises.py
+++ b/testing/src/bendlead_testing/gateway_soak/promises.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from bendlead_testing.gateway_soak.engine_process import seal_of, text_of
+from bendlead_testing.gateway_soak.answers import seal_of, text_of
 from bendlead_testing.gateway_soak.sightings import Attempt, Sightings, calm
 
 #: How long a disruption goes on to excuse what depends on time (s). Source:
--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -383,11 +383,13 @@
             self.entry.fleet.engines_watch,
             self.entry.peers_watch,
         ]
-        # Each of them fails once by itself before it waits for the others.
+        # Each of them fails once by itself before it waits for the others,
+        # and its pause grows to its longest, 0.2 to 0.6 s, within 2 s.
         eventually(lambda: not any(one.current for one in watches))
+        gevent.sleep(2)
         before = len(self.store.calls)
-        gevent.sleep(1)
-        self.assertLess(len(self.store.calls) - before, 8)
+        gevent.sleep(2)
+        self.assertLessEqual(len(self.store.calls) - before, 10)
         self.store.trouble = Trouble.NONE
         eventually(lambda: all(one.current for one in watches), 1.5)
 
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -3,7 +3,7 @@
 import hashlib
 import unittest
 
-from bendlead_testing.gateway_soak.engine_process import seal_of, text_of
+from bendlead_testing.gateway_soak.answers import seal_of, text_of
 from bendlead_testing.gateway_soak.promises import (
     RULE_NAMES,
     EngineJournal,
@@ -17,6 +17,7 @@
     Sightings,
     Trouble,
 )
+from gevent import monkey
 from parameterized import parameterized
 
 _BODY = hashlib.sha256(b'').hexdigest()
@@ -189,6 +190,10 @@
     def test_world(self, _name, world, broken):
         self.assertEqual({broken} - {''}, _world(**world))
 
+    def test_checks_leave_the_process_unpatched(self):
+        """All tests share one process, and some of them need plain sockets."""
+        self.assertFalse(monkey.is_module_patched('socket'))
+
     def test_every_rule_is_broken_somewhere(self):
         cases = {
             'mixed',
