Closing a committer answers those whose records are being written

Its log ends with shard-lost. Cause: a shard that another entry holds at a higher epoch is closed while its own write may still be under way; closing killed the writing task, and whoever waited for that write without a time limit waited for ever. The process counted the call as active and never ended. An owner of the gateway would leak the task that records a result. Change: close fails what is being written with an unknown outcome. Test failed first: test_nobody_waits_for_ever.

--- a/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
@@ -43,6 +43,7 @@
         self._interval = interval
         self._on_lost = on_lost
         self._queue: list[_Ticket] = []
+        self._writing: Sequence[_Ticket] = ()
         self._wake = Event()
         self._lost = False
         self._writing_since = 0.0
@@ -97,9 +98,16 @@
             return self._withdraw(ticket)
 
     def close(self) -> None:
-        """Stop committing; what is queued fails as not done."""
+        """Stop committing; what is queued fails as not done.
+
+        What is being written may take effect: its outcome is unknown.
+        """
         self._lost = True
         self._task.kill()
+        for ticket in self._writing:
+            unknown = self._failed(FailureKind.UNKNOWN, 'closed meanwhile')
+            ticket.done.set(unknown)
+        self._writing = ()
         self._fail_queued()
 
     def _withdraw(self, ticket: _Ticket) -> Err[Failure]:
@@ -123,7 +131,9 @@
             self._wake.set()
         records = [record for ticket in batch for record in ticket.records]
         self._writing_since = time.monotonic()
+        self._writing = batch
         committed = self._log.commit(records)
+        self._writing = ()
         self._writing_since = 0
         if isinstance(committed, Err):
             self._lose(batch, committed)
--- a/testing/src/bendlead_testing/gateway_soak/deployment.py
+++ b/testing/src/bendlead_testing/gateway_soak/deployment.py
@@ -1,16 +1,17 @@
 """Start and stop the processes of a fleet, each reached through links."""
 
+import fcntl
+import itertools
 import json
 import pathlib
-import random
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TextIO
 
 import gevent
 from bendlead_gateway.http import HttpConnection
@@ -23,6 +24,8 @@
 _HALLS = ('hall-1', 'hall-2', 'hall-3')
 #: Below the ports that the system gives to outgoing connections.
 _PORTS = range(12_000, 32_000)
+#: Ports that a run locks at a time; a dozen nodes need about two hundred.
+_BLOCK = 500
 _CALL_SECONDS = 1.0
 _LAPSE_SECONDS = 1.5
 GRACE_SECONDS = 8
@@ -30,25 +33,41 @@
 
 
 class Ports:
-    """Hand out ports that nothing listens on."""
+    """Hand out ports that no other soak on this machine hands out.
+
+    A port that is only probed may be taken by another run before it is bound.
+    """
 
     def __init__(self) -> None:
-        start = random.SystemRandom().randrange(len(_PORTS) // 2)
-        self._next: Iterator[int] = iter(_PORTS[start:])
+        self._locks: list[TextIO] = []
+        self._ports = itertools.chain.from_iterable(self._blocks())
 
     def take(self) -> int:
-        """Give a port."""
-        for port in self._next:
+        """Give a port that nothing listens on."""
+        for port in self._ports:
             with socket.socket() as probe:
                 probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                 try:
                     probe.bind(('127.0.0.1', port))
                 except OSError:
-                    # Taken by another process: go on to the next one.
+                    # Taken by another program: go on to the next one.
                     continue
             return port
         raise RuntimeError('no free port left below the outgoing ones')
 
+    def _blocks(self) -> Iterator[Sequence[int]]:
+        """Give the blocks that this run can lock, one after the other."""
+        folder = pathlib.Path(tempfile.gettempdir())
+        for start in range(0, len(_PORTS), _BLOCK):
+            lock = open(folder / f'gateway-soak-ports-{start}', 'w')
+            try:
+                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except BlockingIOError:
+                lock.close()
+                continue
+            self._locks.append(lock)
+            yield _PORTS[start : start + _BLOCK]
+
     def address(self) -> str:
         """Give an address on loopback."""
         return f'127.0.0.1:{self.take()}'
--- a/tests/test_ledger_committer.py
+++ b/tests/test_ledger_committer.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest import mock
 
+import gevent
 from bendlead_ledger import Committer
 from bendlead_schema.records import JobRemoved
 from bendlead_store import Failure, FailureKind
@@ -10,6 +11,26 @@
 from result import Err, Ok
 
 
+class CloseTest(unittest.TestCase):
+    """A committer that is closed while a write is under way."""
+
+    def test_nobody_waits_for_ever(self):
+        log = mock.Mock(fenced=False)
+        log.commit.side_effect = lambda _records: gevent.sleep(60)
+        committer = Committer(log, mock.Mock(), lambda: 0, mock.Mock())
+        written = gevent.spawn(committer.commit, [JobRemoved(job='j')])
+        gevent.sleep(0.05)
+        queued = gevent.spawn(committer.commit, [JobRemoved(job='k')])
+        gevent.sleep(0.05)
+        committer.close()
+        gevent.joinall([written, queued], timeout=1)
+        kinds = [
+            task.value.err_value.kind if task.value else None
+            for task in (written, queued)
+        ]
+        self.assertEqual([FailureKind.UNKNOWN, FailureKind.CONFLICT], kinds)
+
+
 class SnapshotTest(unittest.TestCase):
     """A log that asks for a snapshot and does not get it."""
 
