--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -2,6 +2,7 @@
 
 import gevent
 from bendlead_gateway.http import BrokenAnswerError, HttpConnection
+from gevent import socket
 from parameterized import parameterized
 
 from tests.gateway_standins import chunked, event, eventually, route
@@ -12,6 +13,17 @@
     b'HTTP/1.1 200 OK\r\nX-Response-Seal: s1\r\nContent-Length: 2\r\n\r\nok'
 )
 _RUNS_SECONDS = 2.6
+#: After the entry's last moment for new work, while it still runs old.
+_LATE_SECONDS = 2.2
+_HEADERS = [
+    ('Host', 'a.example'),
+    ('X-Attempt-Id', 'id2'),
+    ('X-Deadline-Ms', '5000'),
+]
+_SLOW_HEAD = (
+    b'POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id1\r\n'
+    b'X-Deadline-Ms: 5000\r\nContent-Length: 6\r\n\r\n'
+)
 _HEAD = chunked(event(1, 'a'), headers=_SEAL, last=False)
 _REST = b'%x\r\n%b\r\n0\r\n\r\n' % (len(event(2, 'b')), event(2, 'b'))
 
@@ -41,8 +53,7 @@
         self.start(route('streaming', timeout_ms=5000), answers=[_slow_first])
         running = self.ask(patience=5000)
         eventually(lambda: self.engines[0].requests)
-        self.entry.leaving = True
-        leave = gevent.spawn(self.entry.leave)
+        leave = self._leave()
         gevent.sleep(waited)
         self.assertEqual(served, self._served())
         head, body = self.read(running)
@@ -52,14 +63,55 @@
         leave.join(2)
         self.assertTrue(self.entry.done.is_set())
 
+    def test_kept_connection(self):
+        """What follows on a busy connection could not end in time either."""
+        self.start(route('streaming', timeout_ms=5000), answers=[_slow_first])
+        running = self.ask(patience=5000)
+        eventually(lambda: self.engines[0].requests)
+        self._leave()
+        gevent.sleep(_LATE_SECONDS)
+        running.send('POST', '/x/2', _HEADERS, b'prompt', 1)
+        head = running.read_head(3)
+        self.assertEqual(200, head.status)
+        running.skip_answer(head, 3)
+        self.assertEqual(503, running.read_head(1).status)
+        self.assertEqual(1, self.sent())
+
+    def test_request_that_arrives_slowly(self):
+        """A request counts from its last byte, wherever it began."""
+        self.start(route('safe', timeout_ms=5000), answers=[_PLAIN])
+        host, port = self.entry.settings.clients_address.split(':')
+        client = socket.create_connection((host, int(port)))
+        self.addCleanup(client.close)
+        client.sendall(_SLOW_HEAD + b'pro')
+        self._leave()
+        gevent.sleep(_LATE_SECONDS)
+        client.sendall(b'mpt')
+        client.settimeout(1)
+        self.assertIn(b' 503 ', client.recv(4096))
+        self.assertEqual(0, self.sent())
+
+    def test_what_is_unanswered_at_the_end(self):
+        """A client gets an answer, if only one that promises nothing."""
+        self.start(route('safe', timeout_ms=8000), answers=[None])
+        running = self.ask(patience=8000)
+        eventually(lambda: self.engines[0].requests)
+        leave = self._leave()
+        self.assertEqual(504, running.read_head(4).status)
+        leave.join(1)
+        self.assertTrue(self.entry.done.is_set())
+
+    def _leave(self):
+        self.entry.leaving = True
+        return gevent.spawn(self.entry.leave)
+
     def _served(self):
         try:
             connection = HttpConnection(self.entry.settings.clients_address, 1)
         except OSError:
             return False
         self.addCleanup(connection.close)
-        headers = [('Host', 'a.example'), ('X-Attempt-Id', 'id2')]
         try:
-            return connection.request('POST', '/x/2', headers).body == b'ok'
+            return connection.request('POST', '/x/2', _HEADERS).body == b'ok'
         except BrokenAnswerError:
             return False
