A stopping entry ends all new work at one moment and answers what it ends

Cause (class: work is taken without asking whether the process lives long enough to finish it): closed the listening socket 2.5 s after SIGTERM, but requests still came in by connections that were open: behind an answer whose head had gone out before SIGTERM, or with a last byte that came late. And what had no answer at the end was closed without one. Change: StopSchedule holds the moments of a stop. At the last one, requests without an answer get 504, and the line says process_ends. The end is at least nine tenths into the time allowed: with 0.6 s taken from a grace of 3 s, work was cut before its last sixth.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -10,19 +10,15 @@
 from bendlead_gateway._jobs.relay import JobRelay
 from bendlead_gateway._node import Node
 from bendlead_gateway._online.path import OnlinePath
+from bendlead_gateway._stopping import StopSchedule
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import NodeSettings, RouteKind
 
 #: Descriptors kept for the store, engines and files.
 _RESERVED_DESCRIPTORS = 1200
-#: After SIGTERM new connections are taken for this long (s): the platform
-#: asks once a second and takes a node out after two misses. It goes on sending
-#: clients where a data hall has no other node; what came later could not end
-#: before the process is killed.
-_NEW_CLIENTS_SECONDS = 2.5
-#: Stop this long (s) before the platform would kill.
-_GRACE_LEFT = 0.6
 _CHECK_SECONDS = 0.05
+#: The last answers are written for this long (s) before the process ends.
+_LAST_WORDS_SECONDS = 0.1
 _RETRY_AFTER = (('Retry-After', '0.2'),)
 
 
@@ -42,6 +38,7 @@
             time.monotonic,
             settings.descriptors - _RESERVED_DESCRIPTORS,
         )
+        self._stop: StopSchedule | None = None
         self._ready = HttpServer(
             settings.ready_address or '',
             self._answer_ready,
@@ -55,19 +52,26 @@
         self._ready.start()
 
     def leave(self) -> None:
-        """Serve what comes until the platform has taken this node out."""
-        began = time.monotonic()
-        last = began + self.settings.grace - _GRACE_LEFT
-        calm = began + min(_NEW_CLIENTS_SECONDS, self.settings.grace / 2)
-        gevent.sleep(max(0, calm - began))
+        """Take clients until the platform has taken this node out, then end.
+
+        New work ends for all connections at one moment: what a kept or slow
+        one brings later could not be finished either.
+        """
+        stop = StopSchedule.begin(self.settings.grace)
+        self._stop = stop
+        gevent.sleep(stop.closes - stop.began)
         self._clients.stop_accepting()
         self.log.event('clients-refused', busy=self._clients.busy)
-        while time.monotonic() < last:
+        while stop.left > 0:
             self._clients.close_idle()
             if not self._clients.busy:
                 break
             gevent.sleep(_CHECK_SECONDS)
-        self.log.event('left', cut=self._clients.busy)
+        cut = self._clients.busy
+        if cut:
+            self._clients.answer_unfinished()
+            gevent.sleep(_LAST_WORDS_SECONDS)
+        self.log.event('left', cut=cut)
         self.done.set()
 
     def answer_peer_call(self, request: Request, responder: Responder) -> None:
@@ -87,6 +91,9 @@
     def _answer_client(self, request: Request, responder: Responder) -> None:
         if self.leaving:
             responder.close_after()
+        if self._stop and self._stop.closed:
+            self._refuse_late(request, responder, self._stop)
+            return
         call = self.dialect.job_call(
             request.method, request.target, request.headers
         )
@@ -108,6 +115,18 @@
         else:
             self._online.serve(request, responder, facts, route)
 
+    def _refuse_late(
+        self, request: Request, responder: Responder, stop: StopSchedule
+    ) -> None:
+        """Turn away what a connection brings after the last new work."""
+        self.log.event(
+            'late-request',
+            target=request.target,
+            served_before=responder.served_before,
+            stopping_for=round(stop.age, 3),
+        )
+        responder.answer(HTTPStatus.SERVICE_UNAVAILABLE, _RETRY_AFTER)
+
     def _answer_unrouted(
         self, request: Request, responder: Responder, name: str
     ) -> None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
@@ -25,6 +25,10 @@
     """The client closed its connection."""
 
 
+class ServerEndsError(Exception):
+    """The process ends before an answer could be finished."""
+
+
 @dataclass(slots=True)
 class Request:
     """Hold one whole request of a client."""
@@ -53,9 +57,13 @@
 class Responder:
     """Write one answer to a client."""
 
-    def __init__(self, sock: socket.socket, keep_alive: bool) -> None:
+    def __init__(
+        self, sock: socket.socket, keep_alive: bool, served_before: int = 0
+    ) -> None:
         self._sock = sock
         self._keep_alive = keep_alive
+        #: Requests that the connection brought before this one.
+        self.served_before = served_before
         self._chunked = False
         self.started = False
         self.finished = False
@@ -176,6 +184,7 @@
         self._waiting: deque[Request] = deque()
         self._task: gevent.Greenlet | None = None
         self._closing = False
+        self._served = 0
 
     @property
     def busy(self) -> bool:
@@ -201,6 +210,11 @@
             self._closing = True
             self._sock.close()
 
+    def answer_unfinished(self) -> None:
+        """End the request under way with an answer if none has begun."""
+        if self._task is not None:
+            self._task.kill(ServerEndsError, block=False)
+
     def on_message_begin(self) -> None:
         """Begin a request."""
         self._draft = _Draft()
@@ -285,15 +299,16 @@
             responder.answer(status)
 
     def _start_next(self) -> None:
-        if self._task is None and self._waiting:
+        if self._task is None and self._waiting and not self._closing:
             request = self._waiting.popleft()
             self._task = gevent.spawn(self._answer, request)
 
     def _answer(self, request: Request) -> None:
         self._sock.settimeout(_WRITE_SECONDS)
-        responder = Responder(self._sock, request.keep_alive)
+        responder = Responder(self._sock, request.keep_alive, self._served)
+        self._served += 1
         try:
-            self._handler(request, responder)
+            self._answer_or_end(request, responder)
         except ClientGoneError:
             responder.abort()
         self._task = None
@@ -302,6 +317,17 @@
             self._shut()
         self._start_next()
 
+    def _answer_or_end(self, request: Request, responder: Responder) -> None:
+        try:
+            self._handler(request, responder)
+        except ServerEndsError:
+            if responder.started:
+                responder.abort()
+                return
+            # An engine may have it, so nothing is promised.
+            responder.close_after()
+            responder.answer(HTTPStatus.GATEWAY_TIMEOUT)
+
     def _shut(self) -> None:
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
@@ -346,6 +372,11 @@
         for one in list(self._open):
             one.close_idle()
 
+    def answer_unfinished(self) -> None:
+        """End all requests under way, with an answer where none has begun."""
+        for one in list(self._open):
+            one.answer_unfinished()
+
     def _accept(self) -> None:
         while True:
             try:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -7,7 +7,12 @@
 
 from bendlead_gateway._fleet.balancer import pick_service
 from bendlead_gateway._fleet.fleet import Fleet
-from bendlead_gateway._http.server import ClientGoneError, Request, Responder
+from bendlead_gateway._http.server import (
+    ClientGoneError,
+    Request,
+    Responder,
+    ServerEndsError,
+)
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._online.admission import Admission
@@ -73,6 +78,10 @@
         except ClientGoneError:
             # Nobody is left to tell; the line says so.
             outcome = 'client_gone'
+        except ServerEndsError:
+            # The server answers in our place; the line says why.
+            outcome = 'process_ends'
+            raise
         finally:
             self._conclude(exchange, outcome)
 
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -1,5 +1,7 @@
 """An entry that was told to stop: what it still takes, and until when."""
 
+from dataclasses import replace
+
 import gevent
 from bendlead_gateway.http import BrokenAnswerError, HttpConnection
 from gevent import socket
@@ -13,6 +15,7 @@
     b'HTTP/1.1 200 OK\r\nX-Response-Seal: s1\r\nContent-Length: 2\r\n\r\nok'
 )
 _RUNS_SECONDS = 2.6
+_SPARE_SECONDS = 0.4
 #: After the entry's last moment for new work, while it still runs old.
 _LATE_SECONDS = 2.2
 _HEADERS = [
@@ -101,10 +104,27 @@
         leave.join(1)
         self.assertTrue(self.entry.done.is_set())
 
+    def test_short_grace(self):
+        """What still runs is given nearly all the time that there is."""
+        self.start(route('streaming', timeout_ms=5000), answers=[_slow_first])
+        grace = _RUNS_SECONDS + _SPARE_SECONDS
+        self.entry.settings = replace(self.entry.settings, grace=grace)
+        running = self.ask(patience=5000)
+        eventually(lambda: self.engines[0].requests)
+        leave = self._leave()
+        _head, body = self.read(running)
+        self.assertEqual(event(1, 'a') + event(2, 'b'), body)
+        leave.join(1)
+        self.assertIn('event=left node=entry-1 cut=0', self._line('left'))
+
     def _leave(self):
         self.entry.leaving = True
         return gevent.spawn(self.entry.leave)
 
+    def _line(self, kind):
+        lines = self.entry.log.recent
+        return next((one for one in lines if f'event={kind} ' in one), '')
+
     def _served(self):
         try:
             connection = HttpConnection(self.entry.settings.clients_address, 1)
--- /dev/null
+++ b/tests/test_gateway_stopping.py
@@ -0,0 +1,34 @@
+"""The moments of a stop, for the times that platforms allow."""
+
+import unittest
+
+from bendlead_gateway._stopping import StopSchedule
+from parameterized import parameterized
+
+
+class StopScheduleTest(unittest.TestCase):
+    """Work ends being taken well before the end, whatever the time allowed."""
+
+    @parameterized.expand(
+        [
+            ('of_the_sheets', 8, 2.5, 7.4),
+            ('long', 30, 2.5, 29.4),
+            ('short', 3, 1.5, 2.7),
+            ('very_short', 1, 0.5, 0.9),
+        ]
+    )
+    def test_moments(self, _name, grace, closes, ends):
+        stop = StopSchedule.begin(grace)
+        self.assertAlmostEqual(closes, stop.closes - stop.began)
+        self.assertAlmostEqual(ends, stop.ends - stop.began)
+        self.assertFalse(stop.closed)
+        self.assertAlmostEqual(ends, stop.left, delta=0.2)
+        # The last sixth is what a request under way is due at the least.
+        self.assertGreater(ends, grace * 5 / 6)
+
+    def test_closed_at_once(self):
+        self.assertTrue(StopSchedule.begin(0).closed)
+
+
+if __name__ == '__main__':
+    unittest.main()
