Lines of stopping entries in explain; plain requests leave plain fields out

Ruled out: writing only what went wrong; late answers that were answered are what on-call looks for most.

--- a/packages/bendlead-cli/src/bendlead_cli/_explain.py
+++ b/packages/bendlead-cli/src/bendlead_cli/_explain.py
@@ -13,11 +13,13 @@
 #: Events that change what a process believes, and whom they concern.
 _CONTEXT = frozenset(
     (
+        'clients-refused',
         'config-in-force',
         'engine-failed',
         'engine-gone',
         'engine-listed',
         'engines-awaited',
+        'late-request',
         'leaving',
         'left',
         'peer-heard',
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -36,6 +36,9 @@
 #: refuses; an early refusal lets the client try another entry.
 _REFUSE_SHARE = 0.2
 _SHORTEST_TIMER = 0.001
+#: Fields left out of a request's line where they have this value: whoever keeps
+#: logs keeps some hundred kB of a process, and most requests are plain ones.
+_PLAIN_FIELDS = frozenset((('sends', 1), ('runs', 0), ('reason', '-')))
 
 #: What came of an attempt; nothing where another may be made.
 _Verdict = str | None
@@ -181,18 +184,27 @@
             self._metrics.first_event.observe(first)
         self._metrics.requests[outcome] += 1
         self._metrics.whole_answer.observe(exchange.waited)
-        self._log.event(
-            'request',
-            request=exchange.facts.request,
-            route=exchange.route.name,
-            outcome=outcome,
-            status=exchange.status,
-            engine=exchange.choice.engine,
-            online_seen=exchange.choice.online,
-            batch_seen=exchange.choice.batch,
-            sends=exchange.sends,
-            runs=exchange.runs,
-            first_ms=round(first * 1000, 1),
-            total_ms=round(exchange.waited * 1000, 1),
-            reason=exchange.failure,
-        )
+        self._log.event('request', **_told(exchange, outcome, first))
+
+
+def _told(exchange: Exchange, outcome: str, first: float) -> dict[str, object]:
+    """Make the fields of a request's line."""
+    fields: dict[str, object] = {
+        'request': exchange.facts.request,
+        'route': exchange.route.name,
+        'outcome': outcome,
+        'status': exchange.status,
+        'engine': exchange.choice.engine,
+        'online_seen': exchange.choice.online,
+        'batch_seen': exchange.choice.batch,
+        'sends': exchange.sends,
+        'runs': exchange.runs,
+        'first_ms': round(first * 1000, 1),
+        'total_ms': round(exchange.waited * 1000, 1),
+        'reason': exchange.failure,
+    }
+    return {
+        name: found
+        for name, found in fields.items()
+        if (name, found) not in _PLAIN_FIELDS
+    }
