Split the stand-in engine and the harness of processes

Ruled out: moving expected_text for all who import it from engine, which also patches their process.

--- a/testing/src/bendlead_testing/bench/config.py
+++ b/testing/src/bendlead_testing/bench/config.py
@@ -13,7 +13,7 @@
 from bendlead_node._common.config import config_key
 from bendlead_store import ABSENT, HttpStore, Version
 
-from bendlead_testing.cluster import Daemon, http, running_platform
+from bendlead_testing.daemons import Daemon, http, running_platform
 
 NODES = 200
 _PROCESSES = 4
--- a/testing/src/bendlead_testing/bench/ledger.py
+++ b/testing/src/bendlead_testing/bench/ledger.py
@@ -30,13 +30,8 @@
 from bendlead_schema.settings import LedgerSettings
 from bendlead_store import HttpStore
 
-from bendlead_testing.cluster import (
-    MODEL,
-    Cluster,
-    Daemon,
-    running_platform,
-    wait_for,
-)
+from bendlead_testing.cluster import MODEL, Cluster
+from bendlead_testing.daemons import Daemon, running_platform, wait_for
 from bendlead_testing.workload import batch_lines
 
 _TASKS = 64
--- a/testing/src/bendlead_testing/bench/stop.py
+++ b/testing/src/bendlead_testing/bench/stop.py
@@ -14,10 +14,8 @@
     PEER_KEY,
     TEAM_KEY,
     Cluster,
-    Daemon,
-    http,
-    wait_for,
 )
+from bendlead_testing.daemons import Daemon, http, wait_for
 from bendlead_testing.workload import batch_lines, client, submit
 
 _STOPS = 20
--- a/testing/src/bendlead_testing/faults.py
+++ b/testing/src/bendlead_testing/faults.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
-from bendlead_testing.cluster import Cluster, Daemon
+from bendlead_testing.cluster import Cluster
+from bendlead_testing.daemons import Daemon
 
 Heal = Callable[[], None]
 Fault = Callable[[Cluster, random.Random], Heal]
--- a/testing/src/bendlead_testing/trial.py
+++ b/testing/src/bendlead_testing/trial.py
@@ -8,7 +8,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from bendlead_testing.cluster import Cluster, http
+from bendlead_testing.cluster import Cluster
+from bendlead_testing.daemons import http
 from bendlead_testing.engine import expected_text
 from bendlead_testing.faults import FAULTS
 from bendlead_testing.workload import (
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -115,7 +115,7 @@
         for daemon in (self.cluster.entries[0], self.cluster.endpoints[0]):
             status, _headers, _body = self.cluster.call('/livez', method='GET')
             self.assertEqual(status, 200)
-            from bendlead_testing.cluster import http
+            from bendlead_testing.daemons import http
 
             status, _headers, _body = http(
                 'GET',
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -4,13 +4,8 @@
 import threading
 import unittest
 
-from bendlead_testing.cluster import (
-    PEER_KEY,
-    Cluster,
-    Daemon,
-    http,
-    wait_for,
-)
+from bendlead_testing.cluster import PEER_KEY, Cluster
+from bendlead_testing.daemons import Daemon, http, wait_for
 from bendlead_testing.engine import expected_text
 from bendlead_testing.workload import (
     batch_lines,
