--- a/testing/src/bendlead_testing/gateway_soak/clients.py
+++ b/testing/src/bendlead_testing/gateway_soak/clients.py
@@ -27,6 +27,10 @@
 _MISSES = 2
 _PAUSE = (0.02, 0.25)
 _EVENTS = (3, 20)
+#: Part of the requests that run for 1.6 to 3 s: only with these is an entry
+#: that was told to stop busy for as long as it takes clients.
+_LONG_SHARE = 0.12
+_LONG_EVENTS = (80, 150)
 #: Part of the requests that their client gives up early.
 _LEFT_SHARE = 0.08
 _KEPT_SHARE = 0.7
@@ -149,7 +153,8 @@
         self, kind: Kind, entry: NodeSpot, connection: HttpConnection
     ) -> None:
         name = self._name('r')
-        total = self._chance.randint(*_EVENTS)
+        long = self._chance.random() < _LONG_SHARE
+        total = self._chance.randint(*(_LONG_EVENTS if long else _EVENTS))
         path = f'{kind.value}{name}'
         body = name.encode() * 3
         one = Attempt(
