An owner answers the calls under way before it ends or says it is empty

Cause (class: at the end what is unfinished is dropped without an answer): OwnerNode.leave waited while more than one connection was busy, so a single call about a job (a read is held for up to a second) was cut by the end of the process; the entry that relayed it answered 503, or 504 for a job. Retirement wrote 'completed' with such calls under way, and the machine is removed at that moment: the relaying entry then waits for a machine that says nothing. Ruled out: loss of a job or a result (both are in the ledger before their answer), the report exchange (it is no call about a job and isn't counted). Change: calls about jobs are counted by themselves and awaited, by a stop and by a retirement, for 1.5 s at most; reads that wait for results end with the board, so that this takes moments.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/api.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/api.py
@@ -154,17 +154,24 @@
             self._log.event('job-unknown', job=call.job, epoch=board.epoch)
             responder.answer(HTTPStatus.NOT_FOUND)
         elif isinstance(call, ReadResults):
-            self._read(call, responder, job)
+            self._read(call, responder, board, job)
         elif isinstance(call, ReadBody):
             self._body(call, responder, job)
         elif isinstance(call, EndJob):
             self._end(responder, board, job)
 
     def _read(
-        self, call: ReadResults, responder: Responder, job: HeldJob
+        self,
+        call: ReadResults,
+        responder: Responder,
+        board: Board,
+        job: HeldJob,
     ) -> None:
         until = time.monotonic() + call.wait
         while len(job.state.results) <= call.after and job.state.open:
+            if not board.held:
+                # Results come at another owner from now on.
+                break
             left = until - time.monotonic()
             if left <= 0:
                 break
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
@@ -171,6 +171,11 @@
         failure = self._committer.failure
         return f'lost: {failure}' if failure else 'fenced'
 
+    @property
+    def held(self) -> bool:
+        """Tell whether results may still be recorded here."""
+        return not self._committer.lost
+
     @property
     def snapshot_failure(self) -> Failure | None:
         """Tell why the log could not be folded, if so."""
@@ -206,8 +211,10 @@
         return Ok(None)
 
     def close(self) -> None:
-        """Stop committing."""
+        """Stop committing, and end the reads that wait for results."""
         self._committer.close()
+        for job in self.jobs.values():
+            job.announce()
 
     def sure(self, within: float) -> Result[None, Failure]:
         """Make sure that the shard was held within the last seconds."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/retirement.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/retirement.py
@@ -30,6 +30,7 @@
         keeper: ShardKeeper,
         log: Log,
         on_order: Callable[[], None],
+        finish_calls: Callable[[], None],
     ) -> None:
         self._node = node
         self._store = store
@@ -37,6 +38,7 @@
         self._keeper = keeper
         self._log = log
         self._on_order = on_order
+        self._finish_calls = finish_calls
         self._obeyed = False
 
     def reset(self, entries: Sequence[Entry], after_outage: bool) -> None:
@@ -67,6 +69,7 @@
             self._keeper.hand_over()
             gevent.sleep(_CHECK_SECONDS)
         self._keeper.leave(0)
+        self._finish_calls()
         self._say_empty(key)
 
     def _say_empty(self, key: str) -> None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
@@ -34,6 +34,7 @@
         self, settings: NodeSettings, store: FollowedStore, dialect: Dialect
     ) -> None:
         super().__init__(settings, store, dialect)
+        self._calls = 0
         self._keeper = ShardKeeper(
             store, self.record, self.peers, self.log, settings.status_kept
         )
@@ -41,7 +42,13 @@
             self._keeper, dialect, self.fleet, self.log, self.metrics
         )
         retirement = Retirement(
-            settings.node, store, dialect, self._keeper, self.log, self.retire
+            settings.node,
+            store,
+            dialect,
+            self._keeper,
+            self.log,
+            self.retire,
+            self.finish_calls,
         )
         self._orders_watch = self.fleet.watcher(
             dialect.stops_prefix, retirement
@@ -77,15 +84,23 @@
 
     def answer_peer_call(self, request: Request, responder: Responder) -> None:
         """Answer a call about jobs that an entry relays."""
-        self._api.answer(request, responder)
+        self._calls += 1
+        try:
+            self._api.answer(request, responder)
+        finally:
+            self._calls -= 1
 
     def leave(self) -> None:
         """Hand the shards over, let calls finish, end."""
         self._keeper.leave(_LEAVING_SECONDS)
+        self.finish_calls()
+        self.done.set()
+
+    def finish_calls(self) -> None:
+        """Let the calls about jobs that are under way be answered."""
         until = time.monotonic() + _LEAVING_SECONDS
-        while self.internal.busy > 1 and time.monotonic() < until:
+        while self._calls and time.monotonic() < until:
             gevent.sleep(_CHECK_SECONDS)
-        self.done.set()
 
     def _sound(self) -> bool:
         """Tell whether the object service can be written from here.
