Calls about jobs are not passed on by way of an entry that leaves

An entry ends as soon as its own clients' requests are done and doesn't look at calls that others passed to it, so such a call ended without an answer: 504 for a job, 503 for a read. Ruled out: loss (the job comes again after a 504 and is taken once). Change: entries whose report says leaving are passed over. Test, failed before: test_way_by_an_entry leaves (None != 'e').

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/claims.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/claims.py
@@ -34,11 +34,16 @@
         return best if best and best.epoch else None
 
     def way_to(self, shard: int) -> Claim | None:
-        """Find a live entry that hears the holder, which this node does not."""
+        """Find a live entry that hears the holder, which this node does not.
+
+        One that leaves may end before the holder has answered it.
+        """
         best: Claim | None = None
         for peer in self._live():
             if peer.record.role is not NodeRole.ENTRY or not peer.report:
                 continue
+            if peer.report.leaving:
+                continue
             epoch = _epoch_among(peer.report.heard, shard)
             if best is None or epoch > best.epoch:
                 best = Claim(peer.record.node, peer.record.address, epoch)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -101,6 +101,16 @@
         self.peers.exchange(msgspec.json.encode(report))
         self.assertEqual(expected, self.peers.claims.holder_is_stuck(1, epoch))
 
+    @parameterized.expand([('stays', False, 'e'), ('leaves', True, None)])
+    def test_way_by_an_entry(self, _name, leaving, way):
+        """An entry that leaves may end before the answer is there."""
+        report = NodeReport(
+            node='e', sound=True, leaving=leaving, heard=shards((1, 3))
+        )
+        self.peers.exchange(msgspec.json.encode(report))
+        found = self.peers.claims.way_to(1)
+        self.assertEqual(way, found and found.node)
+
     def test_unheard_peer_counts_for_nothing(self):
         self.assertEqual(0, self.peers.claims.claimed(1))
         self.assertEqual([], self.peers.claims.able_owners())
