An answer that begins after SIGTERM says that it is the last

Cause (same class, for the connection): Connection: close was decided when a request was taken, so an answer that began after SIGTERM to a request taken before it invited the client to keep a connection that is closed some 2.5 s later; what the client sends then crosses the close or gets a late 503. Ruled out: a run at an engine (what crosses isn't read, the 503 is before any). Test, failed before: test_answer_that_begins_after_the_stop ('close' != None).

--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
@@ -183,6 +183,7 @@
         self._begun = 0.0
         self._waiting: deque[Request] = deque()
         self._task: gevent.Greenlet | None = None
+        self._responder: Responder | None = None
         self._closing = False
         self._served = 0
 
@@ -210,6 +211,11 @@
             self._closing = True
             self._sock.close()
 
+    def close_after_answer(self) -> None:
+        """Say with the answer under way that it is the last, if it can."""
+        if self._responder is not None and not self._responder.started:
+            self._responder.close_after()
+
     def answer_unfinished(self) -> None:
         """End the request under way with an answer if none has begun."""
         if self._task is not None:
@@ -307,11 +313,13 @@
         self._sock.settimeout(_WRITE_SECONDS)
         responder = Responder(self._sock, request.keep_alive, self._served)
         self._served += 1
+        self._responder = responder
         try:
             self._answer_or_end(request, responder)
         except ClientGoneError:
             responder.abort()
         self._task = None
+        self._responder = None
         if not responder.keep_alive:
             self._closing = True
             self._shut()
@@ -372,6 +380,11 @@
         for one in list(self._open):
             one.close_idle()
 
+    def close_after_answers(self) -> None:
+        """Say with all answers that have not begun that they are the last."""
+        for one in list(self._open):
+            one.close_after_answer()
+
     def answer_unfinished(self) -> None:
         """End all requests under way, with an answer where none has begun."""
         for one in list(self._open):
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -5,6 +5,7 @@
 import gevent
 from bendlead_gateway.http import BrokenAnswerError, HttpConnection
 from gevent import socket
+from gevent.event import Event
 from parameterized import parameterized
 
 from tests.gateway_standins import chunked, event, eventually, route
@@ -80,6 +81,25 @@
         self.assertEqual(503, running.read_head(1).status)
         self.assertEqual(1, self.sent())
 
+    def test_answer_that_begins_after_the_stop(self):
+        """A client must not keep a connection that is about to be closed."""
+        told = Event()
+
+        def answer(sock, _request):
+            told.wait(2)
+            sock.sendall(_PLAIN)
+            gevent.sleep(1)
+
+        self.start(route('safe', timeout_ms=5000), answers=[answer])
+        running = self.ask(patience=5000)
+        eventually(lambda: self.engines[0].requests)
+        self._leave()
+        gevent.sleep(0)
+        told.set()
+        head, body = self.read(running)
+        self.assertEqual(b'ok', body)
+        self.assertEqual('close', head.find('connection'))
+
     def test_request_that_arrives_slowly(self):
         """A request counts from its last byte, wherever it began."""
         self.start(route('safe', timeout_ms=5000), answers=[_PLAIN])
