A kept connection's rest counts from its latest answer

After an answer of 0.8 s at idle_ms 1000 the connection was closed 0.2 s later, where clients reuse it for four fifths of idle_ms. Ruled out: a run at an engine (what crosses the close isn't read). Change: the rest is counted from the end of the answer. Test, failed before: test_rest_counts_from_the_answer (closed, no 200).

--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
@@ -17,6 +17,8 @@
 _READ_BYTES = 65_536
 #: A client that reads nothing for this long (s) loses its connection.
 _WRITE_SECONDS = 5
+#: A wait of nothing would mean a wait without end to the socket (s).
+_SHORTEST_WAIT = 0.001
 #: Pause after running out of descriptors (s).
 _ACCEPT_PAUSE = 0.05
 
@@ -181,6 +183,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._draft = _Draft()
         self._begun = 0.0
+        #: Since when the connection has rested, while nothing is under way.
+        self._rested = now()
         self._waiting: deque[Request] = deque()
         self._task: gevent.Greenlet | None = None
         self._responder: Responder | None = None
@@ -272,6 +276,9 @@
                     continue
                 if self._begun:
                     self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+                elif self._rest_left() > 0:
+                    # The wait began before the latest answer ended.
+                    continue
                 return
             if not received:
                 return
@@ -282,8 +289,13 @@
     def _patience(self) -> float:
         if self._task is None and self._begun:
             return self._limits.header_seconds
+        if self._task is None:
+            return max(self._rest_left(), _SHORTEST_WAIT)
         return self._limits.idle_seconds
 
+    def _rest_left(self) -> float:
+        return self._rested + self._limits.idle_seconds - self._now()
+
     def _feed(self, received: bytes) -> bool:
         if not self._begun:
             self._begun = self._now()
@@ -320,6 +332,7 @@
             responder.abort()
         self._task = None
         self._responder = None
+        self._rested = self._now()
         if not responder.keep_alive:
             self._closing = True
             self._shut()
--- a/tests/test_gateway_server.py
+++ b/tests/test_gateway_server.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 
+import gevent
 from bendlead_gateway._http.server import HttpServer
 from bendlead_gateway.types import ClientLimits
 from gevent import socket
@@ -45,5 +46,34 @@
         responder.answer(200)
 
 
+class RestTest(unittest.TestCase):
+    """A kept connection rests between an answer and the next request."""
+
+    def test_rest_counts_from_the_answer(self):
+        """However long the answer took, the client may rest in full."""
+        limits = ClientLimits(idle_seconds=1.0)
+        address = f'127.0.0.1:{free_port()}'
+        server = HttpServer(
+            address, self._answer_late, lambda: limits, time.monotonic
+        )
+        server.start()
+        self.addCleanup(server.stop_accepting)
+        host, port = address.split(':')
+        client = socket.create_connection((host, int(port)))
+        self.addCleanup(client.close)
+        client.settimeout(3)
+        client.sendall(_FIRST)
+        self.assertIn(b'HTTP/1.1 200', client.recv(4096))
+        gevent.sleep(0.5)
+        client.sendall(_SECOND)
+        self.assertIn(b'HTTP/1.1 200', client.recv(4096))
+        # What has rested for its time is closed all the same.
+        self.assertEqual(b'', client.recv(4096))
+
+    def _answer_late(self, _request, responder):
+        gevent.sleep(0.8)
+        responder.answer(200)
+
+
 if __name__ == '__main__':
     unittest.main()
