An owner that was told to leave takes no shard after that

Cause (same class): the round over the shards asked only once whether the owner leaves, and a takeover under way when it gave its shards up put its board in behind that. A process that ends in moments, or a machine that said it was empty, then held shards: jobs were accepted and items begun there, and the others had to notice its end before they could take them. Ruled out: loss (what is accepted is in the ledger; the next owner fences it). Change: each shard of a round asks; a takeover that ends late is given up at once. Test, failed before: test_nothing_is_taken_after_the_shards_were_given_up ({} != {0: 1, 1: 1, 2: 1, 3: 1}).

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
@@ -55,7 +55,8 @@
         gevent.sleep(_SETTLING_SECONDS)
         while not self._leaving:
             for shard in range(SHARDS):
-                self._consider(shard, sound())
+                if not self._leaving:
+                    self._consider(shard, sound())
             gevent.sleep(_CHECK_SECONDS)
 
     def leave(self, within: float) -> None:
@@ -129,6 +130,9 @@
             jobs=len(opened.ok_value.jobs),
             ms=round((time.monotonic() - began) * 1000),
         )
+        if self._leaving:
+            # Told to leave meanwhile: nobody else would give it up.
+            self._give_up(shard, 'leaving')
 
     def _give_up(self, shard: int, reason: str) -> None:
         board = self.boards.pop(shard, None)
--- a/tests/test_gateway_handover.py
+++ b/tests/test_gateway_handover.py
@@ -1,7 +1,11 @@
 """Calls about jobs at an owner that gives its shards up."""
 
+from unittest import mock
+
 import gevent
+from bendlead_gateway._jobs import keeper
 from bendlead_gateway.http import HttpConnection
+from gevent.event import Event
 
 from tests.gateway_standins import eventually
 from tests.test_gateway_jobs import OwnerCase
@@ -46,3 +50,27 @@
         eventually(lambda: owner.internal.busy)
         gevent.sleep(0.05)
         return connection
+
+
+class TakeoverUnderWayTest(OwnerCase):
+    """An owner that is told to stop while it takes a shard over."""
+
+    def test_nothing_is_taken_after_the_shards_were_given_up(self):
+        asked = Event()
+        answered = Event()
+
+        def open_late(*given):
+            opened = keeper_open(*given)
+            asked.set()
+            answered.wait(3)
+            return opened
+
+        keeper_open = keeper.open_board
+        with mock.patch.object(keeper, 'open_board', open_late):
+            owner = self.owner()
+            self.assertTrue(asked.wait(3))
+            owner.leaving = True
+            owner.leave()
+            answered.set()
+            gevent.sleep(0.3)
+        self.assertEqual({}, owner._keeper.epochs())
