A number without end in a client's header is no number

Cause: float() takes inf, nan and 1e999, int() of them raises. The task of the request ended by that error with no answer at all, and its connection took no further request: Last-Event-Id: inf was read and the client left waiting. Ruled out: a run at an engine (the error comes before any is asked).

--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -150,6 +150,21 @@
             (facts.request, facts.host, facts.patience, facts.resume_after),
         )
 
+    @parameterized.expand([('inf',), ('-inf',), ('nan',), ('1e999',)])
+    def test_number_without_end(self, text):
+        """What is no number is as good as not there."""
+        headers = [
+            ('X-Attempt-Id', 'a1'),
+            ('X-Deadline-Ms', text),
+            ('Last-Event-Id', text),
+        ]
+        facts = _DIALECT.request_facts(headers)
+        self.assertEqual((None, None), (facts.patience, facts.resume_after))
+        call = _DIALECT.job_call(
+            'GET', f'/-/lots/j1?watch_after={text}', [('X-Wait-Ms', text)]
+        )
+        self.assertEqual((0, 0), (call.after, call.wait))
+
     def test_no_id(self):
         self.assertIsNone(_DIALECT.request_facts([('Host', 'a')]))
 
