--- a/deploy/bendleadd.py
+++ b/deploy/bendleadd.py
@@ -1,6 +1,7 @@
 """Start bendleadd from a checkout: the packages lie beside each other."""
 
 import pathlib
+import signal
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -11,6 +12,8 @@
     'packages/bendlead-schema/src',
     'packages/bendlead-store/src',
 )
+# Until the process handles it: the settings are read after this.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 # The script's own folder holds nothing to import.
 sys.path[0:1] = [str(ROOT / source) for source in SOURCES]
 
--- /dev/null
+++ b/tests/test_gateway_start.py
@@ -0,0 +1,108 @@
+"""A process that is told of new settings while it starts."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from unittest import mock
+
+import gevent
+from bendlead_platform import load_settings, main
+from gevent import socket
+
+from tests.gateway_standins import free_port
+
+_PROGRAM = pathlib.Path(__file__).parent.parent / 'deploy' / 'bendleadd.py'
+_SETTINGS = """
+node = "entry-1"
+serves = ["frontend"]
+ip = "127.0.0.1"
+zone = "hall-1"
+internal_ports = [{0}, {0}]
+[listen]
+frontend = "127.0.0.1:{1}"
+ready = "127.0.0.1:{2}"
+[limits]
+file_descriptors = 4000
+[bounds]
+grace_s = 8
+settle_ms = 1000
+status_s = 120
+[platform]
+address = "127.0.0.1:{3}"
+"""
+
+
+class StartTest(unittest.TestCase):
+    """SIGHUP and a change of the file before the process runs."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.written = 0
+        self.path = os.path.join(folder.name, 'local.toml')
+        self.ports = [free_port() for _port in range(4)]
+        self.text = _SETTINGS.format(*self.ports)
+
+    def test_signal_before_the_settings_are_read(self):
+        """The signal must not end a process that does not listen yet."""
+        os.mkfifo(self.path)
+        process = subprocess.Popen(
+            [sys.executable, str(_PROGRAM)],
+            env={**os.environ, 'BENDLEAD_CONFIG': self.path},
+            stdout=subprocess.DEVNULL,
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        # Opened once the process opens its end, before it reads anything.
+        with open(self.path, 'w') as file:
+            process.send_signal(signal.SIGHUP)
+            gevent.sleep(0.1)
+            self.assertIsNone(process.poll())
+            file.write(self.text)
+        self.assertTrue(self._listens(process))
+
+    def test_change_after_the_settings_were_read(self):
+        """What is written behind the first look is seen by the next."""
+        self._write(self.text)
+        given = []
+
+        def load_then_change(path):
+            found = load_settings(path)
+            self._write(self.text.replace('grace_s = 8', 'grace_s = 5'))
+            return found
+
+        with (
+            mock.patch.dict(os.environ, {'BENDLEAD_CONFIG': self.path}),
+            mock.patch.object(main, 'load_settings', load_then_change),
+            mock.patch.object(
+                main, 'run_process', lambda *all: given.append(all)
+            ),
+            mock.patch.object(main.gc, 'freeze'),
+        ):
+            main.main()
+        found = given[0][3].changed().ok_value
+        self.assertEqual(5, found and found.grace)
+
+    def _write(self, text):
+        with open(self.path, 'w') as file:
+            file.write(text)
+        self.written += 1
+        os.utime(self.path, ns=(self.written, self.written))
+
+    def _listens(self, process):
+        while process.poll() is None:
+            try:
+                socket.create_connection(('127.0.0.1', self.ports[2])).close()
+            except OSError:
+                gevent.sleep(0.02)
+            else:
+                return True
+        return False
+
+
+if __name__ == '__main__':
+    unittest.main()
