Where connections are many the one that rested longest makes room

With fewer descriptors than the 1,200 that are reserved the limit was negative and every connection was closed.

Ruled out: accept failing with EMFILE, ENOBUFS or ECONNABORTED: the loop goes on (new test, passed before). It logged nothing; now it does.

Change: the connection that has rested longest is closed for a new one; only if all are busy the new one is closed, with a log line. At most half of the descriptors are reserved. Options are set on a new socket inside the guarded part, so one that is reset already ends without a traceback.

Tests that failed first: test_rested_connections_make_room, test_few_descriptors.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -6,7 +6,8 @@
 import gevent
 from bendlead_store import FollowedStore
 
-from bendlead_gateway._http.server import HttpServer, Request, Responder
+from bendlead_gateway._http.messages import Request, Responder
+from bendlead_gateway._http.server import HttpServer
 from bendlead_gateway._jobs.relay import JobRelay
 from bendlead_gateway._node import Node
 from bendlead_gateway._online.path import OnlinePath
@@ -14,8 +15,10 @@
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import NodeSettings, RouteKind
 
-#: Descriptors kept for the store, engines and files.
+#: Descriptors kept for the store, engines and files, and the most of all that
+#: may be kept where there are few.
 _RESERVED_DESCRIPTORS = 1200
+_RESERVED_SHARE = 0.5
 _CHECK_SECONDS = 0.05
 #: The last answers are written for this long (s) before the process ends.
 _LAST_WORDS_SECONDS = 0.1
@@ -36,8 +39,9 @@
             self._answer_client,
             lambda: self.fleet.configuration.limits,
             time.monotonic,
-            settings.descriptors - _RESERVED_DESCRIPTORS,
+            _most_clients(settings.descriptors),
         )
+        self._clients.on_trouble = self._log_trouble
         self._stop: StopSchedule | None = None
         self._ready = HttpServer(
             settings.ready_address or '',
@@ -79,6 +83,9 @@
         """Pass a call about jobs on for an entry that does not hear owners."""
         self._relay.answer(request, responder, forwarded=True)
 
+    def _log_trouble(self, reason: str) -> None:
+        self.log.event('client-not-taken', reason=reason)
+
     def _answer_ready(self, request: Request, responder: Responder) -> None:
         ready = (
             request.path == self.dialect.ready_path
@@ -144,3 +151,9 @@
             responder.answer(HTTPStatus.NOT_FOUND)
         else:
             responder.answer(HTTPStatus.SERVICE_UNAVAILABLE, _RETRY_AFTER)
+
+
+def _most_clients(descriptors: int) -> int:
+    """Give how many connections of clients may be open at once."""
+    reserved = min(_RESERVED_DESCRIPTORS, int(descriptors * _RESERVED_SHARE))
+    return descriptors - reserved
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
@@ -5,14 +5,21 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Any
+from operator import attrgetter
 
 import gevent
 import httptools
 from gevent import socket
 
+from bendlead_gateway._http.messages import (
+    ClientGoneError,
+    Handler,
+    Request,
+    Responder,
+    ServerEndsError,
+)
 from bendlead_gateway._http.sockets import listen, tune
-from bendlead_gateway.types import ClientLimits, Headers
+from bendlead_gateway.types import ClientLimits
 
 _READ_BYTES = 65_536
 #: A client that reads nothing for this long (s) loses its connection.
@@ -23,130 +30,6 @@
 _ACCEPT_PAUSE = 0.05
 
 
-class ClientGoneError(OSError):
-    """The client closed its connection."""
-
-
-class ServerEndsError(Exception):
-    """The process ends before an answer could be finished."""
-
-
-@dataclass(slots=True)
-class Request:
-    """Hold one whole request of a client."""
-
-    method: str
-    target: str
-    headers: Headers
-    body: bytes
-    keep_alive: bool
-    received: float
-
-    @property
-    def path(self) -> str:
-        """Give the target without its query."""
-        return self.target.partition('?')[0]
-
-    @property
-    def host(self) -> str:
-        """Give the host that the client named."""
-        for name, text in self.headers:
-            if name.lower() == 'host':
-                return text
-        return ''
-
-
-class Responder:
-    """Write one answer to a client."""
-
-    def __init__(
-        self, sock: socket.socket, keep_alive: bool, served_before: int = 0
-    ) -> None:
-        self._sock = sock
-        self._keep_alive = keep_alive
-        #: Requests that the connection brought before this one.
-        self.served_before = served_before
-        self._chunked = False
-        self.started = False
-        self.finished = False
-
-    @property
-    def keep_alive(self) -> bool:
-        """Tell whether the connection may serve another request."""
-        return self._keep_alive and self.finished
-
-    def close_after(self) -> None:
-        """Close the connection behind this answer."""
-        self._keep_alive = False
-
-    def answer(
-        self, status: int, headers: Headers = (), body: bytes = b''
-    ) -> None:
-        """Send a whole answer of our own."""
-        reason = HTTPStatus(status).phrase
-        self.started = True
-        head = self._head(status, reason, headers)
-        head.append(f'Content-Length: {len(body)}')
-        self._write_head(head, body)
-        self.finished = True
-
-    def start(
-        self,
-        status: int,
-        reason: str,
-        headers: Headers,
-        length: int | None,
-    ) -> None:
-        """Start an answer whose body follows in parts."""
-        self.started = True
-        head = self._head(status, reason, headers)
-        self._chunked = length is None
-        if length is None:
-            head.append('Transfer-Encoding: chunked')
-        else:
-            head.append(f'Content-Length: {length}')
-        self._write_head(head, b'')
-
-    def write(self, part: bytes) -> None:
-        """Send a part of the body."""
-        if not part:
-            return
-        if self._chunked:
-            part = b'%x\r\n%b\r\n' % (len(part), part)
-        self._send(part)
-
-    def finish(self) -> None:
-        """End the body; only now does the answer look complete."""
-        if self._chunked:
-            self._send(b'0\r\n\r\n')
-        self.finished = True
-
-    def abort(self) -> None:
-        """Leave the answer incomplete."""
-        self._keep_alive = False
-        self.finished = False
-
-    def _head(self, status: int, reason: str, headers: Headers) -> list[str]:
-        lines = [f'HTTP/1.1 {status} {reason}']
-        lines.extend(f'{name}: {text}' for name, text in headers)
-        if not self._keep_alive:
-            lines.append('Connection: close')
-        return lines
-
-    def _write_head(self, lines: list[str], body: bytes) -> None:
-        head = '\r\n'.join([*lines, '', '']).encode('latin-1')
-        self._send(head + body)
-
-    def _send(self, sent: bytes) -> None:
-        try:
-            self._sock.sendall(sent)
-        except OSError as error:
-            raise ClientGoneError(str(error)) from error
-
-
-Handler = Callable[[Request, Responder], None]
-
-
 @dataclass(slots=True)
 class _Draft:
     """Gather one request while it is parsed."""
@@ -183,13 +66,13 @@
         self._parser = httptools.HttpRequestParser(self)
         self._draft = _Draft()
         self._begun = 0.0
-        #: Since when the connection has rested, while nothing is under way.
-        self._rested = now()
         self._waiting: deque[Request] = deque()
         self._task: gevent.Greenlet | None = None
         self._responder: Responder | None = None
         self._closing = False
         self._served = 0
+        #: Since when the connection waits for the client's next request.
+        self.rested_since = now()
 
     @property
     def busy(self) -> bool:
@@ -198,8 +81,8 @@
 
     def run(self) -> None:
         """Read until the client or an error ends the connection."""
-        tune(self._sock)
         try:
+            tune(self._sock)
             self._read_all()
         except OSError:
             # The client is gone; nobody is left to tell.
@@ -294,7 +177,7 @@
         return self._limits.idle_seconds
 
     def _rest_left(self) -> float:
-        return self._rested + self._limits.idle_seconds - self._now()
+        return self.rested_since + self._limits.idle_seconds - self._now()
 
     def _feed(self, received: bytes) -> bool:
         if not self._begun:
@@ -332,7 +215,7 @@
             responder.abort()
         self._task = None
         self._responder = None
-        self._rested = self._now()
+        self.rested_since = self._now()
         if not responder.keep_alive:
             self._closing = True
             self._shut()
@@ -373,7 +256,9 @@
         self._limits = limits
         self._now = now
         self._most = most
-        self._open: set[Any] = set()
+        self._open: set[_Connection] = set()
+        #: Is told what kept a client from being taken.
+        self.on_trouble: Callable[[str], None] = _tell_nobody
 
     @property
     def busy(self) -> int:
@@ -410,19 +295,38 @@
             except OSError as error:
                 if error.errno == errno.EBADF:
                     return
+                self.on_trouble(f'accept: {error}')
                 gevent.sleep(_ACCEPT_PAUSE)
                 continue
-            if len(self._open) >= self._most:
+            if self._make_room():
+                self._take(sock)
+            else:
+                self.on_trouble(f'{self._most} connections are busy')
                 sock.close()
-                continue
-            connection = _Connection(
-                sock, self._handler, self._limits(), self._now
-            )
-            self._open.add(connection)
-            gevent.spawn(self._serve, connection)
+
+    def _take(self, sock: socket.socket) -> None:
+        connection = _Connection(sock, self._handler, self._limits(), self._now)
+        self._open.add(connection)
+        gevent.spawn(self._serve, connection)
+
+    def _make_room(self) -> bool:
+        """Close the connection that rested longest if there are too many."""
+        if len(self._open) < self._most:
+            return True
+        resting = [one for one in self._open if not one.busy]
+        if not resting:
+            return False
+        longest = min(resting, key=attrgetter('rested_since'))
+        self._open.discard(longest)
+        longest.close_idle()
+        return True
 
     def _serve(self, connection: _Connection) -> None:
         try:
             connection.run()
         finally:
             self._open.discard(connection)
+
+
+def _tell_nobody(_trouble: str) -> None:
+    """Take what nobody asked to be told."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/api.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/api.py
@@ -6,7 +6,7 @@
 from bendlead_store import Failure, FailureKind
 
 from bendlead_gateway._fleet.catalog import ConfigurationHolder
-from bendlead_gateway._http.server import Request, Responder
+from bendlead_gateway._http.messages import Request, Responder
 from bendlead_gateway._jobs.board import Board, HeldJob
 from bendlead_gateway._jobs.keeper import ShardKeeper
 from bendlead_gateway._jobs.runner import ItemRunner
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
@@ -8,7 +8,7 @@
 from bendlead_gateway._fleet.claims import Claim
 from bendlead_gateway._fleet.peers import PeerTable
 from bendlead_gateway._http.client import HttpConnection, Response
-from bendlead_gateway._http.server import Request, Responder
+from bendlead_gateway._http.messages import Request, Responder
 from bendlead_gateway._jobs.shards import shard_of
 from bendlead_gateway._log import Log
 from bendlead_gateway._online.relay import passed_on
--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -13,7 +13,8 @@
 
 from bendlead_gateway._fleet.fleet import Fleet
 from bendlead_gateway._fleet.peers import REPORT_PATH, PeerTable
-from bendlead_gateway._http.server import HttpServer, Request, Responder
+from bendlead_gateway._http.messages import Request, Responder
+from bendlead_gateway._http.server import HttpServer
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._reload import Reloader, SettingsSource
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -3,7 +3,7 @@
 import time
 from dataclasses import dataclass, field
 
-from bendlead_gateway._http.server import Request, Responder
+from bendlead_gateway._http.messages import Request, Responder
 from bendlead_gateway.types import EngineId, RequestFacts, Route
 
 #: Reads time out this much (s) after the request's own deadline.
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -7,7 +7,7 @@
 
 from bendlead_gateway._fleet.balancer import pick_service
 from bendlead_gateway._fleet.fleet import Fleet
-from bendlead_gateway._http.server import (
+from bendlead_gateway._http.messages import (
     ClientGoneError,
     Request,
     Responder,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
@@ -9,7 +9,7 @@
 from msgspec.structs import replace
 
 from bendlead_gateway._fleet.claims import held_shards
-from bendlead_gateway._http.server import Request, Responder
+from bendlead_gateway._http.messages import Request, Responder
 from bendlead_gateway._jobs.api import JobApi
 from bendlead_gateway._jobs.keeper import ShardKeeper
 from bendlead_gateway._jobs.retirement import Retirement
--- a/testing/src/bendlead_testing/gateway_soak/engine_process.py
+++ b/testing/src/bendlead_testing/gateway_soak/engine_process.py
@@ -16,7 +16,8 @@
 from typing import Any
 
 import gevent
-from bendlead_gateway._http.server import HttpServer, Request, Responder
+from bendlead_gateway._http.messages import Request, Responder
+from bendlead_gateway._http.server import HttpServer
 from bendlead_gateway.http import HttpConnection
 from bendlead_gateway.types import ClientLimits
 from gevent.lock import BoundedSemaphore
--- a/testing/src/bendlead_testing/platform_store.py
+++ b/testing/src/bendlead_testing/platform_store.py
@@ -13,12 +13,8 @@
 from urllib.parse import parse_qs, unquote, urlsplit
 
 import gevent
-from bendlead_gateway._http.server import (
-    ClientGoneError,
-    HttpServer,
-    Request,
-    Responder,
-)
+from bendlead_gateway._http.messages import ClientGoneError, Request, Responder
+from bendlead_gateway._http.server import HttpServer
 from bendlead_gateway.types import ClientLimits
 from gevent.event import Event
 
--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -1,5 +1,6 @@
 """An entry between clients and scripted engines, in one process."""
 
+import dataclasses
 import unittest
 
 import gevent
@@ -45,12 +46,16 @@
         self.store.start()
         self.engines = []
 
-    def start(self, *routes, answers=(), others=0):
-        """Start engines that each give their answers, and the entry."""
+    def start(self, *routes, answers=(), others=0, **changed):
+        """Start engines that each give their answers, and the entry.
+
+        What is given by name changes the settings of the entry.
+        """
         for number, given in enumerate(answers):
             self._start_engine(number, given)
         self.store.set('config', 'main', configuration(1, *routes))
         made = settings('entry-1', NodeRole.ENTRY, self.store.address)
+        made = dataclasses.replace(made, **changed)
         store = PlatformStore(made.store_address)
         self.entry = EntryNode(made, store, PlatformDialect())
         self.entry.serve()
@@ -195,6 +200,12 @@
         if status == 200:
             self.assertEqual('s1', head.find('x-response-seal'))
 
+    def test_few_descriptors(self):
+        """Fewer than are kept for engines and the store leave some."""
+        self.start(route('safe'), answers=[_PLAIN], descriptors=400)
+        head, _body = self.read(self.ask())
+        self.assertEqual(200, head.status)
+
     def test_resume_asks_behind_the_last_event(self):
         changed = route('streaming', resumable=True)
         self.start(changed, answers=[_CUT, _TAIL])
--- a/tests/test_gateway_server.py
+++ b/tests/test_gateway_server.py
@@ -1,5 +1,6 @@
 """The server's side of connections: one answer after another, then an end."""
 
+import errno
 import time
 import unittest
 
@@ -7,6 +8,7 @@
 from bendlead_gateway._http.server import HttpServer
 from bendlead_gateway.types import ClientLimits
 from gevent import socket
+from parameterized import parameterized
 
 from tests.gateway_standins import free_port
 
@@ -75,5 +77,101 @@
         responder.answer(200)
 
 
+class ClientLeavesTest(unittest.TestCase):
+    """A client closes in the moment in which its first answer ends."""
+
+    @parameterized.expand([('client_first', True), ('answer_first', False)])
+    def test_next_request_is_not_handled(self, _name, client_first):
+        for _repeat in range(10):
+            self._leave(client_first)
+
+    def _leave(self, client_first):
+        handled = []
+        inner, outer = socket.socketpair()
+
+        def answer(request, responder):
+            handled.append(request.target)
+            if request.target == '/1':
+                inner.recv(1)
+            responder.answer(200)
+
+        address = f'127.0.0.1:{free_port()}'
+        server = HttpServer(address, answer, lambda: _LIMITS, time.monotonic)
+        server.start()
+        host, port = address.split(':')
+        client = socket.create_connection((host, int(port)))
+        client.sendall(_FIRST + _SECOND)
+        gevent.sleep(0.02)
+        steps = [client.close, lambda: outer.sendall(b'x')]
+        for step in steps if client_first else reversed(steps):
+            step()
+        gevent.sleep(0.02)
+        server.stop_accepting()
+        self.assertEqual(['/1'], handled)
+
+
+class AcceptTest(unittest.TestCase):
+    """A server that is up goes on taking connections."""
+
+    def start(self, most=1_000_000):
+        """Start a server that answers at once."""
+        address = f'127.0.0.1:{free_port()}'
+        self.server = HttpServer(
+            address,
+            lambda _request, responder: responder.answer(200),
+            lambda: _LIMITS,
+            time.monotonic,
+            most,
+        )
+        host, port = address.split(':')
+        self.address = host, int(port)
+
+    def ask(self):
+        """Send a request on a new connection and read its answer."""
+        client = socket.create_connection(self.address, 1)
+        self.addCleanup(client.close)
+        client.sendall(_FIRST)
+        client.settimeout(1)
+        return client, client.recv(4096)
+
+    @parameterized.expand(
+        [
+            ('no_descriptors', errno.EMFILE),
+            ('no_memory', errno.ENOBUFS),
+            ('peer_left', errno.ECONNABORTED),
+        ]
+    )
+    def test_goes_on_after(self, _name, number):
+        self.start()
+        listener = self.server._sock
+        failures = [OSError(number, 'scripted')] * 3
+
+        class Listener:
+            """Fail a few times before taking connections."""
+
+            def accept(self):
+                """Accept, or raise."""
+                if failures:
+                    raise failures.pop()
+                return listener.accept()
+
+        self.server._sock = Listener()
+        self.server.start()
+        _client, answer = self.ask()
+        self.assertIn(b'HTTP/1.1 200', answer)
+        listener.close()
+
+    def test_rested_connections_make_room(self):
+        """Clients keep connections that they do not use at the moment."""
+        self.start(most=2)
+        self.server.start()
+        kept = [self.ask()[0] for _number in range(2)]
+        _client, answer = self.ask()
+        self.assertIn(b'HTTP/1.1 200', answer)
+        self.assertEqual(b'', kept[0].recv(1))
+        kept[1].sendall(_FIRST)
+        self.assertIn(b'HTTP/1.1 200', kept[1].recv(4096))
+
+
 if __name__ == '__main__':
     unittest.main()
