--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -155,3 +155,54 @@
             return found
         gevent.sleep(0.01)
     raise AssertionError(f'not within {seconds} s')
+
+
+class SilentLink:
+    """Carry connections to an address; those that are open can fall silent.
+
+    They stay open then and their bytes are still acknowledged, so neither
+    keep-alive probes nor time-outs of the system show it.
+    """
+
+    def __init__(self, target: str) -> None:
+        self._target = target.split(':')
+        self._sock = socket.socket()
+        self._sock.bind(('127.0.0.1', 0))
+        self._sock.listen(64)
+        self.address = f'127.0.0.1:{self._sock.getsockname()[1]}'
+        self.opened = 0
+        self._ends: list[socket.socket] = []
+        self._pumps: list[gevent.Greenlet] = []
+        self._task = gevent.spawn(self._accept)
+
+    def silence(self) -> None:
+        """Carry nothing more on the connections that are open now."""
+        gevent.killall(self._pumps)
+        self._pumps.clear()
+
+    def close(self) -> None:
+        """Close all connections and take no more."""
+        self._task.kill()
+        self.silence()
+        for end in (self._sock, *self._ends):
+            end.close()
+
+    def _accept(self) -> None:
+        while True:
+            near, _peer = self._sock.accept()
+            self.opened += 1
+            host, port = self._target
+            far = socket.create_connection((host, int(port)))
+            self._ends.extend((near, far))
+            for source, sink in ((near, far), (far, near)):
+                pump = gevent.spawn(self._pump, source, sink)
+                self._pumps.append(pump)
+
+    def _pump(self, source: socket.socket, sink: socket.socket) -> None:
+        try:
+            while part := source.recv(65536):
+                sink.sendall(part)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            # One end is gone; so is the other, as far as a peer can tell.
+            sink.close()
