A client that goes on reading is not cut off, however long its answer takes

Cause: the 5 s in which a client reads nothing were the limit of the whole answer, since sendall takes a time-out for all it sends: 16 MB read steadily broke off after 9,594,516 bytes at a limit of 0.6 s. Change: each piece that the client takes begins the time anew. Ruled out: a longer TCP_USER_TIMEOUT for clients' connections (a reader that rests for 3 s with a full window is reset after 1.2 s): it would keep the engines of clients whose machine is dark at work for 5 s. Also: finding the entry that passes a call on is split in two functions.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/claims.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/claims.py
@@ -40,11 +40,7 @@
         """
         best: Claim | None = None
         for peer in self._live():
-            if peer.record.role is not NodeRole.ENTRY or not peer.report:
-                continue
-            if peer.report.leaving:
-                continue
-            epoch = _epoch_among(peer.report.heard, shard)
+            epoch = _epoch_passed_on(peer, shard)
             if best is None or epoch > best.epoch:
                 best = Claim(peer.record.node, peer.record.address, epoch)
         return best if best and best.epoch else None
@@ -95,6 +91,14 @@
     return _epoch_among(peer.report.shards, shard) if peer.report else 0
 
 
+def _epoch_passed_on(peer: Peer, shard: int) -> int:
+    """Give the epoch at which an entry hears a shard held, or 0."""
+    report = peer.report
+    if report is None or peer.record.role is not NodeRole.ENTRY:
+        return 0
+    return 0 if report.leaving else _epoch_among(report.heard, shard)
+
+
 def _epoch_among(claims: Sequence[HeldShard], shard: int) -> int:
     return max((one.epoch for one in claims if one.shard == shard), default=0)
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/messages.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/messages.py
@@ -125,7 +125,10 @@
 
     def _send(self, sent: bytes) -> None:
         try:
-            self._sock.sendall(sent)
+            rest = memoryview(sent)
+            while rest:
+                # The time-out holds for each piece that the client takes.
+                rest = rest[self._sock.send(rest) :]
         except OSError as error:
             raise ClientGoneError(str(error)) from error
 
--- a/tests/test_gateway_server.py
+++ b/tests/test_gateway_server.py
@@ -3,8 +3,10 @@
 import errno
 import time
 import unittest
+from unittest import mock
 
 import gevent
+from bendlead_gateway._http import server as server_module
 from bendlead_gateway._http.server import HttpServer
 from bendlead_gateway.types import ClientLimits
 from gevent import socket
@@ -173,5 +175,36 @@
         self.assertIn(b'HTTP/1.1 200', kept[1].recv(4096))
 
 
+class SlowReaderTest(unittest.TestCase):
+    """A client that reads slowly gets the whole answer."""
+
+    def test_reader_that_goes_on(self):
+        """The limit is for reading nothing, not for the whole answer."""
+        body = b'x' * 16_000_000
+        address = f'127.0.0.1:{free_port()}'
+        server = HttpServer(
+            address,
+            lambda _request, responder: responder.answer(200, (), body),
+            lambda: _LIMITS,
+            time.monotonic,
+        )
+        server.start()
+        self.addCleanup(server.stop_accepting)
+        host, port = address.split(':')
+        client = socket.socket()
+        self.addCleanup(client.close)
+        # Small, so that the server has to wait for the reader.
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        client.connect((host, int(port)))
+        client.settimeout(3)
+        client.sendall(_FIRST)
+        count = 0
+        with mock.patch.object(server_module, '_WRITE_SECONDS', 0.6):
+            while count < len(body) and (part := client.recv(100_000)):
+                count += len(part)
+                gevent.sleep(0.01)
+        self.assertGreater(count, len(body))
+
+
 if __name__ == '__main__':
     unittest.main()
