A settings file that is being replaced is waited for; a header nobody read goes

Cause: the look at the file gave 0 where it was away, and that counted as a change: the reload failed and said so, though the next look would find it. Change: a file that is away is no news.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
@@ -24,8 +24,6 @@
 _RETRY_AFTER = (('Retry-After', '0.8'),)
 _PASSED_ANSWER = frozenset(('content-type', 'retry-after'))
 _NOT_HELD = 'x-not-held'
-#: Marks a call that another entry passes on: it goes to the holder or nowhere.
-_FORWARDED = ('X-Forwarded-By-Entry', '1')
 
 
 class NotAskedError(Exception):
@@ -48,7 +46,8 @@
     ) -> None:
         """Have the holder of a job's shard answer a call.
 
-        A forwarded one comes from an entry that does not hear the holder.
+        A forwarded one comes, at the internal port, from an entry that does not
+        hear the holder; it goes to the holder or nowhere.
         """
         shard = shard_of(request.host)
         until = time.monotonic() + _OWNER_SECONDS
@@ -80,7 +79,6 @@
         self._log.event(
             'job-call-forwarded', target=request.target, entry=way.node
         )
-        request.headers = [*request.headers, _FORWARDED]
         return self._try(way, request, responder)
 
     def _try(
--- a/tests/test_gateway_reload.py
+++ b/tests/test_gateway_reload.py
@@ -1,6 +1,7 @@
 """What becomes of new settings in a running process."""
 
 import os
+import tempfile
 import unittest
 from dataclasses import replace
 from unittest import mock
@@ -8,6 +9,7 @@
 from bendlead_gateway._log import Log
 from bendlead_gateway._reload import Reloader
 from bendlead_gateway.types import NodeRole
+from bendlead_platform import SettingsFile
 from parameterized import parameterized
 from result import Err, Ok
 
@@ -62,3 +64,20 @@
         self.assertEqual(
             [mock.call(moved)] if moved else [], store.move.mock_calls
         )
+
+
+class SettingsFileTest(unittest.TestCase):
+    """A file that is replaced is away for a moment."""
+
+    def test_file_that_is_being_replaced(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, 'local.toml')
+            with open(path, 'w') as file:
+                file.write('node = 1')
+            source = SettingsFile(path)
+            os.rename(path, f'{path}.old')
+            self.assertEqual(Ok(None), source.changed())
+            with open(path, 'w') as file:
+                file.write('node = 2')
+            os.utime(path, ns=(1, 1))
+            self.assertIn('local.toml', source.changed().unwrap_err())
