Progress of batch items outlasts their owner

Cause: how far an item had come lived in the memory of its owner. A successor found jobs and results in the log, and ran every other item from its start. Ruled out: an object of its own for progress (needs a fence of its own, a second write and a delete each time); a new kind of record (an older version could not read the log during an upgrade; a field it skips does no harm). It counts only where it goes on behind what is kept, and never after a result or an end; a deposed owner's is refused with its commit. It goes along with writes that are made anyway, at most every 0.4 s, or in a write of its own after 1 s; at most 200,000 characters a turn. A leaving owner writes what is left before it gives its shards up. HeldJob and Progress moved to a module of their own.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/api.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/api.py
@@ -7,7 +7,8 @@
 
 from bendlead_gateway._fleet.catalog import ConfigurationHolder
 from bendlead_gateway._http.messages import Request, Responder
-from bendlead_gateway._jobs.board import Board, HeldJob
+from bendlead_gateway._jobs.board import Board
+from bendlead_gateway._jobs.held import HeldJob
 from bendlead_gateway._jobs.keeper import ShardKeeper
 from bendlead_gateway._jobs.runner import ItemRunner
 from bendlead_gateway._jobs.shards import shard_of
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
@@ -2,13 +2,11 @@
 
 import base64
 import time
-from collections.abc import Callable, Iterator, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable
 
 import gevent
 from bendlead_ledger import (
     Committer,
-    DirectJobState,
     Owner,
     ShardId,
     ShardLog,
@@ -32,6 +30,8 @@
 from gevent.event import Event
 from result import Err, Ok, Result
 
+from bendlead_gateway._jobs.held import HeldJob
+from bendlead_gateway._jobs.progress import ProgressLog
 from bendlead_gateway.types import (
     ItemId,
     ItemOutcome,
@@ -55,88 +55,6 @@
 _SEGMENTS = 48
 
 
-@dataclass(slots=True)
-class Progress:
-    """Keep how far an item has come; events are kept over its runs."""
-
-    item: JobItem
-    texts: list[str] = field(default_factory=list)
-    last_event: int | None = None
-    failures: int = 0
-    running: bool = False
-    finished: bool = False
-    not_before: float = 0
-    #: Seconds for which runs of the item have held places so far.
-    spent: float = 0
-
-
-class HeldJob:
-    """Hold one job: its durable state and how far its items have come."""
-
-    def __init__(self, state: DirectJobState, items: Sequence[JobItem]) -> None:
-        self.state = state
-        self.changed = Event()
-        self.progress = {
-            one.item: Progress(one)
-            for one in items
-            if not state.listed(one.item)
-        }
-
-    @property
-    def job(self) -> JobId:
-        """Give the id."""
-        return JobId(self.state.accepted.job)
-
-    @property
-    def host(self) -> str:
-        """Give the host whose routes the items take."""
-        return self.state.accepted.host
-
-    @property
-    def waiting_tokens(self) -> int:
-        """Count the tokens of the items that no engine has finished."""
-        if self.state.ended:
-            return 0
-        return sum(
-            one.item.tokens
-            for one in self.progress.values()
-            if not one.finished
-        )
-
-    def waiting(self, now: float) -> Iterator[Progress]:
-        """List the items that could start now."""
-        if self.state.ended:
-            return
-        for one in self.progress.values():
-            idle = not one.running and not one.finished
-            if idle and one.not_before <= now:
-                yield one
-
-    def body(self, item: ItemId) -> bytes | None:
-        """Give the body of an item without result, unless it is unknown."""
-        found = self.progress.get(item)
-        return found.item.body if found else None
-
-    def announce(self) -> None:
-        """Wake the readers and forget what is listed."""
-        for item in list(self.progress):
-            if self.state.listed(item):
-                self.progress.pop(item)
-        self.changed.set()
-        self.changed = Event()
-
-    def results(self, after: int, most_bytes: int) -> list[ItemResult]:
-        """Give results from a position on, one at least if there is one."""
-        given: list[ItemResult] = []
-        size = 0
-        for one in self.state.results[after:]:
-            size += len(one.text)
-            if given and size > most_bytes:
-                break
-            given.append(_shown(one))
-        return given
-
-
 class Board:
     """Accept, record and end the jobs of one shard."""
 
@@ -147,18 +65,22 @@
         log: ShardLog,
         state: ShardState,
         kept: float,
-        committer: Committer,
+        on_lost: Callable[[], None],
     ) -> None:
         self._store = store
         self._log = log
         self._state = state
         self._shard = shard
         self._kept = kept
-        self._committer = committer
         self._confirming: Event | None = None
         self._accepting: dict[JobId, Event] = {}
         self._pending_tokens: dict[JobId, tuple[str, int]] = {}
         self.jobs: dict[JobId, HeldJob] = {}
+        self._progress = ProgressLog(self.jobs)
+        self._committer = Committer(
+            log, state, lambda: _COMMIT_INTERVAL, on_lost, self._progress.along
+        )
+        self._saver = gevent.spawn(self._progress.run, self._committer)
 
     @property
     def epoch(self) -> int:
@@ -212,10 +134,17 @@
 
     def close(self) -> None:
         """Stop committing, and end the reads that wait for results."""
+        self._saver.kill()
         self._committer.close()
         for job in self.jobs.values():
             job.announce()
 
+    def save_progress(self, within: float) -> None:
+        """Have the log hold all progress, for the next owner to go on."""
+        records = self._progress.take()
+        if records:
+            self._committer.commit(records, within)
+
     def sure(self, within: float) -> Result[None, Failure]:
         """Make sure that the shard was held within the last seconds."""
         if time.monotonic() - self._log.confirmed_at < within:
@@ -374,8 +303,7 @@
     if isinstance(taken, Err):
         return taken
     state = taken.ok_value
-    committer = Committer(log, state, lambda: _COMMIT_INTERVAL, on_lost)
-    board = Board(store, ShardId(shard), log, state, kept, committer)
+    board = Board(store, ShardId(shard), log, state, kept, on_lost)
     loaded = board.load()
     if isinstance(loaded, Err):
         board.close()
@@ -401,10 +329,3 @@
         base64.b64decode(stored.body),
         stored.tokens,
     )
-
-
-def _shown(stored: DirectResult) -> ItemResult:
-    outcome = ItemOutcome.GIVEN_UP
-    if stored.completed:
-        outcome = ItemOutcome.COMPLETED
-    return ItemResult(ItemId(stored.item), outcome, stored.text)
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/held.py
@@ -0,0 +1,176 @@
+"""One job that is held here, and how far its items have come."""
+
+import time
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+
+from bendlead_ledger import BEFORE_FIRST, DirectJobState, KeptProgress
+from bendlead_schema.records import DirectProgress, DirectResult
+from gevent.event import Event
+
+from bendlead_gateway.types import (
+    ItemId,
+    ItemOutcome,
+    ItemResult,
+    JobId,
+    JobItem,
+)
+
+
+@dataclass(slots=True)
+class Progress:
+    """Keep how far an item has come; events are kept over its runs."""
+
+    item: JobItem
+    texts: list[str] = field(default_factory=list)
+    last_event: int | None = None
+    failures: int = 0
+    finished: bool = False
+    not_before: float = 0
+    #: When the run under way began, on the steady clock (s).
+    _since: float | None = None
+    #: Seconds for which earlier runs of the item have held places.
+    _spent: float = 0
+    #: How many texts, up to which event, have been handed to the log.
+    _kept_texts: int = 0
+    _kept_event: int = BEFORE_FIRST
+
+    @classmethod
+    def restored(cls, item: JobItem, kept: KeptProgress | None) -> 'Progress':
+        """Go on behind what an earlier owner has kept, if it has."""
+        if kept is None:
+            return cls(item)
+        return cls(
+            item,
+            [kept.text],
+            kept.last_event,
+            _spent=kept.spent,
+            _kept_texts=1,
+            _kept_event=kept.last_event,
+        )
+
+    @property
+    def running(self) -> bool:
+        """Tell whether a run is under way."""
+        return self._since is not None
+
+    @property
+    def spent(self) -> float:
+        """Give the seconds for which runs have held places so far."""
+        if self._since is None:
+            return self._spent
+        return self._spent + time.monotonic() - self._since
+
+    @property
+    def not_kept(self) -> int:
+        """Count the events that have not been handed to the log."""
+        return len(self.texts) - self._kept_texts
+
+    def begin(self) -> None:
+        """Note that a run holds a place from now on."""
+        self._since = time.monotonic()
+
+    def pause(self) -> None:
+        """Note that the run no longer holds its place."""
+        self._spent = self.spent
+        self._since = None
+
+    def take(self, most: int) -> DirectProgress:
+        """Hand over the next events, one at least, of so many characters."""
+        until = self._kept_texts + 1
+        size = len(self.texts[self._kept_texts])
+        while until < len(self.texts):
+            size += len(self.texts[until]) + 1
+            if size > most:
+                break
+            until += 1
+        made = DirectProgress(
+            item=self.item.item,
+            after=self._kept_event,
+            # Numbers of events rise by one.
+            last_event=self.last_event - len(self.texts) + until,
+            text='\n'.join(self.texts[self._kept_texts : until]),
+            spent=self.spent,
+        )
+        self._kept_texts = until
+        self._kept_event = made.last_event
+        return made
+
+
+class HeldJob:
+    """Hold one job: its durable state and how far its items have come."""
+
+    def __init__(self, state: DirectJobState, items: Sequence[JobItem]) -> None:
+        self.state = state
+        self.changed = Event()
+        self.progress = {
+            one.item: Progress.restored(one, state.kept.get(one.item))
+            for one in items
+            if not state.listed(one.item)
+        }
+
+    @property
+    def job(self) -> JobId:
+        """Give the id."""
+        return JobId(self.state.accepted.job)
+
+    @property
+    def host(self) -> str:
+        """Give the host whose routes the items take."""
+        return self.state.accepted.host
+
+    @property
+    def waiting_tokens(self) -> int:
+        """Count the tokens of the items that no engine has finished."""
+        if self.state.ended:
+            return 0
+        return sum(
+            one.item.tokens
+            for one in self.progress.values()
+            if not one.finished
+        )
+
+    @property
+    def items_begun(self) -> int:
+        """Count the items of which some events are here."""
+        return sum(bool(one.texts) for one in self.progress.values())
+
+    def waiting(self, now: float) -> Iterator[Progress]:
+        """List the items that could start now."""
+        if self.state.ended:
+            return
+        for one in self.progress.values():
+            idle = not one.running and not one.finished
+            if idle and one.not_before <= now:
+                yield one
+
+    def body(self, item: ItemId) -> bytes | None:
+        """Give the body of an item without result, unless it is unknown."""
+        found = self.progress.get(item)
+        return found.item.body if found else None
+
+    def announce(self) -> None:
+        """Wake the readers and forget what is listed."""
+        for item in list(self.progress):
+            if self.state.listed(item):
+                self.progress.pop(item)
+        self.changed.set()
+        self.changed = Event()
+
+    def results(self, after: int, most_bytes: int) -> list[ItemResult]:
+        """Give results from a position on, one at least if there is one."""
+        given: list[ItemResult] = []
+        size = 0
+        for one in self.state.results[after:]:
+            size += len(one.text)
+            if given and size > most_bytes:
+                break
+            given.append(_shown(one))
+        return given
+
+
+def _shown(stored: DirectResult) -> ItemResult:
+    outcome = ItemOutcome.GIVEN_UP
+    if stored.completed:
+        outcome = ItemOutcome.COMPLETED
+    return ItemResult(ItemId(stored.item), outcome, stored.text)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -6,7 +6,8 @@
 
 from bendlead_gateway._fleet.fleet import Fleet
 from bendlead_gateway._http.client import HttpConnection, ResponseHead
-from bendlead_gateway._jobs.board import Board, HeldJob, Progress
+from bendlead_gateway._jobs.board import Board
+from bendlead_gateway._jobs.held import HeldJob, Progress
 from bendlead_gateway._jobs.urgency import Urgency
 from bendlead_gateway._online.events import EventSplitter, StreamEvent
 from bendlead_gateway.dialect import Dialect
@@ -31,7 +32,6 @@
     board: Board
     job: HeldJob
     progress: Progress
-    began: float
     urgency: Urgency
     connection: HttpConnection | None = None
     stopped: bool = False
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
@@ -1,7 +1,7 @@
 """Hold the shards that fall to this process."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import gevent
 from bendlead_ledger import Owner
@@ -22,6 +22,8 @@
 _CALM_SECONDS = 1.5
 #: Pause between two tries to take a shard (s); each costs a call or two.
 _TRY_SECONDS = 0.4
+#: What a leaving owner waits (s) for one write of its items' progress.
+_SAVE_SECONDS = 0.5
 
 
 class ShardKeeper:
@@ -67,6 +69,7 @@
             if not any(one.busy for one in self.boards.values()):
                 break
             gevent.sleep(_CHECK_SECONDS / 4)
+        self._save(list(self.boards.values()))
         for shard in list(self.boards):
             self._give_up(shard, 'leaving')
 
@@ -75,9 +78,20 @@
         self._leaving = True
         if not self._peers.claims.able_owners():
             return
-        for shard, board in list(self.boards.items()):
-            if not board.busy:
-                self._give_up(shard, 'handed over')
+        ready = {
+            shard: board
+            for shard, board in self.boards.items()
+            if not board.busy
+        }
+        self._save(list(ready.values()))
+        for shard in ready:
+            self._give_up(shard, 'handed over')
+
+    def _save(self, boards: Sequence[Board]) -> None:
+        """Write how far items have come, so that the next owner goes on."""
+        gevent.joinall(
+            [gevent.spawn(one.save_progress, _SAVE_SECONDS) for one in boards]
+        )
 
     def _consider(self, shard: int, sound: bool) -> None:
         held = self.boards.get(shard)
@@ -122,12 +136,14 @@
                 'takeover-failed', shard=shard, reason=opened.err_value
             )
             return
-        self.boards[shard] = opened.ok_value
+        board = opened.ok_value
+        self.boards[shard] = board
         self._log.event(
             'takeover',
             shard=shard,
-            epoch=opened.ok_value.epoch,
-            jobs=len(opened.ok_value.jobs),
+            epoch=board.epoch,
+            jobs=len(board.jobs),
+            items_begun=sum(job.items_begun for job in board.jobs.values()),
             ms=round((time.monotonic() - began) * 1000),
         )
         if self._leaving:
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/progress.py
@@ -0,0 +1,87 @@
+"""Which progress of a shard's items goes into its log, and when."""
+
+import time
+from collections.abc import Iterator, Mapping
+
+import gevent
+from bendlead_ledger import Committer
+from bendlead_schema.records import (
+    DirectProgress,
+    DirectResultsRecorded,
+    Record,
+)
+
+from bendlead_gateway._jobs.held import HeldJob, Progress
+from bendlead_gateway.types import JobId
+
+#: Shortest time (s) between two records of progress: a write that goes out
+#: anyway carries it for nothing, but each record is written again with every
+#: later write until the tail of the log is sealed.
+_ALONG_SECONDS = 0.4
+#: Progress that has waited this long (s) gets a write of its own. A call to
+#: the object service is paid for; what an owner's death costs is half of it.
+_ALONE_SECONDS = 1.0
+_CHECK_SECONDS = 0.2
+#: Most characters of one turn: packing them takes about a millisecond, and
+#: a value of the object service holds a megabyte.
+_MOST_CHARACTERS = 200_000
+
+_Fresh = tuple[JobId, Progress]
+
+
+class ProgressLog:
+    """Hand over the events that the log does not hold yet."""
+
+    def __init__(self, jobs: Mapping[JobId, HeldJob]) -> None:
+        self._jobs = jobs
+        self._taken_at = time.monotonic()
+
+    @property
+    def due(self) -> bool:
+        """Tell whether progress is worth a write of its own."""
+        return self._rested(_ALONE_SECONDS) and any(self._fresh())
+
+    def run(self, committer: Committer) -> None:
+        """Write progress that no other write has carried, for ever."""
+        while not committer.lost:
+            gevent.sleep(_CHECK_SECONDS)
+            if self.due:
+                # Where it fails the shard is lost, which is logged there.
+                committer.commit(self.take())
+
+    def along(self) -> list[Record]:
+        """Give what goes with a write that is made anyway."""
+        return self.take() if self._rested(_ALONG_SECONDS) else []
+
+    def take(self) -> list[Record]:
+        """Give the events to write, of the items first that lack most."""
+        self._taken_at = time.monotonic()
+        left = _MOST_CHARACTERS
+        taken: dict[JobId, list[DirectProgress]] = {}
+        for job, progress in sorted(self._fresh(), key=_not_kept, reverse=True):
+            if left <= 0:
+                break
+            one = progress.take(left)
+            left -= len(one.text)
+            taken.setdefault(job, []).append(one)
+        return [
+            DirectResultsRecorded(job=job, results=[], progress=progress)
+            for job, progress in taken.items()
+        ]
+
+    def _rested(self, seconds: float) -> bool:
+        return time.monotonic() - self._taken_at > seconds
+
+    def _fresh(self) -> Iterator[_Fresh]:
+        """List the items with events that the log does not hold."""
+        for name, job in self._jobs.items():
+            if job.state.ended:
+                continue
+            for progress in job.progress.values():
+                if progress.not_kept and not progress.finished:
+                    yield name, progress
+
+
+def _not_kept(fresh: _Fresh) -> int:
+    _job, progress = fresh
+    return progress.not_kept
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -9,7 +9,8 @@
 
 from bendlead_gateway._fleet.balancer import pick_service
 from bendlead_gateway._fleet.fleet import Fleet
-from bendlead_gateway._jobs.board import Board, HeldJob, Progress
+from bendlead_gateway._jobs.board import Board
+from bendlead_gateway._jobs.held import HeldJob, Progress
 from bendlead_gateway._jobs.item_run import (
     ItemAttempts,
     ItemRun,
@@ -180,10 +181,9 @@
             candidate.board,
             candidate.job,
             candidate.progress,
-            time.monotonic(),
             candidate.urgency,
         )
-        run.progress.running = True
+        run.progress.begin()
         self._runs.add(run)
         self._loads.own.batch[engine.engine] += 1
         gevent.spawn(self._run_item, run, candidate.route)
@@ -205,12 +205,11 @@
 
     def _conclude(self, run: ItemRun) -> None:
         self._runs.discard(run)
-        run.progress.spent += time.monotonic() - run.began
+        run.progress.pause()
         self._loads.own.batch[run.engine.engine] -= 1
         connection = run.connection
         if connection is not None and not connection.reusable:
             connection.close()
-        run.progress.running = False
 
     def _note_failure(self, run: ItemRun, error: Exception) -> None:
         ending = 'stopped' if run.stopped else 'failed'
--- a/packages/bendlead-ledger/src/bendlead_ledger/__init__.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/__init__.py
@@ -7,7 +7,13 @@
     encode,
 )
 from bendlead_ledger._committer import Committer
-from bendlead_ledger._direct import DirectJobState, pack_items, unpack_items
+from bendlead_ledger._direct import (
+    BEFORE_FIRST,
+    DirectJobState,
+    KeptProgress,
+    pack_items,
+    unpack_items,
+)
 from bendlead_ledger._grants import GrantOrder, TeamPolicy
 from bendlead_ledger._ids import (
     JobId,
@@ -33,6 +39,7 @@
 from bendlead_ledger._state import ShardState
 
 __all__ = (
+    'BEFORE_FIRST',
     'NOT_OWNER',
     'ChunkReader',
     'Committer',
@@ -40,6 +47,7 @@
     'FileWriter',
     'GrantOrder',
     'JobId',
+    'KeptProgress',
     'Owner',
     'RequestId',
     'Shard',
--- a/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
@@ -22,6 +22,10 @@
 _SHORTEST_INTERVAL = 0.005
 
 
+def _nothing() -> Sequence[Record]:
+    return ()
+
+
 @dataclass(slots=True)
 class _Ticket:
     records: Sequence[Record]
@@ -37,11 +41,14 @@
         state: ShardState,
         interval: Callable[[], float],
         on_lost: Callable[[], None],
+        riders: Callable[[], Sequence[Record]] = _nothing,
     ) -> None:
+        """Ask for riders, records nobody waits for, before each write."""
         self._log = log
         self._state = state
         self._interval = interval
         self._on_lost = on_lost
+        self._riders = riders
         self._queue: list[_Ticket] = []
         self._writing: Sequence[_Ticket] = ()
         self._wake = Event()
@@ -130,9 +137,10 @@
         if self._queue:
             self._wake.set()
         records = [record for ticket in batch for record in ticket.records]
+        riders = self._riders()
         self._writing_since = time.monotonic()
         self._writing = batch
-        committed = self._log.commit(records)
+        committed = self._log.commit([*records, *riders])
         self._writing = ()
         self._writing_since = 0
         if isinstance(committed, Err):
@@ -141,6 +149,7 @@
         for ticket in batch:
             effects = [self._state.apply(record) for record in ticket.records]
             ticket.done.set(Ok(effects))
+        self._state.replay(riders)
         if self._log.fenced:
             self._lose([])
         elif self._log.needs_snapshot():
--- a/packages/bendlead-ledger/src/bendlead_ledger/_state.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_state.py
@@ -201,17 +201,17 @@
         return True
 
     def record_direct(self, record: DirectResultsRecorded) -> bool:
-        """Append the results of items that have none yet."""
+        """Append first results of items and keep progress of the others."""
         job = self.direct.get(record.job)
-        return job is not None and job.record(record.results)
+        if job is None:
+            return False
+        recorded = job.record(record.results)
+        return job.keep(record.progress) or recorded
 
     def end_direct(self, record: DirectJobEnded) -> bool:
         """End a direct job."""
         job = self.direct.get(record.job)
-        if job is None or job.ended:
-            return False
-        job.ended = True
-        return True
+        return job is not None and job.end()
 
     def accept_request(self, record: RequestAccepted) -> bool:
         """Accept a request once."""
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/records.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/records.py
@@ -279,15 +279,51 @@
     text: str
 
 
+class DirectProgress(Struct, kw_only=True):
+    """
+    Hold events of an item that has no result yet.
+    """
+
+    item: str
+    last_event: Annotated[int, Meta(description='Last event in the text.')]
+    text: Annotated[str, Meta(description='Data of the events, parted by line feeds.')]
+    after: (
+        Annotated[
+            int,
+            Meta(
+                description='Event that the text goes on behind; -1: its start.', ge=-1
+            ),
+        ]
+        | UnsetType
+    ) = -1
+    spent: (
+        Annotated[
+            float,
+            Meta(
+                description='Seconds for which runs of the item have held places.',
+                ge=0.0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+
+
 class DirectResultsRecorded(
     Struct, kw_only=True, tag_field='kind', tag='direct-results-recorded'
 ):
     """
-    Append results of a direct job in the order of this list.
+    Append results of a direct job in the order of this list, and keep progress.
     """
 
     job: str
     results: list[DirectResult]
+    progress: (
+        Annotated[
+            list[DirectProgress],
+            Meta(description='How far items without result have come.'),
+        ]
+        | UnsetType
+    ) = field(default_factory=list)
 
 
 class DirectJobEnded(Struct, kw_only=True, tag_field='kind', tag='direct-job-ended'):
@@ -306,6 +342,7 @@
     accepted: DirectJobAccepted
     results: list[DirectResult]
     ended: bool
+    progress: list[DirectProgress] | UnsetType = field(default_factory=list)
 
 
 Record: TypeAlias = Annotated[
--- /dev/null
+++ b/tests/bounded_store.py
@@ -0,0 +1,34 @@
+"""A store in memory that holds values to their largest size."""
+
+import base64
+
+from bendlead_store import ABSENT, Entry, Failure, FailureKind, Version
+from result import Err, Ok
+
+_VALUE_BYTES = 1_048_576
+
+
+class BoundedStore:
+    """Keep values in memory and refuse those that are too large."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, Entry] = {}
+        self._revision = 0
+
+    def fetch(self, key):
+        return Ok(self._entries.get(key))
+
+    def put(self, key, body, expected):
+        if len(base64.b64encode(body)) > _VALUE_BYTES:
+            return Err(Failure(FailureKind.REFUSED, 'put', key, 'too large'))
+        found = self._entries.get(key)
+        if (found.version if found else ABSENT) != expected:
+            return Err(Failure(FailureKind.CONFLICT, 'put', key))
+        self._revision += 1
+        version = Version(self._revision)
+        self._entries[key] = Entry(key, version, body)
+        return Ok(version)
+
+    def delete(self, key, _expected):
+        self._entries.pop(key, None)
+        return Ok(Version(0))
--- a/tests/test_ledger_segments.py
+++ b/tests/test_ledger_segments.py
@@ -1,6 +1,5 @@
 """What a shard commits stays within the values of the object service."""
 
-import base64
 import random
 import unittest
 
@@ -11,43 +10,17 @@
     DirectResultsRecorded,
 )
 from bendlead_schema.settings import LedgerSettings
-from bendlead_store import ABSENT, Entry, Failure, FailureKind, Version
+from bendlead_store import FailureKind
 from parameterized import parameterized
-from result import Err, Ok
 
-_VALUE_BYTES = 1_048_576
+from tests.bounded_store import BoundedStore
+
 _SETTINGS = LedgerSettings(tail_bytes=65_536, segments=8)
 _ACCEPTED = DirectJobAccepted(
     job='j1', host='a', path='/', accepted_at=1, total=99, tokens=1
 )
 
 
-class _BoundedStore:
-    """Keep values in memory and refuse those that are too large."""
-
-    def __init__(self) -> None:
-        self._entries: dict[str, Entry] = {}
-        self._revision = 0
-
-    def fetch(self, key):
-        return Ok(self._entries.get(key))
-
-    def put(self, key, body, expected):
-        if len(base64.b64encode(body)) > _VALUE_BYTES:
-            return Err(Failure(FailureKind.REFUSED, 'put', key, 'too large'))
-        found = self._entries.get(key)
-        if (found.version if found else ABSENT) != expected:
-            return Err(Failure(FailureKind.CONFLICT, 'put', key))
-        self._revision += 1
-        version = Version(self._revision)
-        self._entries[key] = Entry(key, version, body)
-        return Ok(version)
-
-    def delete(self, key, _expected):
-        self._entries.pop(key, None)
-        return Ok(Version(0))
-
-
 def _results(count, size):
     noise = random.Random(count)
     return [
@@ -77,7 +50,7 @@
         ],
     )
     def test_read_back(self, _name, count, size):
-        store = _BoundedStore()
+        store = BoundedStore()
         log = ShardLog(store, ShardId(1), Owner('n1', 'a'), _SETTINGS)
         log.take_over()
         self.assertTrue(log.commit([_ACCEPTED]).is_ok())
@@ -89,7 +62,7 @@
         self.assertEqual(expected, state.direct['j1'].results)
 
     def test_confirm_sees_another_owner(self):
-        store = _BoundedStore()
+        store = BoundedStore()
         log = ShardLog(store, ShardId(1), Owner('n1', 'a'), _SETTINGS)
         log.take_over()
         self.assertTrue(log.confirm().is_ok())
