An event that is no text ends the run, not the commits of its shard

Cause: the data of an event that is not UTF-8 was kept with surrogates, which JSON can't hold. The result raised within the committer's task: it ended without a word, and nothing more of that shard was committed or answered. Progress in the log would have met it sooner. Ruled out: replacing the bytes (the text would not be the engine's). Change: such an event fails the run, which goes on behind the last good one. Test, failed before (no result within 5 s): test_gateway_jobs, no_text.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -144,5 +144,17 @@
         raise RunFailedError('an event without a number')
     if before is not None and event.number != before + 1:
         raise RunFailedError(f'event {event.number} after {before}')
+    if not _is_text(event.text):
+        raise RunFailedError(f'event {event.number} is not UTF-8')
     progress.last_event = event.number
     progress.texts.append(event.text)
+
+
+def _is_text(text: str) -> bool:
+    """Tell whether the log and answers can hold the data of an event."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        # Bytes that are not UTF-8 were kept as surrogates.
+        return False
+    return True
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -32,6 +32,7 @@
 _CUT = chunked(event(1, 'a'), last=False)
 _TAIL = chunked(event(2, 'b'))
 _GAP = chunked(event(1, 'a'), event(3, 'c'))
+_NO_TEXT = chunked(event(1, 'a'), b'id: 2\ndata: \xff\n\n')
 _FAILED = b'HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n'
 _NEVER = b'HTTP/1.1 422 x\r\nContent-Length: 0\r\n\r\n'
 _SHED = b'HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
@@ -129,6 +130,7 @@
             ('failed_twice', [_FAILED, _FAILED, _WHOLE], 'completed', 'a\nb'),
             ('shed_is_no_failure', [_SHED] * 4 + [_WHOLE], 'completed', 'a\nb'),
             ('gap_goes_on_behind', [_GAP, _TAIL], 'completed', 'a\nb'),
+            ('no_text', [_NO_TEXT, _TAIL], 'completed', 'a\nb'),
         ],
     )
     def test_ending(self, _name, answers, state, text):
