Progress is held once, and a handover minds jobs that come in while it saves

Cause of the second: to give a shard up took no turn of the loop between the look at what is being accepted and the end; with progress to save it does, and a job that came in then got a 504. Found by reading. Change: events that are handed over become one text, shared with the state. A stopping owner saves first and waits for its commits then; one that is emptied looks again. Tests, failed before: test_taken (held once), test_job_that_comes_in_while_progress_is_saved.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/held.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/held.py
@@ -92,7 +92,10 @@
             text='\n'.join(self.texts[self._kept_texts : until]),
             spent=self.spent,
         )
-        self._kept_texts = until
+        # One text in place of many, shared with the state of the shard.
+        kept = self.texts[: self._kept_texts]
+        self.texts = [*kept, made.text, *self.texts[until:]]
+        self._kept_texts += 1
         self._kept_event = made.last_event
         return made
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
@@ -64,12 +64,12 @@
     def leave(self, within: float) -> None:
         """Give all shards up once their commits are through."""
         self._leaving = True
+        self._save(list(self.boards.values()))
         until = time.monotonic() + within
         while time.monotonic() < until:
             if not any(one.busy for one in self.boards.values()):
                 break
             gevent.sleep(_CHECK_SECONDS / 4)
-        self._save(list(self.boards.values()))
         for shard in list(self.boards):
             self._give_up(shard, 'leaving')
 
@@ -84,8 +84,10 @@
             if not board.busy
         }
         self._save(list(ready.values()))
-        for shard in ready:
-            self._give_up(shard, 'handed over')
+        for shard, board in ready.items():
+            # A job may have come in meanwhile.
+            if not board.busy:
+                self._give_up(shard, 'handed over')
 
     def _save(self, boards: Sequence[Board]) -> None:
         """Write how far items have come, so that the next owner goes on."""
--- a/tests/test_gateway_progress.py
+++ b/tests/test_gateway_progress.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import gevent
+import gevent.event
 from bendlead_gateway._jobs.held import HeldJob, Progress
 from bendlead_gateway._jobs.progress import ProgressLog
 from bendlead_gateway.types import ItemId, JobId, JobItem
@@ -71,6 +72,25 @@
         eventually(lambda: len(second._keeper.boards) == 4, 4)
         self.assert_goes_on(second)
 
+    def test_job_that_comes_in_while_progress_is_saved(self):
+        self.configure([])
+        first = self.holding()
+        second = self.owner('owner-2')
+        eventually(second.peers.claims.able_owners)
+        first.leaving = True
+        held = dict(first._keeper.boards)
+        board = held.pop(node_shard())
+
+        def accept(_within):
+            board._accepting['j1'] = gevent.event.Event()
+
+        with mock.patch.object(board, 'save_progress', accept):
+            first._keeper.hand_over()
+        self.assertEqual([node_shard()], list(first._keeper.boards))
+        board._accepting.clear()
+        first._keeper.hand_over()
+        self.assertEqual({}, first._keeper.boards)
+
     def test_item_that_ends_is_kept_no_more(self):
         self.configure([_CUT, _TAIL])
         node = self.holding()
@@ -142,10 +162,16 @@
         for number, text in enumerate(('aa', 'bb', 'cc'), 2):
             add(progress, number, text)
         taken = []
+        texts = []
         while progress.not_kept:
             one = progress.take(most)
             taken.append((one.after, one.last_event, one.text))
+            texts.append(one.text)
         self.assertEqual(expected, taken)
+        self.assertEqual('aa\nbb\ncc', '\n'.join(progress.texts))
+        # What is handed over is held once.
+        for kept, one in zip(progress.texts, texts, strict=True):
+            self.assertIs(kept, one)
 
     def test_restored(self):
         kept = KeptProgress()
