Fold a shard's log half as often: progress fills half of its segments

Cause: 48 segments gathered twice as soon as before progress was kept. Each fold packs the whole shard and deletes what it replaces: two paid calls a segment. Change: 96 segments. As many results as before gather between two folds, and a takeover reads segments side by side since.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
@@ -54,7 +54,9 @@
 #: Kept beyond the time a job's status must be readable (s).
 _KEPT_SLACK = 60.0
 _TAIL_BYTES = 65_536
-_SEGMENTS = 48
+#: Segments that gather before a snapshot replaces them: that packs the whole
+#: shard and takes two paid calls a segment. Progress fills half of them.
+_SEGMENTS = 96
 #: Jobs whose items are read side by side at a takeover.
 _READS_AT_ONCE = 4
 
