A handler that fails ends its connection

Cause: an unforeseen error of a handler ended its task, but the connection counted as busy on and its client waited until it gave up.

Ruled out: the accept loop and other connections: they go on.

Change: the connection ends whatever the handler failed with; gevent prints the traceback. (An engine listed with no places raises one: the balancer divides by them.)

Test that failed first: FailingHandlerTest.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
@@ -1,5 +1,6 @@
 """Accept connections and hand whole requests to a handler, one at a time."""
 
+import contextlib
 import errno
 from collections import deque
 from collections.abc import Callable
@@ -213,13 +214,20 @@
             self._answer_or_end(request, responder)
         except ClientGoneError:
             responder.abort()
+        finally:
+            # Whatever the handler failed with, its client must not wait on.
+            self._conclude(responder)
+        self._start_next()
+
+    def _conclude(self, responder: Responder) -> None:
         self._task = None
         self._responder = None
         self.rested_since = self._now()
         if not responder.keep_alive:
             self._closing = True
-            self._shut()
-        self._start_next()
+            # The client may have closed first.
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RDWR)
 
     def _answer_or_end(self, request: Request, responder: Responder) -> None:
         try:
@@ -232,13 +240,6 @@
             responder.close_after()
             responder.answer(HTTPStatus.GATEWAY_TIMEOUT)
 
-    def _shut(self) -> None:
-        try:
-            self._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The client closed first.
-            self._closing = True
-
 
 class HttpServer:
     """Listen on one address; one task for each connection."""
--- a/tests/test_gateway_server.py
+++ b/tests/test_gateway_server.py
@@ -112,6 +112,25 @@
         self.assertEqual(['/1'], handled)
 
 
+class FailingHandlerTest(unittest.TestCase):
+    """A request whose handler fails must not hold its client."""
+
+    def test_connection_ends(self):
+        def answer(_request, _responder):
+            raise ValueError('scripted')
+
+        address = f'127.0.0.1:{free_port()}'
+        server = HttpServer(address, answer, lambda: _LIMITS, time.monotonic)
+        server.start()
+        self.addCleanup(server.stop_accepting)
+        host, port = address.split(':')
+        client = socket.create_connection((host, int(port)), 1)
+        self.addCleanup(client.close)
+        client.sendall(_FIRST)
+        self.assertEqual(b'', client.recv(4096))
+        self.assertEqual(0, server.busy)
+
+
 class AcceptTest(unittest.TestCase):
     """A server that is up goes on taking connections."""
 
