Items of an owner that is not heard count as places taken

Ruled out: engines (none failed), the frozen entry and the outage of the object service (entries go on without it), the choice among engines (all were full). Change: items of a peer that has missed reports for 0.4 s, and for four times the pause between its reports in large fleets, take places like online requests, where an engine is chosen and where the wait for a place is estimated. Tests: test_unstoppable_items, UnstoppableItemsTest (wait and choice; the rows with the owner gone fail before).

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
@@ -67,8 +67,10 @@
     def expected_wait(self, engine: Engine) -> float:
         """Estimate the seconds until a request would get a place."""
         online = self._loads.online(engine.engine)
-        waiting = max(0, online + 1 - engine.slots)
-        return waiting * self._health.run_seconds / engine.slots
+        stuck = self._loads.unstoppable(engine.engine)
+        waiting = max(0, online + stuck + 1 - engine.slots)
+        places = max(1, engine.slots - stuck)
+        return waiting * self._health.run_seconds / places
 
     def _able(
         self, service: ServiceName, tried: Collection[EngineId]
@@ -89,7 +91,8 @@
     def _cost(self, engine: Engine, usual: float) -> float:
         online = self._loads.online(engine.engine)
         batch = self._loads.batch(engine.engine)
-        load = _places_cost(online, batch, engine.slots)
+        stuck = self._loads.unstoppable(engine.engine)
+        load = _places_cost(online + stuck, batch - stuck, engine.slots)
         busy_since = self._loads.own_busy_since(engine.engine)
         if self._health.silent(engine.engine, busy_since):
             load += _SILENT_COST
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
@@ -12,6 +12,12 @@
 #: Items that a peer reported count for this long (s): a machine that lost power
 #: closes no connection, and its items, of 4 to 5 s each, hold their places on.
 _BATCH_SECONDS = 4.0
+#: Items of a peer that has missed reports for this long (s), and for this many
+#: times the pause between its reports, are stopped by nobody: its machine is
+#: gone, or it does not learn of our requests. Reports come every 40 ms while
+#: peers are few.
+_QUIET_SECONDS = 0.4
+_QUIET_PAUSES = 4
 
 
 @dataclass(slots=True)
@@ -21,6 +27,12 @@
     online: Mapping[EngineId, int]
     batch: Mapping[EngineId, int]
     heard: float
+    pause: float = 0
+
+    @property
+    def quiet(self) -> bool:
+        """Tell whether the peer has missed several reports."""
+        return self.age > max(_QUIET_SECONDS, self.pause * _QUIET_PAUSES)
 
     @property
     def age(self) -> float:
@@ -66,8 +78,11 @@
         """Take what a peer told of its requests some seconds ago."""
         heard = time.monotonic() - age
         known = self._reports.get(node)
-        if known is None or known.heard < heard:
+        if known is None:
             self._reports[node] = Report(online, batch, heard)
+        elif known.heard < heard:
+            pause = heard - known.heard
+            self._reports[node] = Report(online, batch, heard, pause)
 
     def latest(self, node: NodeName) -> Report | None:
         """Give what a peer told last, if that still counts."""
@@ -90,6 +105,14 @@
             for report in self._fresh(_BATCH_SECONDS)
         )
 
+    def unstoppable(self, engine: EngineId) -> int:
+        """Count the items that step aside for no online request."""
+        return sum(
+            report.batch.get(engine, 0)
+            for report in self._fresh(_BATCH_SECONDS)
+            if report.quiet
+        )
+
     def forget(self, node: NodeName) -> None:
         """Drop what a peer told whose process has ended."""
         self._reports.pop(node, None)
--- a/tests/test_gateway_balancer.py
+++ b/tests/test_gateway_balancer.py
@@ -94,6 +94,45 @@
         self.assertEqual('a', balancer.choose(_SERVICE, ()).engine)
 
 
+class UnstoppableItemsTest(unittest.TestCase):
+    """Items of an owner that is gone hold their places to their end."""
+
+    def setUp(self):
+        self.loads = LoadTable()
+        self.health = EngineHealth()
+        self.health.run_seconds = 0.8
+        self.engines = _Engines(_engine('a'), _engine('b'))
+        self.balancer = Balancer(self.engines, self.loads, self.health, _HALL)
+
+    @parameterized.expand(
+        [
+            ('owner_is_heard', 0.0, 7, 4, 0),
+            ('owner_is_gone', 0.6, 7, 4, 0.8),
+            ('owner_is_gone_places_left', 0.6, 3, 4, 0),
+            ('owner_is_gone_no_places_left', 0.6, 0, 8, 0.8),
+        ]
+    )
+    def test_wait(self, _name, age, online, items, expected):
+        self.loads.own.online[EngineId('a')] = online
+        self._take_report(age, {'a': items})
+        wait = self.balancer.expected_wait(_engine('a'))
+        self.assertAlmostEqual(expected, wait)
+
+    @parameterized.expand(
+        [('owner_is_heard', 0.0, 'a'), ('owner_is_gone', 0.6, 'b')]
+    )
+    def test_choice(self, _name, age, expected):
+        """Waiting for such an item costs more than one that steps aside."""
+        self.loads.own.online.update({'a': 4, 'b': 6})
+        self._take_report(age, {'a': 6, 'b': 2})
+        chosen = self.balancer.choose(_SERVICE, ())
+        self.assertEqual(expected, chosen.engine)
+
+    def _take_report(self, age, batch):
+        items = {EngineId(one): count for one, count in batch.items()}
+        self.loads.report(NodeName('owner'), {}, items, age)
+
+
 class IdlePlacesTest(unittest.TestCase):
     """A young job leaves more places to bursts than one that is due."""
 
--- a/tests/test_gateway_loads.py
+++ b/tests/test_gateway_loads.py
@@ -26,6 +26,25 @@
             clock.return_value = 100.0 + age
             self.assertEqual(counted, (table.online('i-1'), table.batch('i-1')))
 
+    @parameterized.expand(
+        [
+            ('fresh', 0.04, 0.1, 0),
+            ('missed_some', 0.04, 0.5, 3),
+            ('of_a_large_fleet', 1.0, 0.5, 0),
+            ('of_a_large_fleet_missed_some', 0.5, 2.5, 3),
+            ('silent_for_long', 0.04, 5.0, 0),
+        ]
+    )
+    def test_unstoppable_items(self, _name, pause, age, counted):
+        """Items of an owner that hears nothing step aside for nobody."""
+        with mock.patch.object(loads.time, 'monotonic') as clock:
+            table = loads.LoadTable()
+            for told_at in (100.0, 100.0 + pause):
+                clock.return_value = told_at
+                table.report('owner-1', {}, {'i-1': 3})
+            clock.return_value += age
+            self.assertEqual(counted, table.unstoppable('i-1'))
+
     def test_peer_that_has_ended(self):
         table = loads.LoadTable()
         table.report('owner-1', {'i-1': 2}, {'i-1': 3})
