The parser of requests is a module of its own; an only engine is awaited

Change: the limit holds only where a sound engine is left that was not asked. Reading the items of a job is no method any more. No other change of behaviour.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
@@ -2,14 +2,11 @@
 
 import contextlib
 import errno
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from http import HTTPStatus
 from operator import attrgetter
 
 import gevent
-import httptools
 from gevent import socket
 
 from bendlead_gateway._http.messages import (
@@ -19,6 +16,10 @@
     Responder,
     ServerEndsError,
 )
+from bendlead_gateway._http.parsing import (
+    RequestParser,
+    UnreadableRequestError,
+)
 from bendlead_gateway._http.sockets import listen, tune
 from bendlead_gateway.types import ClientLimits
 
@@ -31,25 +32,6 @@
 _ACCEPT_PAUSE = 0.05
 
 
-@dataclass(slots=True)
-class _Draft:
-    """Gather one request while it is parsed."""
-
-    target: bytes = b''
-    headers: list[tuple[str, str]] = field(default_factory=list)
-    header_bytes: int = 0
-    body: list[bytes] = field(default_factory=list)
-    body_bytes: int = 0
-
-
-class _TooLargeError(Exception):
-    """A client sent more than the limits allow."""
-
-    def __init__(self, status: int) -> None:
-        super().__init__(status)
-        self.status = status
-
-
 class _Connection:
     """Serve one client connection."""
 
@@ -64,10 +46,7 @@
         self._handler = handler
         self._limits = limits
         self._now = now
-        self._parser = httptools.HttpRequestParser(self)
-        self._draft = _Draft()
-        self._begun = 0.0
-        self._waiting: deque[Request] = deque()
+        self._parser = RequestParser(limits, now)
         self._task: gevent.Greenlet | None = None
         self._responder: Responder | None = None
         self._closing = False
@@ -78,7 +57,7 @@
     @property
     def busy(self) -> bool:
         """Tell whether a request is being received or answered."""
-        return bool(self._task or self._waiting or self._begun)
+        return bool(self._task or self._parser.whole or self._parser.begun)
 
     def run(self) -> None:
         """Read until the client or an error ends the connection."""
@@ -109,100 +88,57 @@
         if self._task is not None:
             self._task.kill(ServerEndsError, block=False)
 
-    def on_message_begin(self) -> None:
-        """Begin a request."""
-        self._draft = _Draft()
-
-    def on_url(self, part: bytes) -> None:
-        """Keep a part of the target."""
-        self._draft.target += part
-        self._count_header(len(part))
-
-    def on_header(self, name: bytes, text: bytes) -> None:
-        """Keep one header."""
-        decoded = (name.decode('latin-1'), text.decode('latin-1'))
-        self._draft.headers.append(decoded)
-        self._count_header(len(name) + len(text) + 4)
-
-    def on_body(self, part: bytes) -> None:
-        """Keep a part of the body."""
-        self._draft.body_bytes += len(part)
-        if self._draft.body_bytes > self._limits.body_bytes:
-            raise _TooLargeError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        self._draft.body.append(part)
-
-    def on_message_complete(self) -> None:
-        """Queue the whole request."""
-        draft = self._draft
-        self._begun = 0
-        request = Request(
-            self._parser.get_method().decode('latin-1'),
-            draft.target.decode('latin-1'),
-            draft.headers,
-            b''.join(draft.body),
-            self._parser.should_keep_alive(),
-            self._now(),
-        )
-        self._waiting.append(request)
-
-    def _count_header(self, size: int) -> None:
-        self._draft.header_bytes += size
-        if self._draft.header_bytes > self._limits.header_bytes:
-            raise _TooLargeError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-
     def _read_all(self) -> None:
         while not self._closing:
             self._sock.settimeout(self._patience())
             try:
                 received = self._sock.recv(_READ_BYTES)
             except TimeoutError:
-                if self._task is not None:
-                    continue
-                if self._begun:
-                    self._refuse(HTTPStatus.REQUEST_TIMEOUT)
-                elif self._rest_left() > 0:
-                    # The wait began before the latest answer ended.
+                if self._waits_on():
                     continue
                 return
-            if not received:
-                return
-            if not self._feed(received):
+            if not received or not self._take(received):
                 return
             self._start_next()
 
+    def _take(self, received: bytes) -> bool:
+        """Take what the client sent, or refuse it."""
+        try:
+            self._parser.feed(received)
+        except UnreadableRequestError as error:
+            self._refuse(error.status)
+            return False
+        return True
+
+    def _waits_on(self) -> bool:
+        """Tell whether a client that sent nothing for long is waited for."""
+        if self._task is not None:
+            return True
+        if self._parser.begun:
+            self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+            return False
+        # The wait may have begun before the latest answer ended.
+        return self._rest_left() > 0
+
     def _patience(self) -> float:
-        if self._task is None and self._begun:
+        if self._task is not None:
+            return self._limits.idle_seconds
+        if self._parser.begun:
             return self._limits.header_seconds
-        if self._task is None:
-            return max(self._rest_left(), _SHORTEST_WAIT)
-        return self._limits.idle_seconds
+        return max(self._rest_left(), _SHORTEST_WAIT)
 
     def _rest_left(self) -> float:
         return self.rested_since + self._limits.idle_seconds - self._now()
 
-    def _feed(self, received: bytes) -> bool:
-        if not self._begun:
-            self._begun = self._now()
-        try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserUpgrade:
-            self._refuse(HTTPStatus.BAD_REQUEST)
-            return False
-        except httptools.HttpParserError as error:
-            cause = error.__context__
-            large = isinstance(cause, _TooLargeError)
-            self._refuse(cause.status if large else HTTPStatus.BAD_REQUEST)
-            return False
-        return True
-
     def _refuse(self, status: int) -> None:
         if self._task is None:
             responder = Responder(self._sock, keep_alive=False)
             responder.answer(status)
 
     def _start_next(self) -> None:
-        if self._task is None and self._waiting and not self._closing:
-            request = self._waiting.popleft()
+        whole = self._parser.whole
+        if self._task is None and whole and not self._closing:
+            request = whole.popleft()
             self._task = gevent.spawn(self._answer, request)
 
     def _answer(self, request: Request) -> None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
@@ -3,6 +3,7 @@
 import base64
 import time
 from collections.abc import Callable
+from functools import partial
 
 import gevent
 from bendlead_ledger import (
@@ -127,7 +128,9 @@
     def load(self) -> Result[None, Failure]:
         """Read the items of the jobs that the log holds."""
         jobs = list(self._state.direct.values())
-        reads = Pool(_READS_AT_ONCE).imap(self._read_items, jobs)
+        reads = Pool(_READS_AT_ONCE).imap(
+            partial(_read_items, self._store), jobs
+        )
         for state, read in zip(jobs, reads, strict=True):
             if isinstance(read, Err):
                 return read
@@ -280,22 +283,6 @@
             state = self._state.direct[submission.job]
             self.jobs[submission.job] = HeldJob(state, submission.items)
 
-    def _read_items(
-        self, state: DirectJobState
-    ) -> Result[list[JobItem], Failure]:
-        if not state.open:
-            return Ok([])
-        accepted = state.accepted
-        bulk = b''
-        if accepted.parts:
-            read = read_parts(self._store, accepted.parts)
-            if isinstance(read, Err):
-                return read
-            bulk = read.ok_value
-        # Decoding the items of one job takes some ms.
-        gevent.sleep(0)
-        return Ok([_item(one) for one in unpack_items(accepted.packed, bulk)])
-
 
 def open_board(
     store: ValueStore,
@@ -319,6 +306,23 @@
     return Ok(board)
 
 
+def _read_items(
+    store: ValueStore, state: DirectJobState
+) -> Result[list[JobItem], Failure]:
+    if not state.open:
+        return Ok([])
+    accepted = state.accepted
+    bulk = b''
+    if accepted.parts:
+        read = read_parts(store, accepted.parts)
+        if isinstance(read, Err):
+            return read
+        bulk = read.ok_value
+    # Decoding the items of one job takes some ms.
+    gevent.sleep(0)
+    return Ok([_item(one) for one in unpack_items(accepted.packed, bulk)])
+
+
 def _stored(item: JobItem) -> DirectItem:
     return DirectItem(
         item=item.item,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -92,7 +92,8 @@
     def _ask(
         self, exchange: Exchange, engine: Engine, connection: HttpConnection
     ) -> ResponseHead:
-        limit = self._silence.take(exchange, engine)
+        others = self._has_others(exchange, engine)
+        limit = self._silence.take(exchange, engine, others=others)
         kept = connection.used
         silent = False
         try:
@@ -113,6 +114,14 @@
             if limit is not None and not silent:
                 self._silence.give_back()
 
+    def _has_others(self, exchange: Exchange, engine: Engine) -> bool:
+        """Tell whether a sound engine is left that was not asked yet."""
+        return any(
+            one.engine not in exchange.tried
+            and not self._health.paused(one.engine)
+            for one in self._fleet.engines.ready(engine.service)
+        )
+
     def _send(
         self, exchange: Exchange, engine: Engine, connection: HttpConnection
     ) -> None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/silence.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/silence.py
@@ -28,11 +28,16 @@
         """Count one request towards later second tries."""
         self._add(_TRIES_EARNED)
 
-    def take(self, exchange: Exchange, engine: Engine) -> float | None:
-        """Take a second try and give the limit, or nothing to wait on."""
+    def take(
+        self, exchange: Exchange, engine: Engine, *, others: bool
+    ) -> float | None:
+        """Take a second try and give the limit, or nothing to wait on.
+
+        Without others that could be asked, giving up would end the request.
+        """
         seen = exchange.choice
         free = seen.online + seen.batch < engine.slots
-        if free and self._tries >= 1 and exchange.may_replace:
+        if others and free and self._tries >= 1 and exchange.may_replace:
             self._tries -= 1
             return exchange.route.target * _SILENT_SHARE
         return None
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -238,6 +238,13 @@
         self.assertGreater(seconds, 0.6)
         self.assertEqual(before, sum(link.opened for link in self.links))
 
+    def test_only_engine_is_awaited(self):
+        """Giving it up would end a request that it may well answer."""
+        self.begin('safe', engines=1)
+        with mock.patch(f'{__name__}._FIRST_SECONDS', 0.4):
+            status, _seconds = self.timed()
+        self.assertEqual(200, status)
+
     def test_slow_engines_are_not_asked_twice_for_ever(self):
         """Where all are slow, each request more makes them slower."""
         self.begin('safe')
