An entry listens for clients before it is loaded

Ruled out: the object service (the configuration is known 10 ms after the start), the ingress, engines. Change: a module that imports five small standard modules opens the clients' socket first; the entry takes it over. Clients that connect meanwhile wait. An entry reads them once it knows the configuration and the engines, or after 0.3 s: read at once, they would all be told 503 some 10 ms too early. Open: loading itself; dataclasses with slots are a large part of it.

--- a/deploy/bendleadd.py
+++ b/deploy/bendleadd.py
@@ -17,6 +17,10 @@
 # The script's own folder holds nothing to import.
 sys.path[0:1] = [str(ROOT / source) for source in SOURCES]
 
+from bendlead_preopen import open_clients_socket  # noqa: E402
+
+clients = open_clients_socket()
+
 from bendlead_platform.main import main  # noqa: E402
 
-main()
+main(clients)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -1,5 +1,6 @@
 """The entry: clients' requests to engines, calls about jobs to owners."""
 
+import socket
 import time
 from http import HTTPStatus
 
@@ -22,6 +23,11 @@
 _CHECK_SECONDS = 0.05
 #: The last answers are written for this long (s) before the process ends.
 _LAST_WORDS_SECONDS = 0.1
+#: The configuration and the engines are known some 10 ms after the start.
+#: Clients that connected before wait for them, no longer than this (s): then
+#: the object service is away, and they are told to come back.
+_UNKNOWN_SECONDS = 0.3
+_LOOK_SECONDS = 0.005
 _RETRY_AFTER = (('Retry-After', '0.2'),)
 
 
@@ -29,13 +35,18 @@
     """Take clients' connections."""
 
     def __init__(
-        self, settings: NodeSettings, store: FollowedStore, dialect: Dialect
+        self,
+        settings: NodeSettings,
+        store: FollowedStore,
+        dialect: Dialect,
+        clients: socket.socket | None = None,
     ) -> None:
+        """Take clients on a socket that listens already, or open one."""
         super().__init__(settings, store, dialect)
         self._online = OnlinePath(dialect, self.fleet, self.log, self.metrics)
         self._relay = JobRelay(self.peers, self.log)
         self._clients = HttpServer(
-            settings.clients_address or '',
+            clients or settings.clients_address or '',
             self._answer_client,
             lambda: self.fleet.configuration.limits,
             time.monotonic,
@@ -52,8 +63,8 @@
 
     def start(self) -> None:
         """Take clients."""
-        self._clients.start()
         self._ready.start()
+        gevent.spawn(self._take_clients)
 
     def leave(self) -> None:
         """Take clients until the platform has taken this node out, then end.
@@ -86,6 +97,17 @@
     def _log_trouble(self, reason: str) -> None:
         self.log.event('client-not-taken', reason=reason)
 
+    def _take_clients(self) -> None:
+        """Let clients wait until it is known where their requests go."""
+        with gevent.Timeout(_UNKNOWN_SECONDS, exception=False):
+            while not self._knows_fleet():
+                gevent.sleep(_LOOK_SECONDS)
+        self._clients.start()
+
+    def _knows_fleet(self) -> bool:
+        known = self.fleet.configuration.known is not None
+        return known and self.fleet.engines_watch.current
+
     def _answer_ready(self, request: Request, responder: Responder) -> None:
         ready = (
             request.path == self.dialect.ready_path
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import errno
+import socket as constants
 from collections.abc import Callable
 from http import HTTPStatus
 from operator import attrgetter
@@ -182,7 +183,7 @@
 
     def __init__(
         self,
-        address: str,
+        address: str | constants.socket,
         handler: Handler,
         limits: Callable[[], ClientLimits],
         now: Callable[[], float],
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/sockets.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/sockets.py
@@ -43,8 +43,10 @@
     return sock
 
 
-def listen(address: str) -> socket.socket:
-    """Open a listening socket."""
+def listen(address: str | constants.socket) -> socket.socket:
+    """Open a listening socket, or take one that listens already."""
+    if isinstance(address, constants.socket):
+        return socket.socket(fileno=address.detach())
     sock = socket.socket(constants.AF_INET, constants.SOCK_STREAM)
     sock.setsockopt(constants.SOL_SOCKET, constants.SO_REUSEADDR, 1)
     sock.bind(split_address(address))
--- a/packages/bendlead-gateway/src/bendlead_gateway/process.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/process.py
@@ -1,5 +1,7 @@
 """Run one process of the gateway."""
 
+import socket
+
 from bendlead_store import FollowedStore
 
 from bendlead_gateway._reload import SettingsSource
@@ -12,13 +14,14 @@
     store: FollowedStore,
     dialect: Dialect,
     source: SettingsSource,
+    clients: socket.socket | None = None,
 ) -> None:
     """Run as an entry or as an owner of batch jobs until told to stop."""
     # Each role loads only its own modules, for memory's sake.
     if settings.role is NodeRole.ENTRY:
         from bendlead_gateway._entry import EntryNode  # noqa: PLC0415
 
-        EntryNode(settings, store, dialect).run(source)
+        EntryNode(settings, store, dialect, clients).run(source)
     else:
         from bendlead_gateway._owner import OwnerNode  # noqa: PLC0415
 
