An engine that can't be reached does not end a request

Cause: a connection that did not come up was awaited for 0.25 s, and after it the request was refused like one that an engine had turned away, although others had free places. A request whose time ended before anything was sent got 504, which promises nothing, although it surely had not run.

Ruled out: asking on after an engine that is full, which stays as it was: an early refusal lets the client come back.

Change: a connection gets 0.15 s, half of the shortest aim, and after one that fails other engines are asked until the aim has passed. Where no engine may have the request, the end of its time is a refusal (503).

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/pool.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/pool.py
@@ -6,9 +6,10 @@
 from bendlead_gateway._http.client import HttpConnection
 from bendlead_gateway.types import Engine, EngineId
 
-#: A new connection gets this long (s): engines are a few ms away, and one
-#: that does not answer is passed over while the aim can still be met.
-_CONNECT_SECONDS = 0.25
+#: A new connection gets this long (s), half of the shortest aim: engines are a
+#: few ms away, and one that does not answer is passed over while the aim can
+#: still be met.
+_CONNECT_SECONDS = 0.15
 #: Use no connection that has rested longer than this share of the time an
 #: engine keeps it, nor longer than the default (s): engines drop idle
 #: connections early and silently, and a request sent on one is lost, while
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -17,6 +17,7 @@
     NotRunError,
     Step,
     UnknownOutcomeError,
+    UnreachableError,
 )
 from bendlead_gateway._online.relay import AnswerRelay, passed_on
 from bendlead_gateway._online.silence import SilenceLimit
@@ -65,7 +66,7 @@
         except OSError as error:
             paused = self._health.failed(engine.engine, unreachable=True)
             self._note(engine, Step.CONNECT, error, paused)
-            raise NotRunError(f'connect: {error}') from error
+            raise UnreachableError(f'connect: {error}') from error
 
     def _converse(
         self, exchange: Exchange, engine: Engine, connection: HttpConnection
@@ -96,6 +97,7 @@
         limit = self._silence.take(exchange, engine, others=others)
         kept = connection.used
         silent = False
+        exchange.asked = True
         try:
             self._send(exchange, engine, connection)
             return self._own_head(exchange, connection, limit)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -31,6 +31,8 @@
     tried: set[EngineId] = field(default_factory=set)
     choice: Choice = field(default_factory=Choice)
     runs: int = 0
+    #: Whether an engine may have the request now.
+    asked: bool = False
     sends: int = 0
     last_event: int | None = None
     first_event: float = 0
@@ -52,6 +54,11 @@
         """Give the seconds since the request was received."""
         return time.monotonic() - self.request.received
 
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether any engine may have run the request."""
+        return self.asked or self.runs > 0
+
     @property
     def may_run_again(self) -> bool:
         """Tell whether another engine may run the request."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/outcomes.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/outcomes.py
@@ -15,6 +15,10 @@
     """The engine did not run the request: it says so or never got it."""
 
 
+class UnreachableError(NotRunError):
+    """No connection to the engine came up."""
+
+
 class UnknownOutcomeError(Exception):
     """The engine may have run the request, and no whole answer came."""
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -23,6 +23,7 @@
     DeadlineError,
     NotRunError,
     UnknownOutcomeError,
+    UnreachableError,
 )
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import Engine, RequestFacts, Route
@@ -35,6 +36,9 @@
 #: Past this share of the aim a request is offered no further engine that
 #: refuses; an early refusal lets the client try another entry.
 _REFUSE_SHARE = 0.2
+#: The same after a connection that did not come up, which says nothing of the
+#: other engines: whoever comes back later has surely missed the aim.
+_UNREACHABLE_SHARE = 1.0
 _SHORTEST_TIMER = 0.001
 #: Fields left out of a request's line where they have this value: whoever keeps
 #: logs keeps some hundred kB of a process, and most requests are plain ones.
@@ -116,7 +120,11 @@
         try:
             self._attempts.make(exchange, engine)
         except NotRunError as refused:
-            if self._too_late_to_ask(exchange):
+            exchange.asked = False
+            share = _REFUSE_SHARE
+            if isinstance(refused, UnreachableError):
+                share = _UNREACHABLE_SHARE
+            if self._too_late_to_ask(exchange, share):
                 return self._give_up(exchange, str(refused))
             exchange.failure = str(refused)
             return None
@@ -138,10 +146,10 @@
             return None
         return otherwise(exchange, exchange.failure)
 
-    def _too_late_to_ask(self, exchange: Exchange) -> bool:
+    def _too_late_to_ask(self, exchange: Exchange, share: float) -> bool:
         if exchange.runs or exchange.responder.started:
             return False
-        return exchange.waited > exchange.route.target * _REFUSE_SHARE
+        return exchange.waited > exchange.route.target * share
 
     def _give_up(self, exchange: Exchange, reason: str) -> str:
         exchange.failure = f'{reason} ({exchange.failure})'
@@ -173,6 +181,8 @@
         if exchange.responder.started:
             exchange.responder.abort()
             return 'timed_out_midway'
+        if not exchange.may_have_run:
+            return self._refuse(exchange, 'no time left', _RETRY_AFTER)
         exchange.responder.close_after()
         exchange.answer(HTTPStatus.GATEWAY_TIMEOUT)
         return 'timed_out'
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -157,6 +157,22 @@
     raise AssertionError(f'not within {seconds} s')
 
 
+class FullListener:
+    """Listen on an address whose connections don't come up."""
+
+    def __init__(self) -> None:
+        self.sock = socket.socket()
+        self.sock.bind(('127.0.0.1', 0))
+        self.sock.listen(0)
+        self.address = f'127.0.0.1:{self.sock.getsockname()[1]}'
+        self._filler = socket.create_connection(self.sock.getsockname())
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._filler.close()
+        self.sock.close()
+
+
 class SilentLink:
     """Carry connections to an address; those that are open can fall silent.
 
--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -1,6 +1,7 @@
 """An entry between clients and scripted engines, in one process."""
 
 import dataclasses
+import time
 import unittest
 from unittest import mock
 
@@ -15,6 +16,7 @@
 from parameterized import parameterized
 
 from tests.gateway_standins import (
+    FullListener,
     ScriptedPeer,
     chunked,
     configuration,
@@ -248,6 +250,35 @@
         self.assertEqual([b''], gone)
 
 
+class UnreachableTest(EntryCase):
+    """Connections to an engine that don't come up."""
+
+    def begin(self, answers, **changed):
+        """List an engine that takes no connection, the first one asked."""
+        listener = FullListener()
+        self.addCleanup(listener.close)
+        self.store.set('servers', 'i-9', engine(listener.address))
+        self.start(route('unsafe', **changed), answers=answers, others=1)
+        for number in range(len(answers)):
+            self.entry.fleet.loads.own.online[f'i-{number}'] += 3
+
+    def test_another_one_is_asked_in_time(self):
+        self.begin([_PLAIN])
+        began = time.monotonic()
+        head, _body = self.read(self.ask())
+        self.assertEqual(200, head.status)
+        self.assertLess(time.monotonic() - began, 0.3)
+
+    @parameterized.expand(
+        [('while_connecting', 100, 503), ('too_short', 10, 503)]
+    )
+    def test_time_is_up_before_any_offer(self, _name, patience, status):
+        """It surely has not run, and the answer says so."""
+        self.begin([])
+        head, _body = self.read(self.ask(patience=patience))
+        self.assertEqual(status, head.status)
+
+
 class OverloadTest(EntryCase):
     """A request that would be late is refused early and truly."""
 
--- a/tests/test_gateway_gone.py
+++ b/tests/test_gateway_gone.py
@@ -6,7 +6,14 @@
 from gevent import socket
 from parameterized import parameterized
 
-from tests.gateway_standins import ScriptedPeer, chunked, engine, event, route
+from tests.gateway_standins import (
+    FullListener,
+    ScriptedPeer,
+    chunked,
+    engine,
+    event,
+    route,
+)
 from tests.test_gateway_entry import EntryCase
 
 #: The rule's bound on what still runs for a client that has closed (s).
@@ -112,21 +119,16 @@
 
     def test_closed_while_connecting(self):
         """The engine's machine takes the connection only later."""
-        listener = socket.socket()
+        listener = FullListener()
         self.addCleanup(listener.close)
-        listener.bind(('127.0.0.1', 0))
-        listener.listen(0)
-        address = f'127.0.0.1:{listener.getsockname()[1]}'
-        filler = socket.create_connection(listener.getsockname())
-        self.addCleanup(filler.close)
-        self.store.set('servers', 'i-0', engine(address))
+        self.store.set('servers', 'i-0', engine(listener.address))
         self.start(route('safe'), others=1)
         client = self.connect()
         client.sendall(_FIRST)
         gevent.sleep(0.05)
         client.close()
         got = []
-        taking = gevent.spawn(self._take_all, listener, got)
+        taking = gevent.spawn(self._take_all, listener.sock, got)
         gevent.sleep(1.5)
         taking.kill()
         self.assertEqual(b'', b''.join(got))
