Listing this process asks the object service less often while it is away

Cause: a process that starts while the object service is away or refuses it wrote its own object and read it again every 0.2 to 0.4 s; each call is paid for, refused ones too. It also showed as a failure of test_one_watcher_asks_while_the_store_is_away (16 calls in 2 s, bound 10) when the outage began before the process was listed: twice in a run of five test modules beside load, never alone.

Change: the pause grows to 0.8 to 1.6 s, and nothing is read after a failure that surely changed nothing.

Test that failed first: RegisterTest (10 and 11 writes in 3 s before, 5 at most after).

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -9,7 +9,13 @@
 import gevent
 import msgspec
 from bendlead_schema.gateway import NodeReport
-from bendlead_store import ABSENT, Change, Entry, FollowedStore
+from bendlead_store import (
+    ABSENT,
+    Change,
+    Entry,
+    FailureKind,
+    FollowedStore,
+)
 from result import Err, Ok
 
 from bendlead_gateway._fleet.claims import Claims
@@ -35,6 +41,11 @@
 _PROBE_SECONDS = 0.1
 _FIRST_PAUSE = 0.2
 _LAST_PAUSE = 2.0
+#: The longest pause between two tries to list this process (s), which others
+#: wait for once the object service is back; each try is paid for.
+_LAST_REGISTER_PAUSE = 0.8
+#: After these failures a write has surely changed nothing.
+_NOTHING_DONE = frozenset((FailureKind.NOT_DONE, FailureKind.LIMITED))
 #: Loads of a peer that was not heard for this long (s) are asked of others,
 #: for as long (s) as it may only be cut off.
 _MISSED_SECONDS = 0.4
@@ -130,15 +141,18 @@
         return isinstance(decoded, Err) or decoded.ok_value != self._own
 
     def _register(self, present: Entry | None, body: bytes) -> None:
+        pause = _FIRST_PAUSE
         while present is None or self._differs(present):
             version = present.version if present else ABSENT
             written = self._store.put(self._own_key, body, version)
             if isinstance(written, Ok):
                 self._log.event('registered', address=self._own.address)
                 return
-            gevent.sleep(_FIRST_PAUSE * (1 + random.random()))
-            found = self._store.fetch(self._own_key)
-            present = found.unwrap_or(present)
+            gevent.sleep(pause * (1 + random.random()))
+            pause = min(_LAST_REGISTER_PAUSE, pause * 2)
+            if written.err_value.kind not in _NOTHING_DONE:
+                found = self._store.fetch(self._own_key)
+                present = found.unwrap_or(present)
 
     def _take(self, entry: Entry) -> None:
         decoded = self._dialect.peer(entry)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -13,8 +13,9 @@
 from bendlead_gateway.types import DataHall, NodeName, NodeRole, PeerRecord
 from bendlead_platform import PlatformDialect
 from bendlead_schema.gateway import HeldShard, NodeReport, ToldLoad
-from bendlead_store import Change, Entry, Version
+from bendlead_store import Change, Entry, Failure, FailureKind, Version
 from parameterized import parameterized
+from result import Err
 
 
 def record(name: str, role: NodeRole = NodeRole.OWNER) -> PeerRecord:
@@ -184,3 +185,49 @@
         key = f'{dialect.peers_prefix}b'
         entry = Entry(key, Version(2), dialect.encode_peer(listed))
         self.peers.change(Change(key, Version(2), False, entry.body))
+
+
+class _FailingStore:
+    """Fail all calls in one way and count them."""
+
+    def __init__(self, kind):
+        self._failed = Err(Failure(kind, 'PUT', '127.0.0.1:1'))
+        self.calls = []
+
+    def put(self, _key, _body, _expected):
+        """Fail a write."""
+        self.calls.append('put')
+        return self._failed
+
+    def fetch(self, _key):
+        """Fail a read."""
+        self.calls.append('fetch')
+        return self._failed
+
+
+class RegisterTest(unittest.TestCase):
+    """Each call to the object service is paid for, refused ones too."""
+
+    @parameterized.expand(
+        [
+            ('away', FailureKind.NOT_DONE, 5, 0),
+            ('limited', FailureKind.LIMITED, 5, 0),
+            ('unknown', FailureKind.UNKNOWN, 5, 5),
+        ]
+    )
+    def test_while_the_store_fails(self, _name, kind, writes, reads):
+        store = _FailingStore(kind)
+        peers = PeerTable(
+            record('z'),
+            store,
+            PlatformDialect(),
+            LoadTable(),
+            Log('z'),
+            lambda: NodeReport(node='z', sound=True, leaving=False),
+            lambda _report: None,
+        )
+        peers.reset([], after_outage=False)
+        gevent.sleep(3)
+        self.assertLessEqual(store.calls.count('put'), writes)
+        self.assertGreaterEqual(store.calls.count('put'), 2)
+        self.assertLessEqual(store.calls.count('fetch'), reads)
