Loads pass over a bounded number of links, so that they are fresh at any size

Cause: each process exchanged reports with each other at 160 exchanges a second in all, so that a report was up to 0.39 s old among 63 processes (1.9 s at 300). Ruled out: places short (the mean of online requests was at most 9.7 of 7 places, items had stepped aside: 0.1 to 1.4), refusals (6 a second at most). Change: up to 17 processes exchange as before. Beyond, a process has at most 8 close links, worked out by all alike from the list of processes: 6 in its hall's ring, 2 to other halls; owners are linked with each other too, and with all entries at the old pace for liveness and claims. Over a close link both tell on what is new of others and was not told before (versions a node gives its counts; 128 nodes a report at most). What a peer should hear and does not is asked for as before. Tests, failed before: LargeFleetTest (nothing was told). New: links for fleets of 20 to 294 processes, freshness of a change by a simulated clock (everywhere within 0.35 s at 63, 0.5 s at 300), exchanges a process at 63 and 300.

--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/links.py
@@ -0,0 +1,122 @@
+"""Which processes of ours exchange reports, and how often.
+
+In a large fleet a process exchanges with a bounded number of others, and loads
+pass from one to the next. Each process works the links out by itself from the
+list of all.
+"""
+
+import enum
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+from bendlead_gateway.types import DataHall, NodeName, NodeRole, PeerRecord
+
+#: Up to so many processes each exchanges with each other; then a pause of 0.1 s
+#: between exchanges is within the bound below.
+_MESH_NODES = 17
+#: Exchanges a second that a process has at most over one kind of links.
+_EXCHANGES_PER_SECOND = 160
+#: Seconds between two exchanges of a pair while processes are few.
+_MESH_SECONDS = 0.04
+#: Seconds between two exchanges over a close link of a large fleet.
+_CLOSE_SECONDS = 0.08
+#: Close links a process has within its hall, each to both sides of its ring.
+_RING_STEPS = 3
+
+
+class Link(enum.Enum):
+    """Say how two processes exchange reports."""
+
+    #: Often; loads of others are told.
+    CLOSE = 'close'
+    #: For whether the other lives and which shards it holds.
+    WATCH = 'watch'
+    NONE = 'none'
+
+
+@dataclass(frozen=True, slots=True)
+class _Place:
+    """Say where a process stands: its hall, and its place in the hall."""
+
+    hall: int
+    index: int
+    owner: bool
+
+
+@dataclass(slots=True)
+class Links:
+    """Lay the links of the fleet.
+
+    The processes of a hall stand in a ring and are linked with those some steps
+    away. A process is linked with those at the same place in two other halls.
+    Owners are linked with all.
+    """
+
+    _places: dict[NodeName, _Place] = field(default_factory=dict)
+    _apart: Sequence[frozenset[int]] = ()
+
+    def lay(self, records: Iterable[PeerRecord]) -> None:
+        """Lay the links between these processes and forget all others."""
+        halls: dict[DataHall, list[PeerRecord]] = {}
+        for record in records:
+            halls.setdefault(record.hall, []).append(record)
+        self._places = {}
+        for number, hall in enumerate(sorted(halls)):
+            ring = sorted(halls[hall], key=_ring_order)
+            for index, member in enumerate(ring):
+                owner = member.role is NodeRole.OWNER
+                self._places[member.node] = _Place(number, index, owner)
+        sizes = [len(halls[hall]) for hall in sorted(halls)]
+        self._apart = [_distances(size) for size in sizes]
+
+    def between(self, one: NodeName, other: NodeName) -> Link:
+        """Tell how two processes exchange reports."""
+        here = self._places.get(one)
+        there = self._places.get(other)
+        if here is None or there is None or here == there:
+            return Link.NONE
+        if self._close(here, there):
+            return Link.CLOSE
+        if here.owner or there.owner:
+            return Link.WATCH
+        return Link.NONE
+
+    def pause(self, link: Link) -> float:
+        """Give the seconds between two exchanges over a link."""
+        if link is Link.CLOSE and not self._mesh:
+            return _CLOSE_SECONDS
+        shared = (len(self._places) - 1) / _EXCHANGES_PER_SECOND
+        return max(_MESH_SECONDS, shared)
+
+    @property
+    def _mesh(self) -> bool:
+        return len(self._places) <= _MESH_NODES
+
+    def _close(self, here: _Place, there: _Place) -> bool:
+        if self._mesh or (here.owner and there.owner):
+            return True
+        if here.hall == there.hall:
+            apart = abs(here.index - there.index)
+            return apart in self._apart[here.hall]
+        if here.index != there.index:
+            return False
+        # Places side by side reach for different halls.
+        halls = len(self._apart)
+        apart = abs(here.hall - there.hall)
+        reach = 1 + here.index % (halls // 2)
+        return min(apart, halls - apart) == reach
+
+
+def _ring_order(record: PeerRecord) -> bytes:
+    """Order a hall by no matter of its names, for all alike."""
+    return blake2b(record.node.encode(), digest_size=8).digest()
+
+
+def _distances(size: int) -> frozenset[int]:
+    """Give how far apart in a ring those are that are linked."""
+    steps = {
+        max(1, round(size ** (step / _RING_STEPS)))
+        for step in range(_RING_STEPS)
+    }
+    return frozenset(steps | {size - step for step in steps})
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
 from bendlead_gateway._fleet.sums import FreshSums
@@ -19,6 +19,9 @@
 #: peers are few.
 _QUIET_SECONDS = 0.4
 _QUIET_PAUSES = 4
+#: Part of a pause that still counts at the next report: what others tell on
+#: comes at any moment, and makes short pauses of long ones.
+_PAUSE_KEPT = 0.8
 #: Who is quiet is found out this often (s): a choice looks at every engine.
 _LOOK_SECONDS = 0.05
 
@@ -30,6 +33,11 @@
     online: Mapping[EngineId, int]
     batch: Mapping[EngineId, int]
     heard: float
+    #: The peer's number for these counts; 0 if it tells none.
+    version: int = 0
+    #: This process's number for them, in the order in which they came.
+    arrival: int = 0
+    #: Seconds between the latest reports; told ones come between heard ones.
     pause: float = 0
 
     @property
@@ -42,6 +50,10 @@
         """Give the seconds since the peer said so."""
         return time.monotonic() - self.heard
 
+    def next_pause(self, heard: float) -> float:
+        """Give the pause between reports if the next is heard then."""
+        return max(heard - self.heard, self.pause * _PAUSE_KEPT)
+
 
 @dataclass(slots=True)
 class OwnLoad:
@@ -57,7 +69,9 @@
 
     def __init__(self) -> None:
         self.own = OwnLoad()
+        #: In the order of their arrivals.
         self._reports: dict[NodeName, Report] = {}
+        self._arrivals = 0
         self._online = FreshSums(_REPORT_SECONDS)
         self._batch = FreshSums(_BATCH_SECONDS)
         self._quiet: list[Report] = []
@@ -81,18 +95,36 @@
         online: Mapping[EngineId, int],
         batch: Mapping[EngineId, int],
         age: float = 0,
+        version: int = 0,
     ) -> None:
         """Take what a peer told of its requests some seconds ago."""
         heard = time.monotonic() - age
-        known = self._reports.get(node)
-        if known is not None and known.heard >= heard:
+        known = self.latest(node)
+        if known and (known.version, known.heard) >= (version, heard):
             return
-        pause = heard - known.heard if known else 0
-        self._reports[node] = Report(online, batch, heard, pause)
-        self._online.put(node, online, heard)
-        self._batch.put(node, batch, heard)
         if known in self._quiet:
             self._look_again_at = 0
+        pause = known.next_pause(heard) if known else 0
+        if known and version and known.version == version:
+            known.heard = heard
+            known.pause = pause
+        else:
+            self._reports.pop(node, None)
+            self._arrivals += 1
+            self._reports[node] = Report(
+                online, batch, heard, version, self._arrivals, pause
+            )
+        self._online.put(node, online, heard)
+        self._batch.put(node, batch, heard)
+
+    def since(self, arrival: int) -> Iterator[tuple[NodeName, Report]]:
+        """List what came after an arrival, the earliest first."""
+        newer: list[tuple[NodeName, Report]] = []
+        for node, report in reversed(self._reports.items()):
+            if report.arrival <= arrival:
+                break
+            newer.append((node, report))
+        return reversed(newer)
 
     def latest(self, node: NodeName) -> Report | None:
         """Give what a peer told last, if that still counts."""
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/news.py
@@ -0,0 +1,119 @@
+"""Pass on what other processes told of their requests."""
+
+import time
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from bendlead_schema.gateway import NodeReport, ToldLoad
+
+from bendlead_gateway._fleet.links import Link, Links
+from bendlead_gateway._fleet.loads import LoadTable, Report
+from bendlead_gateway._fleet.peer import Peer
+from bendlead_gateway.types import EngineId, NodeName
+
+_MS = 1000
+#: A report that was told on more than once is older than it is worth; one that
+#: is as old as this (s) is not told.
+_OLDEST_TOLD = 1.0
+#: Nodes that one report may ask for, or tell of in answer to that.
+_MOST_NODES = 16
+#: Nodes that one report tells of unasked; the others follow in the next.
+_MOST_NEWS = 128
+#: Counts that stay as they are get a new version after this long (s), since
+#: what is told counts for 1.5 s only.
+_REFRESH_SECONDS = 0.5
+
+
+@dataclass(slots=True)
+class _OwnVersion:
+    """Keep the version of this process's counts and since when it is so."""
+
+    version: int = 0
+    since: float = 0
+    online: Mapping[str, int] | None = None
+    batch: Mapping[str, int] | None = None
+
+
+class LoadNews:
+    """Tell loads on to peers that do not hear of them from where they are.
+
+    A peer over a close link is told all that is new and not linked to it as
+    closely. Any peer may ask for nodes it should hear and does not: without
+    them an owner would start items on engines that are full of the requests
+    of entries it does not hear, and the entries would count on them.
+    """
+
+    def __init__(self, own: NodeName, loads: LoadTable, links: Links) -> None:
+        self._own = own
+        self._loads = loads
+        self._links = links
+        self._own_version = _OwnVersion()
+
+    def sign(self, report: NodeReport) -> None:
+        """Give a report of this process the version of its counts."""
+        last = self._own_version
+        now = time.monotonic()
+        changed = report.online != last.online or report.batch != last.batch
+        busy = bool(report.online or report.batch)
+        if changed or (busy and now - last.since > _REFRESH_SECONDS):
+            # Versions go on rising after a restart.
+            version = max(last.version + 1, round(time.time() * _MS))
+            self._own_version = _OwnVersion(
+                version, now, report.online, report.batch
+            )
+        report.version = self._own_version.version
+
+    def tell(self, peer: Peer) -> list[ToldLoad]:
+        """Tell what a peer asked for and what is new to it."""
+        told: list[ToldLoad] = []
+        for name in peer.missed[:_MOST_NODES]:
+            known = self._loads.latest(NodeName(name))
+            if known is not None and known.age < _OLDEST_TOLD:
+                told.append(_told(NodeName(name), known))
+        if peer.link is Link.CLOSE:
+            told.extend(self._news(peer))
+        return told
+
+    def take(self, peer: Peer, told: Sequence[ToldLoad]) -> None:
+        """Take what a peer tells of others; what is newer stays."""
+        for one in told:
+            node = NodeName(one.node)
+            if node == self._own:
+                continue
+            peer.knows[node] = one.version
+            self._loads.report(
+                node,
+                {EngineId(name): count for name, count in one.online.items()},
+                {EngineId(name): count for name, count in one.batch.items()},
+                one.age_ms / _MS,
+                one.version,
+            )
+
+    def _news(self, peer: Peer) -> list[ToldLoad]:
+        told: list[ToldLoad] = []
+        for node, known in self._loads.since(peer.told_until):
+            if len(told) == _MOST_NEWS:
+                break
+            peer.told_until = known.arrival
+            if self._wants(peer, node, known):
+                peer.knows[node] = known.version
+                told.append(_told(node, known))
+        return told
+
+    def _wants(self, peer: Peer, node: NodeName, known: Report) -> bool:
+        receiver = peer.record.node
+        if node == receiver or known.age > _OLDEST_TOLD:
+            return False
+        if peer.knows.get(node, -1) >= known.version:
+            return False
+        return self._links.between(receiver, node) is not Link.CLOSE
+
+
+def _told(node: NodeName, known: Report) -> ToldLoad:
+    return ToldLoad(
+        node=node,
+        age_ms=round(known.age * _MS),
+        version=known.version,
+        online=dict(known.online),
+        batch=dict(known.batch),
+    )
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peer.py
@@ -7,7 +7,19 @@
 import gevent
 from bendlead_schema.gateway import NodeReport
 
-from bendlead_gateway.types import PeerRecord
+from bendlead_gateway._fleet.links import Link
+from bendlead_gateway.types import NodeName, PeerRecord
+
+#: A peer that was not heard for this long (s) is taken as stopped.
+_SILENT_SECONDS = 0.9
+#: An owner that was not heard for this long (s) is asked for a connection.
+QUIET_SECONDS = 0.2
+#: Loads of a peer that was not heard for this long (s) are asked of others.
+_MISSED_SECONDS = 0.4
+#: Exchanges in a row that a peer may miss until each of these is so.
+_SILENT_EXCHANGES = 4
+_QUIET_EXCHANGES = 2
+_MISSED_EXCHANGES = 3
 
 
 @dataclass(slots=True)
@@ -21,3 +33,34 @@
     #: Nodes that the peer does not hear.
     missed: Sequence[str] = ()
     listed: float = field(default_factory=time.monotonic)
+    #: How it is linked with this process, and seconds between two exchanges.
+    link: Link = Link.NONE
+    pause: float = 0
+    #: Versions of others' counts that the peer was told or told us.
+    knows: dict[NodeName, int] = field(default_factory=dict)
+    #: It was told of all counts that arrived here up to this one.
+    told_until: int = 0
+
+    def forget_told(self) -> None:
+        """Start over: what was told last may not have arrived."""
+        self.knows.clear()
+        self.told_until = 0
+
+    @property
+    def silent(self) -> bool:
+        """Tell whether the peer is taken as stopped."""
+        bound = max(_SILENT_SECONDS, _SILENT_EXCHANGES * self.pause)
+        return time.monotonic() - self.heard > bound
+
+    @property
+    def quiet(self) -> bool:
+        """Tell whether it is time to see if the peer's process has ended."""
+        bound = max(QUIET_SECONDS, _QUIET_EXCHANGES * self.pause)
+        return time.monotonic() - self.heard > bound
+
+    @property
+    def unheard(self) -> bool:
+        """Tell whether the peer's loads should be heard and are not."""
+        bound = max(_MISSED_SECONDS, _MISSED_EXCHANGES * self.pause)
+        late = time.monotonic() - self.heard > bound
+        return late and self.link is Link.CLOSE
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -19,25 +19,17 @@
 from result import Err, Ok
 
 from bendlead_gateway._fleet.claims import Claims
+from bendlead_gateway._fleet.links import Link, Links
 from bendlead_gateway._fleet.loads import LoadTable
-from bendlead_gateway._fleet.peer import Peer
-from bendlead_gateway._fleet.second_hand import SecondHand
+from bendlead_gateway._fleet.news import LoadNews
+from bendlead_gateway._fleet.peer import QUIET_SECONDS, Peer
 from bendlead_gateway._http.client import HttpConnection
 from bendlead_gateway._log import Log
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import EngineId, NodeName, NodeRole, PeerRecord
 
 REPORT_PATH = '/peer/report'
-#: Seconds between two exchanges with one peer while peers are few.
-_EXCHANGE_SECONDS = 0.04
-#: Exchanges a second that a process starts at most; more peers mean longer
-#: pauses, so that the work of one node does not grow with the fleet.
-_EXCHANGES_PER_SECOND = 160
 _ANSWER_SECONDS = 0.6
-#: A peer that was not heard for this long (s) is taken as stopped.
-_SILENT_SECONDS = 0.9
-#: An owner that was not heard for this long (s) is asked for a connection.
-_QUIET_SECONDS = 0.2
 _PROBE_SECONDS = 0.1
 _FIRST_PAUSE = 0.2
 _LAST_PAUSE = 2.0
@@ -46,9 +38,7 @@
 _LAST_REGISTER_PAUSE = 0.8
 #: After these failures a write has surely changed nothing.
 _NOTHING_DONE = frozenset((FailureKind.NOT_DONE, FailureKind.LIMITED))
-#: Loads of a peer that was not heard for this long (s) are asked of others,
-#: for as long (s) as it may only be cut off.
-_MISSED_SECONDS = 0.4
+#: A peer that falls silent may only be cut off for this long (s).
 _CUT_SECONDS = 60.0
 #: How many peers are asked for them, and how often (s) others are chosen.
 _WITNESSES = 2
@@ -86,7 +76,8 @@
         self._log = log
         self._report = report
         self._on_report = on_report
-        self._second_hand = SecondHand(loads)
+        self._links = Links()
+        self._news = LoadNews(own.node, loads, self._links)
         self._survey = _Survey()
         self._peers: dict[NodeName, Peer] = {}
         self.claims = Claims(self._live)
@@ -97,6 +88,7 @@
         own = versions.get(self._own_key)
         for entry in entries:
             self._take(entry)
+        self._lay_links()
         body = self._dialect.encode_peer(self._own)
         if own is None or self._differs(own):
             gevent.spawn(self._register, own, body)
@@ -104,7 +96,9 @@
     def change(self, change: Change) -> None:
         """Take one change."""
         if not change.deleted:
-            self._take(Entry(change.key, change.version, change.body))
+            entry = Entry(change.key, change.version, change.body)
+            if self._take(entry):
+                self._lay_links()
 
     def exchange(self, body: bytes) -> bytes:
         """Take a peer's report and answer with our own."""
@@ -127,11 +121,10 @@
         and counts until it has been silent for long.
         """
         while True:
-            gevent.sleep(_QUIET_SECONDS / 2)
-            quiet = time.monotonic() - max(_QUIET_SECONDS, 2 * self._interval())
+            gevent.sleep(QUIET_SECONDS / 2)
             for peer in self._live():
                 owner = peer.record.role is NodeRole.OWNER
-                if owner and peer.heard < quiet and _has_ended(peer):
+                if owner and peer.quiet and _has_ended(peer):
                     peer.heard = 0
                     self._loads.forget(peer.record.node)
                     self._log.event('peer-ended', peer=peer.record.node)
@@ -154,30 +147,42 @@
                 found = self._store.fetch(self._own_key)
                 present = found.unwrap_or(present)
 
-    def _take(self, entry: Entry) -> None:
+    def _take(self, entry: Entry) -> bool:
+        """Take the record of a process; tell whether it is new."""
         decoded = self._dialect.peer(entry)
         if isinstance(decoded, Err):
             self._log.event('peer-unreadable', reason=decoded.err_value)
-            return
+            return False
         record = decoded.ok_value
         known = self._peers.get(record.node)
-        if record.node == self._own.node:
-            return
-        if known is not None and known.record == record:
-            return
+        same = known is not None and known.record == record
+        if same or record.node == self._own.node:
+            return False
         if known is not None and known.task is not None:
             known.task.kill(block=False)
-        peer = Peer(record)
-        self._peers[record.node] = peer
+        self._peers[record.node] = Peer(record)
         self._log.event('peer-listed', peer=record.node, address=record.address)
-        if self._own.node < record.node:
-            peer.task = gevent.spawn(self._talk, peer)
+        return True
+
+    def _lay_links(self) -> None:
+        """Find who is linked with whom, and talk to those linked here.
+
+        The one of a pair whose name sorts first asks.
+        """
+        records = [peer.record for peer in self._peers.values()]
+        self._links.lay([self._own, *records])
+        for node, peer in self._peers.items():
+            peer.link = self._links.between(self._own.node, node)
+            peer.pause = self._links.pause(peer.link)
+            asks = self._own.node < node and peer.link is not Link.NONE
+            if asks and (peer.task is None or peer.task.dead):
+                peer.task = gevent.spawn(self._talk, peer)
 
     def _talk(self, peer: Peer) -> None:
-        """Exchange reports with one peer for as long as it is listed."""
+        """Exchange reports with one peer for as long as it is linked."""
         connection: HttpConnection | None = None
         pause = _FIRST_PAUSE
-        while True:
+        while peer.link is not Link.NONE:
             known = connection is not None
             try:
                 if connection is None:
@@ -190,6 +195,7 @@
                 if connection is not None:
                     connection.close()
                 connection = None
+                peer.forget_told()
                 if not known:
                     gevent.sleep(pause * (0.5 + random.random()))
                     pause = min(_LAST_PAUSE, pause * 2)
@@ -197,7 +203,9 @@
                 # asked again before it counts as stopped.
                 continue
             pause = _FIRST_PAUSE
-            gevent.sleep(self._interval())
+            gevent.sleep(peer.pause)
+        if connection is not None:
+            connection.close()
 
     def _exchange_once(self, peer: Peer, connection: HttpConnection) -> None:
         body = self._report_to(peer)
@@ -222,9 +230,10 @@
     def _report_to(self, peer: Peer | None) -> bytes:
         """Make the report for one peer, with what it misses or may know."""
         report = self._report()
+        self._news.sign(report)
         if peer is not None:
             survey = self._current_survey()
-            report.told = self._second_hand.tell(peer.missed)
+            report.told = self._news.tell(peer)
             if peer.record.node in survey.witnesses:
                 report.missed = list(survey.missed)
         return msgspec.json.encode(report)
@@ -232,50 +241,46 @@
     def _current_survey(self) -> _Survey:
         now = time.monotonic()
         if now - self._survey.made > _SURVEY_SECONDS:
-            live = [one.record.node for one in self._live()]
+            live = [
+                one.record.node
+                for one in self._live()
+                if one.link is Link.CLOSE
+            ]
             chosen = random.sample(live, min(_WITNESSES, len(live)))
             self._survey = _Survey(now, self._missed(now), frozenset(chosen))
         return self._survey
 
     def _missed(self, now: float) -> list[str]:
         """List the peers that may run requests and are not heard here."""
-        late = now - max(_MISSED_SECONDS, 3 * self._interval())
         cut = now - _CUT_SECONDS
         return [
             node
             for node, peer in self._peers.items()
-            if peer.heard < late and max(peer.heard, peer.listed) > cut
+            if peer.unheard and max(peer.heard, peer.listed) > cut
         ]
 
-    def _interval(self) -> float:
-        shared = len(self._peers) / _EXCHANGES_PER_SECOND
-        return max(_EXCHANGE_SECONDS, shared)
-
     def _hear(self, report: NodeReport) -> None:
         node = NodeName(report.node)
         peer = self._peers.get(node)
         if peer is None:
             # It is listed within moments; the store tells its address.
             return
-        if time.monotonic() - peer.heard > self._silence():
+        if peer.silent:
             self._log.event('peer-heard', peer=node)
         peer.report = report
         peer.heard = time.monotonic()
         peer.missed = report.missed
-        self._second_hand.take(report.told)
+        self._news.take(peer, report.told)
         self._on_report(report)
         self._loads.report(
             node,
             {EngineId(name): count for name, count in report.online.items()},
             {EngineId(name): count for name, count in report.batch.items()},
+            version=report.version,
         )
 
-    def _silence(self) -> float:
-        return max(_SILENT_SECONDS, 4 * self._interval())
-
     def _live(self) -> list[Peer]:
-        oldest = time.monotonic() - self._silence()
-        return [peer for peer in self._peers.values() if peer.heard > oldest]
+        return [peer for peer in self._peers.values() if not peer.silent]
 
 
 def _has_ended(peer: Peer) -> bool:
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
@@ -28,6 +28,12 @@
     age_ms: Annotated[
         int, Meta(description='Milliseconds since that node said so.', ge=0)
     ]
+    version: (
+        Annotated[
+            int, Meta(description='The number that node gave these counts.', ge=0)
+        ]
+        | UnsetType
+    ) = 0
     online: (
         Annotated[dict[str, int], Meta(description='Its online requests by engine.')]
         | UnsetType
@@ -56,6 +62,13 @@
         Annotated[dict[str, int], Meta(description='Items of jobs by engine.')]
         | UnsetType
     ) = field(default_factory=dict)
+    version: (
+        Annotated[
+            int,
+            Meta(description='Number of these counts, which rises; 0 for none.', ge=0),
+        ]
+        | UnsetType
+    ) = 0
     shards: list[HeldShard] | UnsetType = field(default_factory=list)
     heard: (
         Annotated[
--- /dev/null
+++ b/tests/test_gateway_links.py
@@ -0,0 +1,129 @@
+"""Which processes exchange reports, and how far news has to go."""
+
+import unittest
+from collections import deque
+
+from bendlead_gateway._fleet.links import Link, Links
+from bendlead_gateway.types import DataHall, NodeName, NodeRole, PeerRecord
+from parameterized import parameterized
+
+
+def fleet(*halls: tuple[int, int]) -> list[PeerRecord]:
+    """Make the records of halls with so many entries and owners each."""
+    made = []
+    for number, (entries, owners) in enumerate(halls):
+        hall = DataHall(f'hall-{number}')
+        for role, count in (
+            (NodeRole.ENTRY, entries),
+            (NodeRole.OWNER, owners),
+        ):
+            made += [
+                PeerRecord(
+                    NodeName(f'{role.value}-{hall}-{index}'), role, hall, ''
+                )
+                for index in range(count)
+            ]
+    return made
+
+
+def close_links(records: list[PeerRecord]) -> dict[NodeName, list[NodeName]]:
+    """List the close links of each process."""
+    links = Links()
+    links.lay(records)
+    names = [record.node for record in records]
+    return {
+        one: [
+            other for other in names if links.between(one, other) is Link.CLOSE
+        ]
+        for one in names
+    }
+
+
+def hops_from(start: NodeName, links: dict[NodeName, list[NodeName]]):
+    """Count the links from one process to each that news reaches."""
+    hops = {start: 0}
+    queue = deque([start])
+    while queue:
+        node = queue.popleft()
+        for near in links[node]:
+            if near not in hops:
+                hops[near] = hops[node] + 1
+                queue.append(near)
+    return hops
+
+
+class LinksTest(unittest.TestCase):
+    """Links of fleets of many sizes."""
+
+    @parameterized.expand(
+        [
+            ('two_halls', [(9, 1), (9, 1)], 5),
+            ('grown', [(7, 1), (6, 1), (6, 1)], 4),
+            ('large', [(11, 1), (12, 1), (13, 1), (12, 1), (10, 1)], 4),
+            ('uneven', [(1, 1), (40, 1), (3, 1), (12, 1)], 7),
+            ('one_hall', [(60, 1)], 4),
+            ('three_hundred', [(99, 1), (99, 1), (99, 1)], 6),
+            ('fourteen_halls', [(20, 1)] * 14, 8),
+        ],
+    )
+    def test_news_reaches_all_over_few_links(self, _name, halls, most_hops):
+        records = fleet(*halls)
+        links = close_links(records)
+        owners = sum(owners for _entries, owners in halls)
+        for record in records:
+            hops = hops_from(record.node, links)
+            self.assertEqual(len(records), len(hops))
+            self.assertLessEqual(max(hops.values()), most_hops)
+            others = owners if record.role is NodeRole.OWNER else 0
+            self.assertLessEqual(len(links[record.node]), 8 + others)
+
+    def test_both_sides_agree(self):
+        records = fleet((11, 1), (12, 1), (5, 1))
+        links = Links()
+        links.lay(records)
+        # Each lays the links from a list in an order of its own.
+        others = Links()
+        others.lay(records[::-1])
+        for one in records:
+            for other in records:
+                self.assertIs(
+                    links.between(one.node, other.node),
+                    others.between(other.node, one.node),
+                )
+
+    @parameterized.expand(
+        [
+            ('six', [(1, 1), (1, 1), (1, 1)], 0.04),
+            ('nine', [(2, 1), (2, 1), (2, 1)], 0.05),
+            ('mesh_full', [(5, 1), (5, 1), (4, 1)], 0.1),
+            ('large', [(20, 1), (20, 1)], 0.08),
+            ('three_hundred', [(99, 1), (99, 1), (99, 1)], 0.08),
+        ],
+    )
+    def test_pause_over_a_close_link(self, _name, halls, pause):
+        links = Links()
+        links.lay(fleet(*halls))
+        self.assertAlmostEqual(pause, links.pause(Link.CLOSE))
+
+    def test_small_fleets_are_linked_each_with_each(self):
+        records = fleet((5, 1), (5, 1), (4, 1))
+        for near in close_links(records).values():
+            self.assertEqual(len(records) - 1, len(near))
+
+    @parameterized.expand(
+        [
+            ('entry-hall-0-0', 'owner-hall-2-0', Link.WATCH),
+            ('owner-hall-0-0', 'owner-hall-2-0', Link.CLOSE),
+            ('entry-hall-0-0', 'entry-hall-0-0', Link.NONE),
+            ('entry-hall-0-0', 'unknown', Link.NONE),
+        ],
+    )
+    def test_owners_are_linked_with_all(self, one, other, expected):
+        records = fleet((20, 1), (20, 1), (20, 1), (20, 1), (20, 1))
+        links = Links()
+        links.lay(records)
+        found = links.between(NodeName(one), NodeName(other))
+        if expected is Link.WATCH:
+            self.assertIn(found, {Link.WATCH, Link.CLOSE})
+        else:
+            self.assertIs(expected, found)
--- /dev/null
+++ b/tests/test_gateway_news.py
@@ -0,0 +1,156 @@
+"""How soon a change of load is known in fleets of some sizes.
+
+Reports are handed over in memory by a clock of the test's own.
+"""
+
+import heapq
+import random
+import unittest
+from unittest import mock
+
+from bendlead_gateway._fleet import loads
+from bendlead_gateway._fleet.links import Link, Links
+from bendlead_gateway._fleet.news import LoadNews
+from bendlead_gateway._fleet.peer import Peer
+from bendlead_gateway.types import DataHall, NodeName, NodeRole, PeerRecord
+from bendlead_schema.gateway import NodeReport
+from parameterized import parameterized
+
+START = 1000.0
+
+
+class Process:
+    """Know the loads that one process of the fleet knows."""
+
+    def __init__(self, record: PeerRecord, links: Links) -> None:
+        self.record = record
+        self.loads = loads.LoadTable()
+        self.news = LoadNews(record.node, self.loads, links)
+        self.peers: dict[NodeName, Peer] = {}
+
+    def report_to(self, node: NodeName) -> NodeReport:
+        """Make the report for a peer."""
+        own = self.loads.own
+        report = NodeReport(
+            node=self.record.node,
+            sound=True,
+            leaving=False,
+            online=dict(+own.online),
+            batch=dict(+own.batch),
+        )
+        self.news.sign(report)
+        report.told = self.news.tell(self.peers[node])
+        return report
+
+    def hear(self, report: NodeReport) -> None:
+        """Take a peer's report."""
+        self.news.take(self.peers[NodeName(report.node)], report.told)
+        self.loads.report(
+            NodeName(report.node),
+            report.online,
+            report.batch,
+            version=report.version,
+        )
+
+
+class SimulatedFleet:
+    """Exchange reports over all links as the clock goes on."""
+
+    def __init__(self, entries: int, halls: int, seed: int) -> None:
+        self.chance = random.Random(seed)
+        self.now = START
+        self.links = Links()
+        records = [
+            PeerRecord(
+                NodeName(f'entry-{number}'),
+                NodeRole.ENTRY,
+                DataHall(f'hall-{number % halls}'),
+                '',
+            )
+            for number in range(entries)
+        ]
+        self.links.lay(records)
+        self.processes = [Process(record, self.links) for record in records]
+        self.due: list[tuple[float, int, int]] = []
+        for first in range(entries):
+            for second in range(first + 1, entries):
+                self._link(first, second)
+        self.exchanges = 0
+        self.told = 0
+
+    def _link(self, first: int, second: int) -> None:
+        one, other = self.processes[first], self.processes[second]
+        link = self.links.between(one.record.node, other.record.node)
+        if link is Link.NONE:
+            return
+        one.peers[other.record.node] = Peer(other.record, link=link)
+        other.peers[one.record.node] = Peer(one.record, link=link)
+        start = START + self.chance.random() * self.links.pause(link)
+        heapq.heappush(self.due, (start, first, second))
+
+    def run_until(self, moment: float) -> None:
+        """Make all exchanges that are due."""
+        while self.due[0][0] <= moment:
+            self.now, first, second = heapq.heappop(self.due)
+            self._exchange(self.processes[first], self.processes[second])
+            pause = self.links.pause(Link.CLOSE)
+            heapq.heappush(self.due, (self.now + pause, first, second))
+        self.now = moment
+
+    def _exchange(self, one: Process, other: Process) -> None:
+        for teller, hearer in ((one, other), (other, one)):
+            report = teller.report_to(hearer.record.node)
+            hearer.hear(report)
+            self.told += len(report.told)
+        self.exchanges += 1
+
+    def known(self, engine: str) -> list[int]:
+        """List the load of an engine as each process knows it."""
+        return [one.loads.online(engine) for one in self.processes]
+
+
+class FreshnessTest(unittest.TestCase):
+    """A change of load is known everywhere at once or nearly."""
+
+    @parameterized.expand(
+        [
+            ('small', 6, 3, 0.05),
+            ('mesh', 17, 3, 0.11),
+            ('grown', 22, 3, 0.3),
+            ('large', 63, 5, 0.35),
+            ('three_hundred', 300, 3, 0.5),
+        ],
+    )
+    def test_change_is_known_everywhere(self, _name, entries, halls, seconds):
+        fleet = SimulatedFleet(entries, halls, seed=1)
+        with mock.patch.object(loads.time, 'monotonic', lambda: fleet.now):
+            for number, process in enumerate(fleet.processes):
+                process.loads.own.online[f'i-{number}'] = 1
+            fleet.run_until(START + 0.6)
+            for number in range(0, entries, 7):
+                self.assertEqual({1}, set(fleet.known(f'i-{number}')))
+            fleet.processes[0].loads.own.online['i-0'] = 3
+            fleet.run_until(START + 0.6 + seconds)
+            self.assertEqual({3}, set(fleet.known('i-0')))
+
+    def test_counts_that_stay_are_known_on_and_end(self):
+        """What is told on counts for 1.5 s; it is told anew before."""
+        fleet = SimulatedFleet(63, 5, seed=2)
+        with mock.patch.object(loads.time, 'monotonic', lambda: fleet.now):
+            fleet.processes[0].loads.own.online['i-0'] = 2
+            fleet.run_until(START + 1)
+            for step in range(25):
+                fleet.run_until(START + 1 + step * 0.1)
+                self.assertEqual({2}, set(fleet.known('i-0')))
+            fleet.due = [
+                one for one in fleet.due if one[1] != 0 and one[2] != 0
+            ]
+            fleet.run_until(fleet.now + 2)
+            self.assertEqual({0}, set(fleet.known('i-0')[1:]))
+
+    @parameterized.expand([(63, 5), (300, 3)])
+    def test_exchanges_do_not_grow_with_the_fleet(self, entries, halls):
+        fleet = SimulatedFleet(entries, halls, seed=3)
+        with mock.patch.object(loads.time, 'monotonic', lambda: fleet.now):
+            fleet.run_until(START + 0.4)
+        self.assertLessEqual(2 * fleet.exchanges / entries / 0.4, 110)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -152,6 +152,42 @@
         self.assertEqual(['a'], list(self.tell('e').missed))
 
 
+class LargeFleetTest(PeerCase):
+    """Loads reach a peer that does not exchange with where they are."""
+
+    NODES = tuple(f'entry-{number}' for number in range(30))
+
+    def setUp(self):
+        super().setUp()
+        dialect = PlatformDialect()
+        for node in self.NODES:
+            listed = record(node, NodeRole.ENTRY)
+            key = f'{dialect.peers_prefix}{node}'
+            body = dialect.encode_peer(listed)
+            self.peers.change(Change(key, Version(2), False, body))
+
+    def told_to(self, node):
+        """Have a node report and name those it is told of."""
+        report = NodeReport(
+            node=node, sound=True, leaving=False, online={node: 2}, version=7
+        )
+        answer = self.peers.exchange(msgspec.json.encode(report))
+        told = msgspec.json.decode(answer, type=NodeReport).told
+        return [(one.node, dict(one.online)) for one in told]
+
+    def test_news_is_told_once(self):
+        for node in self.NODES:
+            self.told_to(node)
+        first = [self.told_to(node) for node in self.NODES]
+        self.assertTrue(any(first))
+        for one in first:
+            self.assertLess(len(one), len(self.NODES))
+            for node, counts in one:
+                self.assertEqual({node: 2}, counts)
+        again = [self.told_to(node) for node in self.NODES]
+        self.assertFalse(any(again))
+
+
 class EndedOwnerTest(PeerCase):
     """An owner whose process has ended loses its shards within moments."""
 
