A silent engine is awaited where no other one has a free place

Cause: ended the wait for a silent engine also where none could take the request: the only engine, or others that are full.

Change: the limit holds only where another engine that is not paused has a free place.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -39,7 +39,7 @@
         self._health = fleet.health
         self._log = log
         self._metrics = metrics
-        self._silence = SilenceLimit()
+        self._silence = SilenceLimit(fleet)
 
     def make(self, exchange: Exchange, engine: Engine) -> None:
         """Have the engine answer the request, or raise what became of it."""
@@ -93,8 +93,7 @@
     def _ask(
         self, exchange: Exchange, engine: Engine, connection: HttpConnection
     ) -> ResponseHead:
-        others = self._has_others(exchange, engine)
-        limit = self._silence.take(exchange, engine, others=others)
+        limit = self._silence.take(exchange, engine)
         kept = connection.used
         silent = False
         exchange.asked = True
@@ -116,14 +115,6 @@
             if limit is not None and not silent:
                 self._silence.give_back()
 
-    def _has_others(self, exchange: Exchange, engine: Engine) -> bool:
-        """Tell whether a sound engine is left that was not asked yet."""
-        return any(
-            one.engine not in exchange.tried
-            and not self._health.paused(one.engine)
-            for one in self._fleet.engines.ready(engine.service)
-        )
-
     def _send(
         self, exchange: Exchange, engine: Engine, connection: HttpConnection
     ) -> None:
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -219,17 +219,19 @@
 
     @parameterized.expand(
         [
-            ('unsafe', 'unsafe', 0, {}),
-            ('stream', 'streaming', 0, {}),
-            ('one_engine_allowed', 'safe', 0, {'max_attempts': 1}),
-            ('engines_are_full', 'safe', 8, {}),
+            ('unsafe', 'unsafe', 2, (), {}),
+            ('stream', 'streaming', 2, (), {}),
+            ('one_engine_allowed', 'safe', 2, (), {'max_attempts': 1}),
+            ('engines_are_full', 'safe', 2, ('i-0', 'i-1'), {}),
+            ('the_other_is_full', 'safe', 2, ('i-1',), {}),
+            ('the_only_one', 'safe', 1, (), {}),
         ],
     )
-    def test_awaited(self, _name, kind, taken, changed):
+    def test_awaited(self, _name, kind, engines, full, changed):
         """It may run where it is, or wait for a place there."""
-        self.begin(kind, timeout_ms=700, **changed)
-        for name in ('i-0', 'i-1'):
-            self.entry.fleet.loads.own.online[name] += taken
+        self.begin(kind, engines, timeout_ms=700, **changed)
+        for name in full:
+            self.entry.fleet.loads.own.online[name] += 8
         before = sum(link.opened for link in self.links)
         for link in self.links:
             link.silence()
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -57,12 +57,14 @@
         )
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
-        # Opened once the process opens its end, before it reads anything.
-        with open(self.path, 'w') as file:
-            process.send_signal(signal.SIGHUP)
-            gevent.sleep(0.1)
-            self.assertIsNone(process.poll())
-            file.write(self.text)
+        # It is read for the address of the clients, then whole. Each time it is
+        # opened once the process opens its end, before it reads anything.
+        for _reading in range(2):
+            with open(self.path, 'w') as file:
+                process.send_signal(signal.SIGHUP)
+                gevent.sleep(0.1)
+                self.assertIsNone(process.poll())
+                file.write(self.text)
         self.assertTrue(self._listens(process))
 
     def test_change_after_the_settings_were_read(self):
