Progress is written seldom where writes are slow

Cause: what arrives waits for the write under way. Ruled out: the batch items' own order (the jobs were accepted late). Change: turns of progress are apart by ten times what the latest write took, and by 5 s at most. Writes of up to 40 ms change nothing, by the constants. Tests, failed before: test_rate (slow_writes, seldom_beside_slow_writes), test_the_latest_is_told.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
@@ -83,7 +83,9 @@
         self._accepting: dict[JobId, Event] = {}
         self._pending_tokens: dict[JobId, tuple[str, int]] = {}
         self.jobs: dict[JobId, HeldJob] = {}
-        self._progress = ProgressLog(self.jobs)
+        self._progress = ProgressLog(
+            self.jobs, lambda: self._committer.last_write_seconds
+        )
         self._committer = Committer(
             log, state, lambda: _COMMIT_INTERVAL, on_lost, self._progress.along
         )
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/progress.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/progress.py
@@ -1,7 +1,7 @@
 """Which progress of a shard's items goes into its log, and when."""
 
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 import gevent
 from bendlead_ledger import Committer
@@ -21,6 +21,10 @@
 #: Progress that has waited this long (s) gets a write of its own. A call to
 #: the object service is paid for; what an owner's death costs is half of it.
 _ALONE_SECONDS = 1.0
+#: What arrives waits for the write under way, so where writes are slow, those
+#: with progress are apart by this many times as long, but no longer than (s):
+_WRITES_APART = 10
+_LONGEST_SECONDS = 5.0
 _CHECK_SECONDS = 0.2
 #: Most characters of one turn: packing them takes about a millisecond, and
 #: a value of the object service holds a megabyte.
@@ -32,8 +36,13 @@
 class ProgressLog:
     """Hand over the events that the log does not hold yet."""
 
-    def __init__(self, jobs: Mapping[JobId, HeldJob]) -> None:
+    def __init__(
+        self,
+        jobs: Mapping[JobId, HeldJob],
+        write_seconds: Callable[[], float],
+    ) -> None:
         self._jobs = jobs
+        self._write_seconds = write_seconds
         self._taken_at = time.monotonic()
 
     @property
@@ -70,7 +79,9 @@
         ]
 
     def _rested(self, seconds: float) -> bool:
-        return time.monotonic() - self._taken_at > seconds
+        apart = max(seconds, self._write_seconds() * _WRITES_APART)
+        rested = time.monotonic() - self._taken_at
+        return rested > min(apart, _LONGEST_SECONDS)
 
     def _fresh(self) -> Iterator[_Fresh]:
         """List the items with events that the log does not hold."""
--- a/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
@@ -54,6 +54,7 @@
         self._wake = Event()
         self._lost = False
         self._writing_since = 0.0
+        self._last_write_seconds = 0.0
         self._failure: Failure | None = None
         self._snapshot_failure: Failure | None = None
         self._next_snapshot = 0.0
@@ -86,6 +87,11 @@
             return 0
         return time.monotonic() - self._writing_since
 
+    @property
+    def last_write_seconds(self) -> float:
+        """Tell how long the latest whole write took."""
+        return self._last_write_seconds
+
     def commit(
         self,
         records: Sequence[Record],
@@ -142,6 +148,7 @@
         self._writing = batch
         committed = self._log.commit([*records, *riders])
         self._writing = ()
+        self._last_write_seconds = self.writing_seconds
         self._writing_since = 0
         if isinstance(committed, Err):
             self._lose(batch, committed)
--- a/tests/test_gateway_progress.py
+++ b/tests/test_gateway_progress.py
@@ -207,7 +207,7 @@
         add(job_held.progress['i1'], 0, 'x' * 150_000)
         for number in range(3):
             add(job_held.progress['i2'], number, 'y' * 40_000)
-        log = ProgressLog({JobId('j1'): job_held})
+        log = ProgressLog({JobId('j1'): job_held}, float)
         turns = [
             [(one.item, one.last_event) for one in record.progress]
             for record in log.take() + log.take()
@@ -219,7 +219,7 @@
         job_held = held(*names)
         for progress in job_held.progress.values():
             add(progress, 0, 'x' * 90_000)
-        log = ProgressLog({JobId('j1'): job_held})
+        log = ProgressLog({JobId('j1'): job_held}, float)
         counts = []
         while any(one.not_kept for one in job_held.progress.values()):
             counts.append(len(log.take()[0].progress))
@@ -233,21 +233,25 @@
             job_held.state.end()
         else:
             job_held.progress['i1'].finished = True
-        log = ProgressLog({JobId('j1'): job_held})
+        log = ProgressLog({JobId('j1'): job_held}, float)
         self.assertEqual([], log.take())
 
     @parameterized.expand(
         [
-            ('at_once', 0.1, 0, False),
-            ('along', 0.5, 1, False),
-            ('alone', 1.1, 1, True),
+            ('at_once', 0.01, 0.1, 0, False),
+            ('along', 0.01, 0.5, 1, False),
+            ('alone', 0.01, 1.1, 1, True),
+            # Acceptances wait for the write under way.
+            ('slow_writes', 0.5, 4.9, 0, False),
+            ('seldom_beside_slow_writes', 0.4, 4.1, 1, True),
+            ('in_the_end_whatever_they_take', 3, 5.1, 1, True),
         ]
     )
-    def test_rate(self, _name, rested, along, due):
+    def test_rate(self, _name, written_in, rested, along, due):
         job_held = held('i1')
         with mock.patch('bendlead_gateway._jobs.progress.time') as clock:
             clock.monotonic.return_value = 50
-            log = ProgressLog({JobId('j1'): job_held})
+            log = ProgressLog({JobId('j1'): job_held}, lambda: written_in)
             add(job_held.progress['i1'], 0)
             log.take()
             add(job_held.progress['i1'], 1)
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -1,5 +1,6 @@
 """A process that is told of new settings while it starts."""
 
+import errno
 import os
 import pathlib
 import signal
@@ -13,7 +14,7 @@
 from bendlead_platform import load_settings, main
 from gevent import socket
 
-from tests.gateway_standins import free_port
+from tests.gateway_standins import eventually, free_port
 
 _PROGRAM = pathlib.Path(__file__).parent.parent / 'deploy' / 'bendleadd.py'
 _SETTINGS = """
@@ -65,6 +66,7 @@
                 gevent.sleep(0.1)
                 self.assertIsNone(process.poll())
                 file.write(self.text)
+            eventually(self._has_been_read)
         self.assertTrue(self._listens(process))
 
     def test_change_after_the_settings_were_read(self):
@@ -95,6 +97,14 @@
         self.written += 1
         os.utime(self.path, ns=(self.written, self.written))
 
+    def _has_been_read(self):
+        """Tell whether nobody has the pipe open for reading any more."""
+        try:
+            os.close(os.open(self.path, os.O_WRONLY | os.O_NONBLOCK))
+        except OSError as error:
+            return error.errno == errno.ENXIO
+        return False
+
     def _listens(self, process):
         while process.poll() is None:
             try:
--- a/tests/test_ledger_committer.py
+++ b/tests/test_ledger_committer.py
@@ -31,6 +31,25 @@
         self.assertEqual([FailureKind.UNKNOWN, FailureKind.CONFLICT], kinds)
 
 
+class WriteTest(unittest.TestCase):
+    """How long writes take."""
+
+    def test_the_latest_is_told(self):
+        log = mock.Mock(fenced=False)
+        log.needs_snapshot.return_value = False
+
+        def write(_records):
+            gevent.sleep(0.05)
+            return Ok(None)
+
+        log.commit.side_effect = write
+        committer = Committer(log, mock.Mock(), lambda: 0, mock.Mock())
+        self.addCleanup(committer.close)
+        self.assertEqual(0, committer.last_write_seconds)
+        committer.commit([JobRemoved(job='j')])
+        self.assertGreater(committer.last_write_seconds, 0.04)
+
+
 class SnapshotTest(unittest.TestCase):
     """A log that asks for a snapshot and does not get it."""
 
