Whoever reports results is answered when the shard goes to another owner

Cause: a stopping entry of the OpenAI face waits until no call is under way. Change: close answers those whose results are gathered (conflict: not done) and those whose pack is being written (unknown); later reports get the conflict.

--- a/packages/bendlead-ledger/src/bendlead_ledger/_results.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_results.py
@@ -7,7 +7,7 @@
 import gevent
 from bendlead_schema.records import ResultLine, ResultPack, ResultsRecorded
 from bendlead_schema.settings import LedgerSettings
-from bendlead_store import Failure, ValueStore
+from bendlead_store import Failure, FailureKind, ValueStore
 from gevent.event import AsyncResult, Event
 from result import Err, Result
 
@@ -38,12 +38,16 @@
         self._lines: list[ResultLine] = []
         self._bytes = 0
         self._done: AsyncResult = AsyncResult()
+        self._writing: AsyncResult | None = None
+        self._closed = False
         self._full = Event()
         self._arrived = Event()
         self._task = gevent.spawn(self._run)
 
     def record(self, lines: Sequence[ResultLine]) -> Result[None, Failure]:
         """Make results durable together with those of other runs."""
+        if self._closed:
+            return _closed(FailureKind.CONFLICT)
         done = self._done
         self._lines.extend(lines)
         self._bytes += sum(len(line.body) for line in lines)
@@ -57,8 +61,15 @@
         self._hurry = hurry
 
     def close(self) -> None:
-        """Stop packing; the committer has failed what waits."""
+        """Stop packing and answer whoever waits.
+
+        A pack that is being written may take effect: its outcome is unknown.
+        """
+        self._closed = True
         self._task.kill()
+        if self._writing is not None:
+            self._writing.set(_closed(FailureKind.UNKNOWN))
+        self._done.set(_closed(FailureKind.CONFLICT))
 
     def _is_full(self) -> bool:
         return (
@@ -78,7 +89,9 @@
         self._bytes = 0
         self._arrived.clear()
         self._full.clear()
+        self._writing = done
         done.set(self._write(lines))
+        self._writing = None
 
     def _write(self, lines: list[ResultLine]) -> Result[None, Failure]:
         key = f'results/{self._shard:04x}/{unique()}'
@@ -115,5 +128,9 @@
     ]
 
 
+def _closed(kind: FailureKind) -> Err[Failure]:
+    return Err(Failure(kind, 'pack results', 'object service', 'closed', 1))
+
+
 def _nothing(_effects: Sequence[bool]) -> None:
     """Drop the effects: a result that lost to an earlier one is settled."""
