A record that can't be written leaves nobody waiting

Change: such an error loses the shard, as a failed write does: who waits is told that the outcome is unknown, later commits meet the conflict, and another owner takes over. Ruled out: going on with the next batch (state and log may differ). Test, failed before: FaultTest.test_nobody_waits_for_ever.

--- a/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
@@ -134,9 +134,19 @@
             self._wake.wait()
             self._wake.clear()
             if self._queue:
-                self._commit_queued()
+                self._commit_or_lose()
                 gevent.sleep(max(_SHORTEST_INTERVAL, self._interval()))
 
+    def _commit_or_lose(self) -> None:
+        """Commit; a fault of ours must leave nobody waiting for ever."""
+        try:
+            self._commit_queued()
+        except Exception:
+            # The traceback goes to standard error with the end of the task.
+            detail = 'a record could not be written'
+            self._lose(self._writing, self._failed(FailureKind.UNKNOWN, detail))
+            raise
+
     def _commit_queued(self) -> None:
         batch = self._queue[:_MAX_BATCH]
         self._queue = self._queue[_MAX_BATCH:]
@@ -147,16 +157,17 @@
         self._writing_since = time.monotonic()
         self._writing = batch
         committed = self._log.commit([*records, *riders])
-        self._writing = ()
         self._last_write_seconds = self.writing_seconds
         self._writing_since = 0
         if isinstance(committed, Err):
+            self._writing = ()
             self._lose(batch, committed)
             return
         for ticket in batch:
             effects = [self._state.apply(record) for record in ticket.records]
             ticket.done.set(Ok(effects))
         self._state.replay(riders)
+        self._writing = ()
         if self._log.fenced:
             self._lose([])
         elif self._log.needs_snapshot():
--- a/tests/test_ledger_committer.py
+++ b/tests/test_ledger_committer.py
@@ -31,6 +31,23 @@
         self.assertEqual([FailureKind.UNKNOWN, FailureKind.CONFLICT], kinds)
 
 
+class FaultTest(unittest.TestCase):
+    """A record that can't be written is a fault of ours."""
+
+    def test_nobody_waits_for_ever(self):
+        log = mock.Mock(fenced=False)
+        log.commit.side_effect = ValueError('scripted')
+        lost = mock.Mock()
+        committer = Committer(log, mock.Mock(), lambda: 0, lost)
+        waiting = gevent.spawn(committer.commit, [JobRemoved(job='j')])
+        waiting.join(1)
+        failure = waiting.get(block=False).err_value
+        self.assertIs(FailureKind.UNKNOWN, failure.kind)
+        lost.assert_called_once_with()
+        later = committer.commit([JobRemoved(job='j')])
+        self.assertIs(FailureKind.CONFLICT, later.err_value.kind)
+
+
 class WriteTest(unittest.TestCase):
     """How long writes take."""
 
