Soak: a request that used up its route's time was not cut off by a stop

Change: the check leaves out what ended at or after the route's time. Tests: cut off at 3.4 s is lost, at 3.5 s is not; the second failed before.

--- a/testing/src/bendlead_testing/gateway_soak/promises.py
+++ b/testing/src/bendlead_testing/gateway_soak/promises.py
@@ -8,7 +8,12 @@
 from typing import Any
 
 from bendlead_testing.gateway_soak.answers import seal_of, text_of
-from bendlead_testing.gateway_soak.sightings import Attempt, Sightings, calm
+from bendlead_testing.gateway_soak.sightings import (
+    ROUTE_SECONDS,
+    Attempt,
+    Sightings,
+    calm,
+)
 
 #: How long a disruption goes on to excuse what depends on time (s). Source:
 #: contact_ms of the users' sheets, and a second for a busy test machine.
@@ -143,6 +148,9 @@
         cut = not one.whole and not one.left and one.ended
         if not cut or one.request not in journal.starts:
             continue
+        if one.ended - one.sent >= ROUTE_SECONDS:
+            # Its route allows it no more time.
+            continue
         since = one.sent - CONTACT_SECONDS
         if not calm(seen.troubles, since, one.ended, also_planned=False):
             continue
--- a/testing/src/bendlead_testing/gateway_soak/run.py
+++ b/testing/src/bendlead_testing/gateway_soak/run.py
@@ -20,7 +20,11 @@
     check,
     read_journal,
 )
-from bendlead_testing.gateway_soak.sightings import Kind, Sightings
+from bendlead_testing.gateway_soak.sightings import (
+    ROUTE_SECONDS,
+    Kind,
+    Sightings,
+)
 
 #: Calm at the end, in which everything must be served again (s).
 _CALM_SECONDS = CONTACT_SECONDS + 4.0
@@ -121,7 +125,7 @@
         'host': HOST,
         'path_prefix': prefix,
         'kind': _WIRE_KINDS[kind],
-        'timeout_ms': 3500,
+        'timeout_ms': round(ROUTE_SECONDS * 1000),
         'target_latency_ms': 400,
         'service': 's1',
         'max_attempts': 3,
--- a/testing/src/bendlead_testing/gateway_soak/sightings.py
+++ b/testing/src/bendlead_testing/gateway_soak/sightings.py
@@ -5,6 +5,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+#: The time-out of every route of the soak (s).
+ROUTE_SECONDS = 3.5
+
 
 class Kind(enum.Enum):
     """Name a kind of request by the prefix of its route."""
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -127,6 +127,26 @@
                 {'attempts': [_attempt('a', whole=False)], 'lines': _RUN},
                 'lost',
             ),
+            (
+                'cut_off_just_before_the_time_of_its_route',
+                {
+                    'attempts': [
+                        _attempt('a', whole=False, ended=_START + 3.4)
+                    ],
+                    'lines': _RUN,
+                },
+                'lost',
+            ),
+            (
+                'cut_off_at_the_time_of_its_route',
+                {
+                    'attempts': [
+                        _attempt('a', whole=False, ended=_START + 3.5)
+                    ],
+                    'lines': _RUN,
+                },
+                '',
+            ),
             (
                 'cut_off_in_trouble',
                 {
