--- a/testing/src/bendlead_testing/gateway_soak/deployment.py
+++ b/testing/src/bendlead_testing/gateway_soak/deployment.py
@@ -72,6 +72,11 @@
         """Give an address on loopback."""
         return f'127.0.0.1:{self.take()}'
 
+    def free(self) -> None:
+        """Let other runs have the ports, also later ones of this process."""
+        while self._locks:
+            self._locks.pop().close()
+
 
 @dataclass
 class Process:
@@ -216,6 +221,7 @@
         if self._carrier is not None:
             self._carrier.kill()
             self._carrier.wait()
+        self.ports.free()
 
     def all(self) -> list[Process]:
         """List the nodes and the engines."""
