Decisions of load stand in a package of their own

Ruled out: leaving the fleet's balancer as the place for it; it reads tables and clocks. Change: bendlead_gateway._scheduling takes typed views of engines, time and chance as arguments; balancer, online path and item runner call it. The owner builds its views once a round instead of once an item. No decision is changed; tests ask the same questions of the new names.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -8,8 +8,8 @@
 from bendlead_gateway._http.client import HttpConnection, ResponseHead
 from bendlead_gateway._jobs.board import Board
 from bendlead_gateway._jobs.held import HeldJob, Progress
-from bendlead_gateway._jobs.urgency import Urgency
 from bendlead_gateway._online.events import EventSplitter, StreamEvent
+from bendlead_gateway._scheduling.urgency import Urgency
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import Engine, ItemOutcome
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -17,10 +17,10 @@
     RunFailedError,
 )
 from bendlead_gateway._jobs.keeper import ShardKeeper
-from bendlead_gateway._jobs.places import idle_places
-from bendlead_gateway._jobs.urgency import ItemPace, Urgency
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
+from bendlead_gateway._scheduling.places import ItemPlaces, surplus
+from bendlead_gateway._scheduling.urgency import ItemPace, Urgency
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import (
     Engine,
@@ -28,6 +28,7 @@
     ItemOutcome,
     ItemResult,
     Route,
+    ServiceName,
 )
 
 _ROUND_SECONDS = 0.025
@@ -95,9 +96,9 @@
         for one in self._runs:
             if not one.stopped:
                 by_engine.setdefault(one.engine.engine, []).append(one)
-        for engine, runs in by_engine.items():
-            online = self._loads.online(engine)
-            over = online + len(runs) - runs[0].engine.slots
+        for runs in by_engine.values():
+            view = self._fleet.balancer.view(runs[0].engine)
+            over = surplus(view, len(runs))
             if over > 0:
                 self._stop_least_urgent(runs, over)
 
@@ -116,17 +117,21 @@
                 run.stop()
 
     def _start_runs(self) -> None:
+        places: dict[ServiceName, ItemPlaces] = {}
         full: set[str] = set()
         for candidate in self._candidates():
             route = candidate.route
             if route.name in full:
                 continue
-            job = candidate.job
-            engine = self._idle_engine(route, _age(job, route))
-            if engine is None:
+            service = pick_service(route)
+            if service not in places:
+                views = self._fleet.balancer.views(service)
+                places[service] = ItemPlaces(views)
+            view = places[service].take(_age(candidate.job, route))
+            if view is None:
                 full.add(route.name)
             else:
-                self._start(candidate, engine)
+                self._start(candidate, view.engine)
 
     def _candidates(self) -> list[_Candidate]:
         """List the items that could start, the most urgent first."""
@@ -161,20 +166,6 @@
                 for progress in list(job.waiting(now)):
                     yield board, job, progress
 
-    def _idle_engine(self, route: Route, age: float) -> Engine | None:
-        """Find the engine with most idle places for a job of an age."""
-        found: Engine | None = None
-        most = 0
-        for one in self._fleet.engines.ready(pick_service(route)):
-            if self._fleet.health.paused(one.engine):
-                continue
-            online = self._loads.online(one.engine)
-            batch = self._loads.batch(one.engine)
-            places = idle_places(one.slots, online, batch, age)
-            if places > most:
-                found, most = one, places
-        return found
-
     def _start(self, candidate: _Candidate, engine: Engine) -> None:
         run = ItemRun(
             engine,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -20,7 +20,8 @@
     UnreachableError,
 )
 from bendlead_gateway._online.relay import AnswerRelay, passed_on
-from bendlead_gateway._online.silence import SilenceLimit
+from bendlead_gateway._scheduling.retry import SecondTries, any_free
+from bendlead_gateway._scheduling.view import EngineView
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import Engine
 
@@ -39,22 +40,23 @@
         self._health = fleet.health
         self._log = log
         self._metrics = metrics
-        self._silence = SilenceLimit(fleet)
+        self._second_tries = SecondTries()
 
-    def make(self, exchange: Exchange, engine: Engine) -> None:
+    def make(self, exchange: Exchange, view: EngineView) -> None:
         """Have the engine answer the request, or raise what became of it."""
-        name = engine.engine
+        engine = view.engine
+        name = view.name
         loads = self._fleet.loads
-        exchange.choice = Choice(name, loads.online(name), loads.batch(name))
+        exchange.choice = Choice(name, view.online, view.batch)
         exchange.sends += 1
         if exchange.sends == 1:
-            self._silence.earn()
+            self._second_tries.earn()
         loads.start_online(name)
         connection = None
         idle = None
         try:
             connection = self._connect(engine)
-            idle = self._converse(exchange, engine, connection)
+            idle = self._converse(exchange, view, connection)
         finally:
             loads.own.online[name] -= 1
             if connection is not None:
@@ -69,10 +71,11 @@
             raise UnreachableError(f'connect: {error}') from error
 
     def _converse(
-        self, exchange: Exchange, engine: Engine, connection: HttpConnection
+        self, exchange: Exchange, view: EngineView, connection: HttpConnection
     ) -> float | None:
         """Send the request and relay the answer; give the idle seconds."""
-        head = self._ask(exchange, engine, connection)
+        engine = view.engine
+        head = self._ask(exchange, view, connection)
         self._health.heard(engine.engine)
         answer = self._dialect.engine_answer(head.status, head.headers)
         if answer.closing:
@@ -91,9 +94,10 @@
         return answer.idle_seconds
 
     def _ask(
-        self, exchange: Exchange, engine: Engine, connection: HttpConnection
+        self, exchange: Exchange, view: EngineView, connection: HttpConnection
     ) -> ResponseHead:
-        limit = self._silence.take(exchange, engine)
+        engine = view.engine
+        limit = self._silence_limit(exchange, view)
         kept = connection.used
         silent = False
         exchange.asked = True
@@ -113,7 +117,20 @@
             raise UnknownOutcomeError(f'no answer: {error}') from error
         finally:
             if limit is not None and not silent:
-                self._silence.give_back()
+                self._second_tries.give_back()
+
+    def _silence_limit(
+        self, exchange: Exchange, view: EngineView
+    ) -> float | None:
+        """Give how long (s) a silent engine is awaited, if not to the end."""
+        if view.free <= 0 or not exchange.may_replace:
+            # Where no place is free silence tells nothing.
+            return None
+        service = view.engine.service
+        others = self._fleet.balancer.views(service, exchange.tried)
+        if not any_free(others):
+            return None
+        return self._second_tries.take(exchange.route.target)
 
     def _send(
         self, exchange: Exchange, engine: Engine, connection: HttpConnection
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -1,5 +1,6 @@
 """Serve one client request: choose engines, retry, refuse, give up."""
 
+import random
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -15,7 +16,6 @@
 )
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
-from bendlead_gateway._online.admission import Admission
 from bendlead_gateway._online.attempt import Attempts
 from bendlead_gateway._online.exchange import Exchange
 from bendlead_gateway._online.outcomes import (
@@ -25,20 +25,13 @@
     UnknownOutcomeError,
     UnreachableError,
 )
+from bendlead_gateway._scheduling import admission, retry
+from bendlead_gateway._scheduling.view import EngineView
 from bendlead_gateway.dialect import Dialect
-from bendlead_gateway.types import Engine, RequestFacts, Route
+from bendlead_gateway.types import RequestFacts, Route
 
 #: Below this many seconds left an engine is not asked any more.
 _LEAST_LEFT = 0.03
-#: When a refused client should come back (s): bursts pass in seconds, and a
-#: place gets free every few tens of ms.
-_RETRY_AFTER = 0.1
-#: Past this share of the aim a request is offered no further engine that
-#: refuses; an early refusal lets the client try another entry.
-_REFUSE_SHARE = 0.2
-#: The same after a connection that did not come up, which says nothing of the
-#: other engines: whoever comes back later has surely missed the aim.
-_UNREACHABLE_SHARE = 1.0
 _SHORTEST_TIMER = 0.001
 #: Fields left out of a request's line where they have this value: whoever keeps
 #: logs keeps some hundred kB of a process, and most requests are plain ones.
@@ -56,7 +49,6 @@
     ) -> None:
         self._fleet = fleet
         self._attempts = Attempts(dialect, fleet, log, metrics)
-        self._admission = Admission(fleet.balancer)
         self._log = log
         self._metrics = metrics
 
@@ -103,28 +95,36 @@
     def _serve(self, exchange: Exchange) -> str:
         service = pick_service(exchange.route)
         while True:
-            engine = self._fleet.balancer.choose(service, exchange.tried)
-            if engine is None or exchange.left < _LEAST_LEFT:
+            view = self._fleet.balancer.choose(service, exchange.tried)
+            if view is None or exchange.left < _LEAST_LEFT:
                 return self._give_up(exchange, 'no engine left to ask')
-            refusal = self._admission.judge(exchange, engine)
+            refusal = self._judge(exchange, view)
             if refusal:
                 return self._refuse(
                     exchange, refusal.reason, refusal.retry_after
                 )
-            exchange.tried.add(engine.engine)
-            verdict = self._attempt(exchange, engine)
+            exchange.tried.add(view.name)
+            verdict = self._attempt(exchange, view)
             if verdict:
                 return verdict
 
-    def _attempt(self, exchange: Exchange, engine: Engine) -> _Verdict:
+    def _judge(
+        self, exchange: Exchange, view: EngineView
+    ) -> admission.Refusal | None:
+        """Refuse a request before any engine was asked, or let it go on."""
+        if exchange.sends:
+            return None
+        asked = admission.Asked(exchange.route.target, exchange.facts.patience)
+        wait = self._fleet.balancer.wait(view)
+        return admission.judge(asked, wait, random.random)
+
+    def _attempt(self, exchange: Exchange, view: EngineView) -> _Verdict:
         try:
-            self._attempts.make(exchange, engine)
+            self._attempts.make(exchange, view)
         except NotRunError as refused:
             exchange.asked = False
-            share = _REFUSE_SHARE
-            if isinstance(refused, UnreachableError):
-                share = _UNREACHABLE_SHARE
-            if self._too_late_to_ask(exchange, share):
+            unreachable = isinstance(refused, UnreachableError)
+            if self._too_late_to_offer(exchange, unreachable):
                 return self._give_up(exchange, str(refused))
             exchange.failure = str(refused)
             return None
@@ -146,10 +146,12 @@
             return None
         return otherwise(exchange, exchange.failure)
 
-    def _too_late_to_ask(self, exchange: Exchange, share: float) -> bool:
+    def _too_late_to_offer(self, exchange: Exchange, unreachable: bool) -> bool:
         if exchange.runs or exchange.responder.started:
             return False
-        return exchange.waited > exchange.route.target * share
+        return retry.too_late_to_offer(
+            exchange.waited, exchange.route.target, unreachable
+        )
 
     def _give_up(self, exchange: Exchange, reason: str) -> str:
         exchange.failure = f'{reason} ({exchange.failure})'
@@ -161,7 +163,7 @@
             return 'unknown'
         if exchange.left < _LEAST_LEFT:
             return self._time_out(exchange)
-        return self._refuse(exchange, exchange.failure, _RETRY_AFTER)
+        return self._refuse(exchange, exchange.failure, retry.RETRY_AFTER)
 
     def _refuse(
         self, exchange: Exchange, reason: str, retry_after: float
@@ -182,7 +184,7 @@
             exchange.responder.abort()
             return 'timed_out_midway'
         if not exchange.may_have_run:
-            return self._refuse(exchange, 'no time left', _RETRY_AFTER)
+            return self._refuse(exchange, 'no time left', retry.RETRY_AFTER)
         exchange.responder.close_after()
         exchange.answer(HTTPStatus.GATEWAY_TIMEOUT)
         return 'timed_out'
