An engine listed with no places is asked for nothing

Cause: choosing divided by the places of an engine, so a single one listed with 0 of them ended every request of its service without an answer. Found by reading. Ruled out: taking it as one with one place; it says that it runs nothing.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
@@ -215,6 +215,7 @@
                 engine=engine.engine,
                 address=engine.address,
                 state=engine.state.value,
+                slots=engine.slots,
                 revision=entry.version,
             )
         return engine.engine
@@ -231,7 +232,8 @@
     def _sort(self) -> None:
         ready: dict[ServiceName, list[Engine]] = {}
         for engine in self._engines.values():
-            if engine.state is EngineState.READY:
+            # One that is listed with no places can run nothing.
+            if engine.state is EngineState.READY and engine.slots > 0:
                 ready.setdefault(engine.service, []).append(engine)
         self._ready = ready
 
