Requests that can't be known of yet are laid out before one is placed

Change: an entry estimates the requests that others have placed meanwhile (what runs, over the seconds a request runs, times the age of news, which is learnt), lays them out where each costs least, and takes one of these places by lot.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
@@ -6,7 +6,11 @@
 from bendlead_gateway._fleet.catalog import EngineList
 from bendlead_gateway._fleet.health import EngineHealth
 from bendlead_gateway._fleet.loads import LoadTable
-from bendlead_gateway._scheduling.placement import choose
+from bendlead_gateway._scheduling.placement import (
+    Placement,
+    Traffic,
+    choose,
+)
 from bendlead_gateway._scheduling.view import EngineView
 from bendlead_gateway.types import (
     DataHall,
@@ -61,13 +65,10 @@
 
     def choose(
         self, service: ServiceName, tried: Collection[EngineId]
-    ) -> EngineView | None:
+    ) -> Placement | None:
         """Choose an engine for an online request."""
-        return choose(self.views(service, tried), random.random)
-
-    def wait(self, view: EngineView) -> float:
-        """Estimate the seconds until a request would get a place there."""
-        return view.wait(self._health.run_seconds)
+        traffic = Traffic(self._health.run_seconds, self._loads.delay)
+        return choose(self.views(service, tried), traffic, random.random)
 
 
 def pick_service(route: Route) -> ServiceName:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
@@ -22,6 +22,12 @@
 #: Part of a pause that still counts at the next report: what others tell on
 #: comes at any moment, and makes short pauses of long ones.
 _PAUSE_KEPT = 0.8
+#: Weight of the newest counts in the smoothed delay, which holds over some
+#: hundred of them.
+_NEWEST = 0.01
+#: A pause between the counts of a peer is longer than that between exchanges
+#: (s) only where nothing changed.
+_LONGEST_PAUSE = 0.1
 #: Who is quiet is found out this often (s): a choice looks at every engine.
 _LOOK_SECONDS = 0.05
 
@@ -72,6 +78,8 @@
         #: In the order of their arrivals.
         self._reports: dict[NodeName, Report] = {}
         self._arrivals = 0
+        #: Smoothed seconds from a change of a peer's counts to its news here.
+        self.delay = 0.0
         self._online = FreshSums(_REPORT_SECONDS)
         self._batch = FreshSums(_BATCH_SECONDS)
         self._quiet: list[Report] = []
@@ -104,6 +112,8 @@
             return
         if known in self._quiet:
             self._look_again_at = 0
+        if known:
+            self._observe_delay(heard - known.heard, age)
         pause = known.next_pause(heard) if known else 0
         if known and version and known.version == version:
             known.heard = heard
@@ -163,3 +173,8 @@
         self._online.drop(node)
         self._batch.drop(node)
         self._look_again_at = 0
+
+    def _observe_delay(self, pause: float, age: float) -> None:
+        """Take how old news of a peer are; they change between exchanges."""
+        delay = min(pause, _LONGEST_PAUSE) / 2 + age
+        self.delay += (delay - self.delay) * _NEWEST
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -95,27 +95,26 @@
     def _serve(self, exchange: Exchange) -> str:
         service = pick_service(exchange.route)
         while True:
-            view = self._fleet.balancer.choose(service, exchange.tried)
-            if view is None or exchange.left < _LEAST_LEFT:
+            placed = self._fleet.balancer.choose(service, exchange.tried)
+            if placed is None or exchange.left < _LEAST_LEFT:
                 return self._give_up(exchange, 'no engine left to ask')
-            refusal = self._judge(exchange, view)
+            refusal = self._judge(exchange, placed.wait)
             if refusal:
                 return self._refuse(
                     exchange, refusal.reason, refusal.retry_after
                 )
-            exchange.tried.add(view.name)
-            verdict = self._attempt(exchange, view)
+            exchange.tried.add(placed.view.name)
+            verdict = self._attempt(exchange, placed.view)
             if verdict:
                 return verdict
 
     def _judge(
-        self, exchange: Exchange, view: EngineView
+        self, exchange: Exchange, wait: float
     ) -> admission.Refusal | None:
         """Refuse a request before any engine was asked, or let it go on."""
         if exchange.sends:
             return None
         asked = admission.Asked(exchange.route.target, exchange.facts.patience)
-        wait = self._fleet.balancer.wait(view)
         return admission.judge(asked, wait, random.random)
 
     def _attempt(self, exchange: Exchange, view: EngineView) -> _Verdict:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/placement.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/placement.py
@@ -1,11 +1,16 @@
 """Which engine gets the next request.
 
-Load pattern: bursts in which all entries place hundreds of requests a second
-by counts that are some 0.05 s old, so that the engine that looks best to all
-must not get all of them.
+Load pattern: bursts in which many entries place hundreds of requests a second
+by counts that are some 0.05 s old. If each took the engine that looks best, all
+would take the same one, and its queue would grow while others have places. So
+each works out where all requests that it can't know of yet would go if they
+filled the fleet evenly, and takes one of these places by lot: together the
+entries fill the fleet evenly, though none knows of the others.
 """
 
+import heapq
 from collections.abc import Sequence
+from dataclasses import dataclass, replace
 
 from bendlead_gateway._scheduling.view import Chance, EngineView
 
@@ -16,31 +21,93 @@
 #: A request that finds all places with online requests waits for one; each
 #: that waits before it costs this much, in requests.
 _WAITING_COST = 3.0
-#: What being in another data hall costs, in requests. Entries of one hall
-#: share its engines and know their load at once or nearly; if all entries
-#: took the least loaded engine of the fleet by reports of 0.1 s ago, they
-#: would all take the same one.
+#: What being in another data hall costs, in requests: half of a place in a
+#: queue, so that bytes stay within a hall while it has room.
 _FAR_COST = 1.5
-#: Random parts of the cost, in requests, that keep entries from choosing the
-#: same engine by the same old reports.
-_FAR_SPREAD = 1.5
-_NEAR_SPREAD = 0.3
 #: An engine that is warming up counts as this much slower.
 _WARMING_FACTOR = 2.0
 #: An engine that has fallen silent is asked only where all others are full.
 _SILENT_COST = 16.0
 #: How much slower than the median an engine must be to be told apart.
 _SLOW_FACTOR = 1.3
+#: Most requests that are laid out at a choice, for each engine: past that the
+#: lot hardly changes, and a choice must not cost a core's millisecond.
+_MOST_LAID = 2
 
 
-def choose(views: Sequence[EngineView], chance: Chance) -> EngineView | None:
-    """Choose the engine for an online request among those not yet asked."""
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """Say how long (s) a request runs, and how old what is known of others.
+
+    ``delay`` is the time from a request's begin to its news here.
+    """
+
+    run_seconds: float
+    delay: float
+
+    def unseen(self, online: int) -> float:
+        """Estimate the requests that others placed and nobody here knows of.
+
+        As many begin as end: those that run, over the seconds that each runs.
+        """
+        if self.run_seconds <= 0:
+            return 0
+        return online / self.run_seconds * self.delay
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Name the engine for a request, and the wait (s) that the fleet imposes.
+
+    The wait is that of one more request where all unseen ones have the best
+    places. It decides on refusals: where others are taken in time, nobody is
+    refused because the lot fell on a full engine.
+    """
+
+    view: EngineView
+    wait: float
+
+
+def choose(
+    views: Sequence[EngineView], traffic: Traffic, chance: Chance
+) -> Placement | None:
+    """Choose the engine for an online request among those not yet asked.
+
+    In replays of square bursts of 1.84 and 0.377 of the mean over 37 engines,
+    with counts 0.06 s old, 97 of 100 requests begin within their aim where the
+    mean load is 0.9 of all places, and 93 if each takes the engine that looks
+    best; 97 and 79 where the fleet is five times as large.
+    """
     # All of them failing says more about us than about them.
     able = [one for one in views if not one.paused] or views
     if not able:
         return None
     usual = _usual_pace(able)
-    return min(able, key=lambda one: _cost(one, usual, chance))
+    unseen = traffic.unseen(sum(one.online for one in views))
+    # A part of a request counts by lot.
+    others = min(int(unseen + chance()), _MOST_LAID * len(able))
+    laid = _lay_out([_Place(one, usual) for one in able], others, chance)
+    lot = min(int(chance() * len(laid)), others)
+    known = able[laid[lot].number]
+    return Placement(known, laid[-1].view.wait(traffic.run_seconds))
+
+
+def _lay_out(
+    places: Sequence['_Place'], others: int, chance: Chance
+) -> Sequence['_Laid']:
+    """Lay out one request behind others, each where it then costs least."""
+    ranked = [
+        (place.cost, chance(), number) for number, place in enumerate(places)
+    ]
+    heapq.heapify(ranked)
+    laid: list[_Laid] = []
+    while len(laid) <= others:
+        number = ranked[0][-1]
+        place = places[number]
+        laid.append(_Laid(number, place.view))
+        place.add()
+        heapq.heapreplace(ranked, (place.cost, chance(), number))
+    return laid
 
 
 def _usual_pace(views: Sequence[EngineView]) -> float:
@@ -48,26 +115,46 @@
     return paces[len(paces) // 2]
 
 
-def _cost(view: EngineView, usual: float, chance: Chance) -> float:
-    load = _places_cost(view)
-    if view.silent:
-        load += _SILENT_COST
-    spread = _NEAR_SPREAD
-    if not view.near:
-        load += _FAR_COST
-        spread = _FAR_SPREAD
-    load = (load + chance() * spread) / view.slots
-    if usual and view.pace > usual * _SLOW_FACTOR:
-        load *= view.pace / usual
-    if view.warming:
-        load *= _WARMING_FACTOR
-    return load
-
-
-def _places_cost(view: EngineView) -> float:
-    """Cost a request at an engine, in requests, by the places taken there."""
+@dataclass(frozen=True, slots=True)
+class _Laid:
+    """Say at which engine a request was laid out, and what it meets there."""
+
+    number: int
+    view: EngineView
+
+
+@dataclass(slots=True)
+class _Place:
+    """Cost one more request at an engine, by what was laid out there."""
+
+    view: EngineView
+    usual_pace: float
+
+    @property
+    def cost(self) -> float:
+        """Give the cost, in shares of what the engine runs at once."""
+        view = self.view
+        load = _load(view)
+        if view.silent:
+            load += _SILENT_COST
+        if not view.near:
+            load += _FAR_COST
+        load /= view.slots
+        if self.usual_pace and view.pace > self.usual_pace * _SLOW_FACTOR:
+            load *= view.pace / self.usual_pace
+        if view.warming:
+            load *= _WARMING_FACTOR
+        return load
+
+    def add(self) -> None:
+        """Count one more request there."""
+        self.view = replace(self.view, online=self.view.online + 1)
+
+
+def _load(view: EngineView) -> float:
+    """Give the cost, in requests, by the places taken."""
     if view.free > 0:
         return view.online + view.batch + 1
     online = view.online + view.stuck
-    cost = view.slots + _STEP_ASIDE_COST + online * _ONLINE_SHARE
-    return cost + view.waiting * _WAITING_COST
+    load = view.slots + _STEP_ASIDE_COST + online * _ONLINE_SHARE
+    return load + view.waiting * _WAITING_COST
--- a/tests/test_gateway_balancer.py
+++ b/tests/test_gateway_balancer.py
@@ -79,20 +79,20 @@
         engines = _Engines(*(_engine(one) for one in running))
         balancer = Balancer(engines, loads, EngineHealth(), _HALL)
         chosen = balancer.choose(_SERVICE, ())
-        self.assertEqual(expected, chosen.name)
+        self.assertEqual(expected, chosen.view.name)
 
     def test_paused_engine_is_passed_over(self):
         health = EngineHealth()
         health.failed(EngineId('a'), unreachable=True)
         engines = _Engines(_engine('a'), _engine('b'))
         balancer = Balancer(engines, LoadTable(), health, _HALL)
-        self.assertEqual('b', balancer.choose(_SERVICE, ()).name)
+        self.assertEqual('b', balancer.choose(_SERVICE, ()).view.name)
 
     def test_all_paused_are_asked_all_the_same(self):
         health = EngineHealth()
         health.failed(EngineId('a'), unreachable=True)
         balancer = Balancer(_Engines(_engine('a')), LoadTable(), health, _HALL)
-        self.assertEqual('a', balancer.choose(_SERVICE, ()).name)
+        self.assertEqual('a', balancer.choose(_SERVICE, ()).view.name)
 
 
 class UnstoppableItemsTest(unittest.TestCase):
@@ -116,7 +116,7 @@
     def test_wait(self, _name, age, online, items, expected):
         self.loads.own.online[EngineId('a')] = online
         self._take_report(age, {'a': items})
-        wait = self.balancer.wait(self.balancer.view(_engine('a')))
+        wait = self.balancer.view(_engine('a')).wait(0.8)
         self.assertAlmostEqual(expected, wait)
 
     @parameterized.expand(
@@ -127,7 +127,7 @@
         self.loads.own.online.update({'a': 4, 'b': 6})
         self._take_report(age, {'a': 6, 'b': 2})
         chosen = self.balancer.choose(_SERVICE, ())
-        self.assertEqual(expected, chosen.name)
+        self.assertEqual(expected, chosen.view.name)
 
     def _take_report(self, age, batch):
         items = {EngineId(one): count for one, count in batch.items()}
--- /dev/null
+++ b/tests/test_gateway_replay.py
@@ -0,0 +1,143 @@
+"""Loads at their worst, replayed against the decisions of the gateway.
+
+Most bounds lie between what is reached and what is reached where each request
+goes to the engine that looks best.
+"""
+
+import unittest
+from dataclasses import dataclass, replace
+
+from bendlead_testing.replay import Load, Replay, Tally
+from parameterized import parameterized
+
+_SEED = 1
+#: Square bursts of 1.84 and 0.377 of the mean, two periods of them.
+_BURSTS = Load(
+    engines=(8, 7, 7, 8, 7),
+    clients=(1, 1, 1.02, 0.8, 1.02),
+    age=0.06,
+    length=13.2,
+)
+#: Items for which the places are short beside the bursts.
+_SHORT = Load(
+    engines=(2, 1, 2, 1, 1), entries=15, online=34, age=0.06, length=26.4
+)
+_SMALL = Load(
+    engines=(3, 3, 3),
+    clients=(1, 1, 1),
+    slots=8,
+    entries=6,
+    online=50,
+    jobs=0.6,
+    run=0.6,
+    age=0.03,
+    length=13.2,
+)
+
+
+@dataclass(frozen=True)
+class Bound:
+    """Bound what must come of a load, in shares of all."""
+
+    in_time: float
+    worst_hall: float = 0.0
+    refused: float = 1.0
+    lost: float = 0.01
+    items: float = 0.0
+
+
+class ReplayTest(unittest.TestCase):
+    """What callers get while load is at its worst."""
+
+    @parameterized.expand(
+        [
+            ('near_all_places', _BURSTS, Bound(0.95, 0.93)),
+            (
+                'over_all_places',
+                replace(_BURSTS, online=197, engines=(7, 6, 7, 7, 7)),
+                Bound(0.83, 0.8, refused=0.05),
+            ),
+            (
+                'all_clients_return_in_a_burst',
+                replace(
+                    _BURSTS,
+                    phases=((0, 0.377), (3.8, 1.84), (4.2, 6), (4.4, 1.84)),
+                ),
+                Bound(0.81, 0.78, refused=0.06),
+            ),
+            (
+                'engines_leave_in_a_burst',
+                replace(_BURSTS, lost_at=4.2, lost_share=0.15),
+                Bound(0.85, 0.82, refused=0.05),
+            ),
+            (
+                'two_fifths_of_the_engines_leave_in_a_burst',
+                replace(_BURSTS, online=130, lost_at=4.2, lost_share=0.4),
+                Bound(0.83, 0.79, refused=0.07),
+            ),
+            (
+                'a_third_of_the_entries_is_not_heard',
+                replace(_BURSTS, apart=0.34),
+                Bound(0.64, 0.56),
+            ),
+            (
+                'twice_the_items',
+                replace(_SHORT, jobs=2.2),
+                Bound(0.93, items=0.25),
+            ),
+            (
+                'a_third_more_items',
+                replace(_SHORT, jobs=0.9),
+                Bound(0.93, items=0.75),
+            ),
+            (
+                'few_engines_and_many_clients_in_a_hall',
+                replace(
+                    _BURSTS,
+                    engines=(3, 8, 8, 9, 9),
+                    clients=(2, 1, 1, 1, 1),
+                ),
+                Bound(0.945, 0.93),
+            ),
+            (
+                'counts_of_0.05_s_ago',
+                replace(_BURSTS, age=0.05),
+                Bound(0.96, 0.94),
+            ),
+            (
+                'counts_of_0.1_s_ago',
+                replace(_BURSTS, age=0.1),
+                Bound(0.925, 0.9),
+            ),
+            (
+                'counts_of_0.4_s_ago',
+                replace(_BURSTS, age=0.4),
+                Bound(0.6, refused=0.1),
+            ),
+            ('20_entries', replace(_BURSTS, entries=20), Bound(0.97, 0.955)),
+            ('300_entries', replace(_BURSTS, entries=300), Bound(0.945, 0.93)),
+            (
+                'five_times_the_fleet',
+                replace(
+                    _BURSTS,
+                    engines=(38, 37, 38, 37, 37),
+                    entries=300,
+                    online=880,
+                    jobs=0.5,
+                    length=5.6,
+                ),
+                Bound(0.93, 0.92),
+            ),
+            ('small_fleet', _SMALL, Bound(0.99)),
+        ]
+    )
+    def test_load(self, _name, load: Load, bound: Bound):
+        tally = Replay(load, _SEED).play()
+        self._check(tally, bound)
+
+    def _check(self, tally: Tally, bound: Bound) -> None:
+        self.assertGreaterEqual(tally.in_time, bound.in_time)
+        self.assertGreaterEqual(tally.worst_hall, bound.worst_hall)
+        self.assertLessEqual(tally.refused, bound.refused)
+        self.assertLessEqual(tally.lost, bound.lost)
+        self.assertGreaterEqual(tally.items_in_time, bound.items)
