Owners leave places for requests that they can't know of yet

Cause: an owner makes items step aside once it has heard of a request, some 0.06 s after that began, and the request waits meanwhile; where news are older, as for entries that are cut off, items fill every place that seems idle. Ruled out: stepping aside by the counts alone at a shorter round (25 ms are a part of it only). Change: at each engine so many places are left as requests come to it until they are known, from 0.3 on a whole one; entries tell in their reports how long a request runs, since owners run none.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
@@ -37,6 +37,11 @@
         self._health = health
         self._hall = hall
 
+    @property
+    def traffic(self) -> Traffic:
+        """Tell how long requests run, and how old news of them are."""
+        return Traffic(self._health.run_seconds, self._loads.delay)
+
     def views(
         self, service: ServiceName, tried: Collection[EngineId] = ()
     ) -> list[EngineView]:
@@ -67,8 +72,8 @@
         self, service: ServiceName, tried: Collection[EngineId]
     ) -> Placement | None:
         """Choose an engine for an online request."""
-        traffic = Traffic(self._health.run_seconds, self._loads.delay)
-        return choose(self.views(service, tried), traffic, random.random)
+        views = self.views(service, tried)
+        return choose(views, self.traffic, random.random)
 
 
 def pick_service(route: Route) -> ServiceName:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
@@ -58,7 +58,8 @@
         return {one.prefix: one.newest for one in self._watches()}
 
     def notice(self, report: NodeReport) -> None:
-        """Take what a peer has seen of the object service."""
+        """Take what a peer has seen of engines and the object service."""
+        self.health.hear_run(report.run_ms / _MS)
         for watch in self._watches():
             watch.notice(report.revisions.get(watch.prefix, 0))
         if 0 <= report.answered_ms < report.failed_ms:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/health.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/health.py
@@ -10,6 +10,8 @@
 _LAST_PAUSE = 4.0
 #: Weight of the newest value in a moving average.
 _NEWEST = 0.15
+#: The same for what a peer tells, which is smooth already and comes often.
+_PEERS_NEWEST = 0.02
 #: Failures in a row after which an engine is paused, unless it refused the
 #: connection, which pauses it at once.
 _FAILURES = 2
@@ -72,6 +74,13 @@
             self.run_seconds = seconds
         self.run_seconds += (seconds - self.run_seconds) * _NEWEST
 
+    def hear_run(self, seconds: float) -> None:
+        """Take a peer's smoothed time, for those who run few requests."""
+        if seconds > 0:
+            if not self.run_seconds:
+                self.run_seconds = seconds
+            self.run_seconds += (seconds - self.run_seconds) * _PEERS_NEWEST
+
     def succeeded(self, engine: EngineId) -> None:
         """Note a whole answer."""
         record = self._record(engine)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -19,7 +19,11 @@
 from bendlead_gateway._jobs.keeper import ShardKeeper
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
-from bendlead_gateway._scheduling.places import ItemPlaces, surplus
+from bendlead_gateway._scheduling.places import (
+    ItemPlaces,
+    places_kept,
+    surplus,
+)
 from bendlead_gateway._scheduling.urgency import ItemPace, Urgency
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import (
@@ -96,9 +100,15 @@
         for one in self._runs:
             if not one.stopped:
                 by_engine.setdefault(one.engine.engine, []).append(one)
+        balancer = self._fleet.balancer
+        kept: dict[ServiceName, int] = {}
         for runs in by_engine.values():
-            view = self._fleet.balancer.view(runs[0].engine)
-            over = surplus(view, len(runs))
+            engine = runs[0].engine
+            if engine.service not in kept:
+                views = balancer.views(engine.service)
+                kept[engine.service] = places_kept(views, balancer.traffic)
+            view = balancer.view(engine)
+            over = surplus(view, len(runs), kept[engine.service])
             if over > 0:
                 self._stop_least_urgent(runs, over)
 
@@ -120,6 +130,7 @@
                 run.stop()
 
     def _start_runs(self) -> None:
+        balancer = self._fleet.balancer
         places: dict[ServiceName, ItemPlaces] = {}
         full: set[str] = set()
         for candidate in self._candidates():
@@ -128,8 +139,10 @@
                 continue
             service = pick_service(route)
             if service not in places:
-                views = self._fleet.balancer.views(service)
-                places[service] = ItemPlaces(views)
+                views = balancer.views(service)
+                places[service] = ItemPlaces(
+                    views, places_kept(views, balancer.traffic)
+                )
             view = places[service].take(_age(candidate.job, route))
             if view is None:
                 full.add(route.name)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/places.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/places.py
@@ -4,9 +4,10 @@
 some seconds between them that are shorter than an item's run.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import replace
 
+from bendlead_gateway._scheduling.placement import Traffic
 from bendlead_gateway._scheduling.view import EngineView
 from bendlead_gateway.types import EngineId
 
@@ -15,12 +16,26 @@
 #: 0.1 s; what is due soon takes the risk that it has to step aside.
 _HEADROOM = ((0.2, 2), (0.4, 1))
 _LEAST_HEADROOM = 0
+#: A place is left for unseen requests where an engine gets this many of them
+#: on average, since one that finds no place waits until an item has gone. In
+#: replays at 0.96 of all places 97 of 100 requests are in time so, 96 without,
+#: and items are stopped a twentieth less often.
+_LEAST_UNSEEN = 0.3
+
+
+def places_kept(views: Sequence[EngineView], traffic: Traffic) -> int:
+    """Count the places to leave at each engine for requests not known yet."""
+    if not views:
+        return 0
+    unseen = traffic.unseen(sum(one.online for one in views)) / len(views)
+    return int(unseen + 1 - _LEAST_UNSEEN)
 
 
 class ItemPlaces:
     """Give out the places that are idle at one moment."""
 
-    def __init__(self, views: Iterable[EngineView]) -> None:
+    def __init__(self, views: Iterable[EngineView], kept: int = 0) -> None:
+        self._kept = kept
         self._views: dict[EngineId, EngineView] = {
             one.name: one for one in views if not one.paused
         }
@@ -31,16 +46,17 @@
         The engine with most idle places gets it.
         """
         found = max(self._views.values(), key=_free, default=None)
-        if found is None or found.free <= _headroom(age):
+        if found is None or found.free <= self._kept + _headroom(age):
             return None
         taken = replace(found, batch=found.batch + 1)
         self._views[found.name] = taken
         return taken
 
 
-def surplus(view: EngineView, runs: int) -> int:
+def surplus(view: EngineView, runs: int, kept: int = 0) -> int:
     """Count those of this process's runs that must step aside."""
-    return max(0, view.online + runs - view.slots)
+    over = view.online + kept + runs - view.slots
+    return min(max(0, over), runs)
 
 
 def _free(view: EngineView) -> int:
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
@@ -62,6 +62,16 @@
         Annotated[dict[str, int], Meta(description='Items of jobs by engine.')]
         | UnsetType
     ) = field(default_factory=dict)
+    run_ms: (
+        Annotated[
+            int,
+            Meta(
+                description='How long a request runs at an engine, in milliseconds; 0 where none was seen.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
     version: (
         Annotated[
             int,
--- a/testing/src/bendlead_testing/replay.py
+++ b/testing/src/bendlead_testing/replay.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 
 from bendlead_gateway._scheduling import admission, placement
-from bendlead_gateway._scheduling.places import ItemPlaces, surplus
+from bendlead_gateway._scheduling.places import ItemPlaces, places_kept, surplus
 from bendlead_gateway._scheduling.urgency import ItemPace, Urgency
 from bendlead_gateway._scheduling.view import EngineView
 from bendlead_gateway.types import (
@@ -227,6 +227,7 @@
         self._requests = random.Random(f'requests {seed}')
         self._jobs = random.Random(f'jobs {seed}')
         self._chance = random.Random(seed)
+        self._traffic = placement.Traffic(load.run, load.age)
         self._clock = Clock()
         self._engines = [
             _Engine(_engine(hall, number, load.slots), self._clock)
@@ -287,8 +288,7 @@
         entry = self._chance.randrange(load.entries // halls) * halls
         entry = (entry + asked.hall) % load.entries
         views = self._views(entry, asked.hall)
-        traffic = placement.Traffic(load.run, load.age)
-        chosen = placement.choose(views, traffic, self._chance.random)
+        chosen = placement.choose(views, self._traffic, self._chance.random)
         assert chosen is not None
         left = load.patience - (self._clock.now - asked.first)
         refusal = admission.judge(
@@ -401,18 +401,19 @@
     def _round(self) -> None:
         """Look for places as an owner does."""
         views = self._views(None)
-        self._step_aside(views)
-        self._start_items(self._views(None))
+        kept = places_kept(views, self._traffic)
+        self._step_aside(views, kept)
+        self._start_items(self._views(None), kept)
         self._clock.after(_ROUND, self._round)
 
-    def _step_aside(self, views: Sequence[EngineView]) -> None:
+    def _step_aside(self, views: Sequence[EngineView], kept: int) -> None:
         for view in views:
             mine = [
                 one
                 for one in self._items
                 if one.run and one.run.engine.engine is view.engine
             ]
-            over = surplus(view, len(mine))
+            over = surplus(view, len(mine), kept)
             mine.sort(key=self._urgency)
             for item in mine[len(mine) - over :]:
                 self._stop(item)
@@ -430,8 +431,8 @@
     def _held(self, run: _Run) -> float:
         return self._clock.now - run.began if run.began is not None else 0
 
-    def _start_items(self, views: Sequence[EngineView]) -> None:
-        places = ItemPlaces(views)
+    def _start_items(self, views: Sequence[EngineView], kept: int) -> None:
+        places = ItemPlaces(views, kept)
         waiting = [
             one for one in self._items if not one.run and one.whole is None
         ]
--- a/tests/test_gateway_replay.py
+++ b/tests/test_gateway_replay.py
@@ -78,7 +78,7 @@
             (
                 'a_third_of_the_entries_is_not_heard',
                 replace(_BURSTS, apart=0.34),
-                Bound(0.64, 0.56),
+                Bound(0.72, 0.68),
             ),
             (
                 'twice_the_items',
@@ -112,7 +112,7 @@
             (
                 'counts_of_0.4_s_ago',
                 replace(_BURSTS, age=0.4),
-                Bound(0.6, refused=0.1),
+                Bound(0.72, 0.7),
             ),
             ('20_entries', replace(_BURSTS, entries=20), Bound(0.97, 0.955)),
             ('300_entries', replace(_BURSTS, entries=300), Bound(0.945, 0.93)),
