Tests: each decision of load by itself, and numbers that make no sense

Tables for the choice of an engine, refusals and returns, second tries, items that step aside; the tests of places and urgency stand with them now. Negative, absent and endless patience, an engine without places, counts of an engine that nobody knows: answered each time.

--- /dev/null
+++ b/tests/test_gateway_bad_input.py
@@ -0,0 +1,64 @@
+"""What an entry does with numbers that make no sense."""
+
+from bendlead_gateway.types import EngineId, NodeName
+from parameterized import parameterized
+
+from tests.gateway_standins import engine, eventually, route
+from tests.test_gateway_entry import EntryCase
+
+PLAIN = b'HTTP/1.1 200 x\r\nX-Response-Seal: s1\r\nContent-Length: 2\r\n\r\nok'
+
+
+class BadInputTest(EntryCase):
+    """Each request is answered, and refusals say when to come back."""
+
+    @parameterized.expand(
+        [
+            ('beside_another', [PLAIN, PLAIN], 0, 200),
+            ('alone', [], 0, 503),
+            ('fewer_than_none', [], -1, 503),
+        ]
+    )
+    def test_engine_without_places(self, _name, answers, slots, status):
+        """What an engine says of itself may be wrong; requests are answered."""
+        self.start(route('safe'), answers=answers)
+        told = engine('127.0.0.1:1', slots=slots)
+        self.store.set('servers', 'i-9', told)
+        listed = len(answers) + 1
+        eventually(lambda: len(self.entry.fleet.engines.all()) == listed)
+        for _request in range(2):
+            head, _body = self.read(self.ask())
+            self.assertEqual(status, head.status)
+            if status == 503:
+                self.assertTrue(head.find('retry-after'))
+
+    @parameterized.expand(
+        [
+            ('negative', '-5', 503),
+            ('none_left', '0', 503),
+            ('no_number', 'nan', 200),
+            ('endless', 'inf', 200),
+            ('text', 'soon', 200),
+            ('huge', '9' * 40, 200),
+        ]
+    )
+    def test_patience(self, _name, patience, status):
+        """A patience that is no time is that of the route."""
+        self.start(route('safe'), answers=[PLAIN, PLAIN])
+        head, _body = self.read(self.ask(patience=patience))
+        self.assertEqual(status, head.status)
+        if status == 503:
+            self.assertTrue(head.find('retry-after'))
+            self.assertEqual(0, self.sent())
+
+    def test_counts_of_an_unknown_engine(self):
+        """They change nothing for the engines that are known."""
+        self.start(route('safe'), answers=[PLAIN, PLAIN])
+        loads = self.entry.fleet.loads
+        counts = {EngineId('i-gone'): 500}
+        loads.report(NodeName('peer'), counts, counts)
+        head, _body = self.read(self.ask())
+        self.assertEqual(200, head.status)
+        views = self.entry.fleet.balancer.views('s1')
+        self.assertEqual({'i-0', 'i-1'}, {one.name for one in views})
+        self.assertEqual([0, 0], [one.batch for one in views])
--- a/tests/test_gateway_balancer.py
+++ b/tests/test_gateway_balancer.py
@@ -5,9 +5,6 @@
 from bendlead_gateway._fleet.balancer import Balancer
 from bendlead_gateway._fleet.health import EngineHealth
 from bendlead_gateway._fleet.loads import LoadTable
-from bendlead_gateway._scheduling.places import ItemPlaces
-from bendlead_gateway._scheduling.urgency import ItemPace, Urgency
-from bendlead_gateway._scheduling.view import EngineView
 from bendlead_gateway.types import (
     DataHall,
     Engine,
@@ -132,64 +129,3 @@
     def _take_report(self, age, batch):
         items = {EngineId(one): count for one, count in batch.items()}
         self.loads.report(NodeName('owner'), {}, items, age)
-
-
-class IdlePlacesTest(unittest.TestCase):
-    """A young job leaves more places to bursts than one that is due."""
-
-    @parameterized.expand(
-        [
-            ('young', 0, 0, 0.0, 6),
-            ('on_its_way', 0, 0, 0.3, 7),
-            ('due', 0, 0, 0.8, 8),
-            ('young_beside_online', 3, 1, 0.0, 2),
-            ('full', 6, 3, 0.9, 0),
-        ],
-    )
-    def test_places(self, _name, online, batch, age, expected):
-        view = EngineView(_engine('a'), online=online, batch=batch)
-        places = ItemPlaces([view])
-        taken = 0
-        while places.take(age):
-            taken += 1
-        self.assertEqual(expected, taken)
-
-
-class UrgencyTest(unittest.TestCase):
-    """Items that can still be in time go first, oldest job first."""
-
-    @parameterized.expand(
-        [
-            ('fresh', 0, 0, 18, False),
-            ('just_in_time', 13, 0, 18, False),
-            ('too_late', 14.5, 0, 18, True),
-            ('nearly_whole', 14.5, 3, 18, False),
-            ('past_due', 19, 4, 18, True),
-            ('no_target', 99, 0, 0, False),
-        ],
-    )
-    def test_too_late(self, _name, age, spent, target, expected):
-        urgency = ItemPace().urgency(0, age, spent, target)
-        self.assertEqual(expected, urgency.too_late)
-
-    def test_order(self):
-        ranked = sorted(
-            [Urgency(True, 1), Urgency(False, 3), Urgency(False, 2)]
-        )
-        self.assertEqual([2, 3, 1], [one.accepted_at for one in ranked])
-
-    def test_pace_is_learnt(self):
-        pace = ItemPace()
-        for _item in range(60):
-            pace.observe(8)
-        self.assertAlmostEqual(8, pace.seconds, delta=0.1)
-
-    @parameterized.expand(
-        [('runs_on', 5, False), ('stopped_as_often', 10, True)]
-    )
-    def test_stops_are_learnt(self, _name, took, expected):
-        """An item that will be stopped again needs more than its run."""
-        pace = ItemPace()
-        for _item in range(60):
-            pace.observe(5, took)
-        self.assertEqual(expected, pace.urgency(0, 10, 0, 18).too_late)
--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -369,26 +369,6 @@
             self.read(self.ask())
         self.assertEqual([], self.engines[0].requests)
 
-    @parameterized.expand(
-        [
-            ('beside_another', [_PLAIN, _PLAIN], 0, 200),
-            ('alone', [], 0, 503),
-            ('fewer_than_none', [], -1, 503),
-        ]
-    )
-    def test_engine_without_places(self, _name, answers, slots, status):
-        """What an engine says of itself may be wrong; requests are answered."""
-        self.start(route('safe'), answers=answers)
-        told = engine('127.0.0.1:1', slots=slots)
-        self.store.set('servers', 'i-9', told)
-        listed = len(answers) + 1
-        eventually(lambda: len(self.entry.fleet.engines.all()) == listed)
-        for _request in range(2):
-            head, _body = self.read(self.ask())
-            self.assertEqual(status, head.status)
-            if status == 503:
-                self.assertTrue(head.find('retry-after'))
-
     @parameterized.expand(
         [
             ('store_was_away', Trouble.AWAY, 1.4, 2),
--- /dev/null
+++ b/tests/test_gateway_scheduling.py
@@ -0,0 +1,253 @@
+"""The decisions of load, each by itself."""
+
+import unittest
+from dataclasses import replace
+
+from bendlead_gateway._scheduling import admission, placement, retry
+from bendlead_gateway._scheduling.placement import Traffic
+from bendlead_gateway._scheduling.places import ItemPlaces, surplus
+from bendlead_gateway._scheduling.urgency import ItemPace, Urgency
+from bendlead_gateway._scheduling.view import EngineView
+from bendlead_gateway.types import (
+    DataHall,
+    Engine,
+    EngineId,
+    EngineState,
+    ServiceName,
+)
+from parameterized import parameterized
+
+_SLOTS = 8
+_ENGINE = Engine(
+    EngineId('a'),
+    ServiceName('chat'),
+    '127.0.0.1:1',
+    DataHall('near'),
+    _SLOTS,
+    EngineState.READY,
+)
+_NOTHING_UNSEEN = Traffic(0.7, 0)
+
+
+def _view(name, online=0, batch=0, **known):
+    engine = replace(_ENGINE, engine=EngineId(name))
+    return EngineView(engine, online, batch, **known)
+
+
+def _draws(*numbers):
+    """Give these numbers again and again in place of chance."""
+    drawn = iter(numbers * 1000)
+    return lambda: next(drawn)
+
+
+class PlacementTest(unittest.TestCase):
+    """A request goes where it costs least behind those not known of yet."""
+
+    @parameterized.expand(
+        [
+            ('fewest', [_view('a', 3), _view('b', 1)], 'b'),
+            ('near', [_view('a', 1, near=False), _view('b', 2)], 'b'),
+            ('far', [_view('a', 0, near=False), _view('b', 4)], 'a'),
+            ('paused', [_view('a', paused=True), _view('b', 6)], 'b'),
+            ('all_paused', [_view('a', paused=True)], 'a'),
+            ('silent', [_view('a', 1, silent=True), _view('b', 7)], 'b'),
+            ('warming', [_view('a', 3, warming=True), _view('b', 5)], 'b'),
+            (
+                'slow',
+                [
+                    _view('a', 3, pace=2),
+                    _view('b', 5, pace=1),
+                    _view('c', 6, pace=1),
+                ],
+                'b',
+            ),
+            (
+                'item_steps_aside_before_a_wait',
+                [_view('a', 5, 3), _view('b', 8)],
+                'a',
+            ),
+            (
+                'item_that_stays_is_waited_for',
+                [_view('a', 5, 3, stuck=3), _view('b', 7, 1)],
+                'b',
+            ),
+        ]
+    )
+    def test_nothing_unseen(self, _name, views, expected):
+        placed = placement.choose(views, _NOTHING_UNSEEN, _draws(0))
+        self.assertEqual(expected, placed.view.name)
+
+    def test_no_engine(self):
+        self.assertIsNone(placement.choose([], _NOTHING_UNSEEN, _draws(0)))
+
+    def test_unseen_requests_fill_the_fleet_evenly(self):
+        """Whoever knows the same takes each engine as often as places are."""
+        views = [_view('a', 2), _view('b', 4), _view('c', 8)]
+        # 14 requests of 0.7 s, news 0.2 s old: four that nobody knows of.
+        traffic = Traffic(0.7, 0.2)
+        taken = [
+            placement.choose(views, traffic, _draws(0, lot)).view.name
+            for lot in (0.1, 0.3, 0.5, 0.7, 0.9)
+        ]
+        self.assertNotIn('c', taken)
+        self.assertGreater(taken.count('a'), taken.count('b'))
+
+    @parameterized.expand(
+        [
+            ('places_free', 2, 0.06, 0),
+            ('all_taken', 8, 0, 0.1),
+            ('unseen_ones_take_the_rest', 6, 0.3, 0.1),
+        ]
+    )
+    def test_wait(self, _name, online, delay, expected):
+        views = [_view('a', online), _view('b', online)]
+        traffic = Traffic(0.8, delay)
+        placed = placement.choose(views, traffic, _draws(0))
+        self.assertAlmostEqual(expected, placed.wait)
+
+    @parameterized.expand(
+        [('never_ran', 0, 5, 0), ('burst', 0.7, 140, 12), ('idle', 0.7, 0, 0)]
+    )
+    def test_unseen(self, _name, run_seconds, online, expected):
+        self.assertEqual(expected, Traffic(run_seconds, 0.06).unseen(online))
+
+
+class AdmissionTest(unittest.TestCase):
+    """A request that would be late is refused, and comes back apart."""
+
+    @parameterized.expand(
+        [
+            ('no_wait', 0, None),
+            ('in_time', 0.24, None),
+            ('late_soonest', 0.25, 0.25),
+        ]
+    )
+    def test_wait(self, _name, wait, expected):
+        asked = admission.Asked(0.3, 5)
+        refusal = admission.judge(asked, wait, _draws(0))
+        told = refusal.retry_after if refusal else None
+        self.assertEqual(expected, told)
+
+    @parameterized.expand(
+        [
+            ('soonest', 5, 0, 0.5),
+            ('last', 5, 1, 5 / 3),
+            ('no_time_to_spread', 0.6, 1, 0.5),
+            ('does_not_say', None, 1, 1.3),
+        ]
+    )
+    def test_return(self, _name, patience, drawn, expected):
+        asked = admission.Asked(0.3, patience)
+        refusal = admission.judge(asked, 0.5, _draws(drawn))
+        self.assertAlmostEqual(expected, refusal.retry_after)
+
+
+class RetryTest(unittest.TestCase):
+    """Another engine is asked while that can still serve the client."""
+
+    @parameterized.expand(
+        [
+            ('refused_at_once', 0.05, False, False),
+            ('refused_late', 0.07, False, True),
+            ('unreachable', 0.2, True, False),
+            ('unreachable_past_the_aim', 0.31, True, True),
+        ]
+    )
+    def test_too_late(self, _name, waited, unreachable, expected):
+        late = retry.too_late_to_offer(waited, 0.3, unreachable)
+        self.assertEqual(expected, late)
+
+    def test_second_tries_are_bounded(self):
+        tries = retry.SecondTries()
+        taken = [tries.take(0.3) for _try in range(12)]
+        self.assertEqual(10, len([one for one in taken if one]))
+        tries.give_back()
+        self.assertAlmostEqual(0.2, tries.take(0.3))
+
+    @parameterized.expand(
+        [
+            ('nobody', [], False),
+            ('full', [_view('b', 8)], False),
+            ('paused', [_view('b', paused=True)], False),
+            ('free', [_view('b', 8), _view('c', 7)], True),
+        ]
+    )
+    def test_another_is_free(self, _name, others, expected):
+        self.assertEqual(expected, retry.any_free(others))
+
+
+class SurplusTest(unittest.TestCase):
+    """Items step aside for requests, and for those not known of yet."""
+
+    @parameterized.expand(
+        [
+            ('room', 3, 5, 0, 0),
+            ('one_too_many', 4, 5, 0, 1),
+            ('one_left_free', 3, 5, 1, 1),
+            ('no_more_than_there_are', 9, 2, 3, 2),
+        ]
+    )
+    def test_surplus(self, _name, online, runs, kept, expected):
+        view = _view('a', online, runs)
+        self.assertEqual(expected, surplus(view, runs, kept))
+
+
+class IdlePlacesTest(unittest.TestCase):
+    """A young job leaves more places to bursts than one that is due."""
+
+    @parameterized.expand(
+        [
+            ('young', 0, 0, 0.0, 6),
+            ('on_its_way', 0, 0, 0.3, 7),
+            ('due', 0, 0, 0.8, 8),
+            ('young_beside_online', 3, 1, 0.0, 2),
+            ('full', 6, 3, 0.9, 0),
+        ],
+    )
+    def test_places(self, _name, online, batch, age, expected):
+        view = EngineView(_ENGINE, online=online, batch=batch)
+        places = ItemPlaces([view])
+        taken = 0
+        while places.take(age):
+            taken += 1
+        self.assertEqual(expected, taken)
+
+
+class UrgencyTest(unittest.TestCase):
+    """Items that can still be in time go first, oldest job first."""
+
+    @parameterized.expand(
+        [
+            ('fresh', 0, 0, 18, False),
+            ('just_in_time', 13, 0, 18, False),
+            ('too_late', 14.5, 0, 18, True),
+            ('nearly_whole', 14.5, 3, 18, False),
+            ('past_due', 19, 4, 18, True),
+            ('no_target', 99, 0, 0, False),
+        ],
+    )
+    def test_too_late(self, _name, age, spent, target, expected):
+        urgency = ItemPace().urgency(0, age, spent, target)
+        self.assertEqual(expected, urgency.too_late)
+
+    def test_order(self):
+        ranked = sorted(
+            [Urgency(True, 1), Urgency(False, 3), Urgency(False, 2)]
+        )
+        self.assertEqual([2, 3, 1], [one.accepted_at for one in ranked])
+
+    def test_pace_is_learnt(self):
+        pace = ItemPace()
+        for _item in range(60):
+            pace.observe(8)
+        self.assertAlmostEqual(8, pace.seconds, delta=0.1)
+
+    @parameterized.expand(
+        [('runs_on', 5, False), ('stopped_as_often', 10, True)]
+    )
+    def test_stops_are_learnt(self, _name, took, expected):
+        """An item that will be stopped again needs more than its run."""
+        pace = ItemPace()
+        for _item in range(60):
+            pace.observe(5, took)
+        self.assertEqual(expected, pace.urgency(0, 10, 0, 18).too_late)
