--- a/testing/src/bendlead_testing/gateway_soak/clients.py
+++ b/testing/src/bendlead_testing/gateway_soak/clients.py
@@ -50,6 +50,7 @@
     def __init__(self, fleet: Deployment) -> None:
         self._entries = fleet.entries
         self._misses = {one.name: _MISSES for one in self._entries}
+        self._tasks: list[gevent.Greenlet] = []
 
     @property
     def ready(self) -> Sequence[NodeSpot]:
@@ -60,9 +61,13 @@
         return found or self._entries
 
     def run(self) -> None:
-        """Ask for ever."""
+        """Ask until told to stop."""
         for entry in self._entries:
-            gevent.spawn(self._ask, entry)
+            self._tasks.append(gevent.spawn(self._ask, entry))
+
+    def stop(self) -> None:
+        """Ask no more: the ports go to the next run."""
+        gevent.killall(self._tasks)
 
     def _ask(self, entry: NodeSpot) -> None:
         while True:
@@ -118,6 +123,7 @@
         gevent.joinall([*self._tasks, *self._jobs], timeout=within)
         left = [one for one in (*self._tasks, *self._jobs) if not one.ready()]
         gevent.killall(left)
+        self._balancer.stop()
         return len(left)
 
     def _name(self, kind: str) -> str:
--- a/tests/test_soak_ports.py
+++ b/tests/test_soak_ports.py
@@ -1,8 +1,14 @@
 """Ports of the soak, which many runs take on one machine."""
 
+import random
 import unittest
+from types import SimpleNamespace
 
+import gevent
+from bendlead_testing.gateway_soak.clients import Clients
 from bendlead_testing.gateway_soak.deployment import Ports
+from bendlead_testing.gateway_soak.sightings import Sightings
+from gevent.server import StreamServer
 
 
 class PortsTest(unittest.TestCase):
@@ -18,6 +24,30 @@
         # A lower one may have become free elsewhere meanwhile.
         self.assertLessEqual(last.take(), taken)
 
+    def test_entries_of_an_ended_run_are_asked_no_more(self):
+        """An engine of a later run may have the port by then.
+
+        Seed 26003, as the fourth of one process, found this: its engine was
+        asked whether it was ready by what was left of seed 26000.
+        """
+        asked = []
+        listener = StreamServer(
+            ('127.0.0.1', 0), lambda sock, _address: asked.append(sock)
+        )
+        listener.start()
+        self.addCleanup(listener.stop)
+        address = f'127.0.0.1:{listener.server_port}'
+        spot = SimpleNamespace(name='entry-0', ready=address)
+        fleet = SimpleNamespace(entries=[spot])
+        clients = Clients(fleet, Sightings(), random.Random(1))
+        clients.start(online=0, batch=0)
+        gevent.sleep(0.2)
+        self.assertTrue(asked)
+        clients.stop(0)
+        asked.clear()
+        gevent.sleep(2.5)
+        self.assertEqual([], asked)
+
 
 if __name__ == '__main__':
     unittest.main()
