--- a/tests/test_gateway_replay.py
+++ b/tests/test_gateway_replay.py
@@ -135,6 +135,18 @@
         tally = Replay(load, _SEED).play()
         self._check(tally, bound)
 
+    def test_items_a_little_too_many(self):
+        """0.89 of them are in time where each is taken to run on to its end."""
+        load = replace(
+            _BURSTS,
+            online=197,
+            engines=(7, 6, 7, 7, 7),
+            run=0.76,
+            item_run=5.1,
+            length=26.4,
+        )
+        self._check(Replay(load, 2).play(), Bound(0.7, lost=0.02, items=0.8))
+
     def _check(self, tally: Tally, bound: Bound) -> None:
         self.assertGreaterEqual(tally.in_time, bound.in_time)
         self.assertGreaterEqual(tally.worst_hall, bound.worst_hall)
