Ports of tests lie below those of outgoing connections

Ruled out: a listener left over by the test before, since each bind sets SO_REUSEADDR and takes a new port.

--- a/testing/src/bendlead_testing/cluster.py
+++ b/testing/src/bendlead_testing/cluster.py
@@ -10,11 +10,11 @@
 from bendlead_testing.daemons import (
     READY_STATUS,
     Daemon,
-    free_port,
     http,
     listens,
     wait_for,
 )
+from bendlead_testing.ports import free_port
 
 PEER_KEY = 'peer-key-of-the-tests'
 TEAM_KEY = 'team-key-alpha'
--- a/testing/src/bendlead_testing/daemons.py
+++ b/testing/src/bendlead_testing/daemons.py
@@ -15,17 +15,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from bendlead_testing.ports import free_port
+
 READY_STATUS = 200
 _READY_SECONDS = 30.0
 
 
-def free_port() -> int:
-    """Find a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
-
-
 def http(
     method: str,
     url: str,
--- a/testing/src/bendlead_testing/gateway_soak/deployment.py
+++ b/testing/src/bendlead_testing/gateway_soak/deployment.py
@@ -1,83 +1,30 @@
 """Start and stop the processes of a fleet, each reached through links."""
 
-import fcntl
-import itertools
 import json
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
-from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
-from typing import Any, TextIO
+from typing import Any
 
 import gevent
 from bendlead_gateway.http import HttpConnection
 
 from bendlead_testing.gateway_soak.links import LinkMode, LinkSpec
 from bendlead_testing.platform_store import Door, PlatformStandIn
+from bendlead_testing.ports import Ports
 
 _ROOT = pathlib.Path(__file__).resolve().parents[4]
 _PROGRAM = _ROOT / 'deploy' / 'bendleadd.py'
 _HALLS = ('hall-1', 'hall-2', 'hall-3')
-#: Below the ports that the system gives to outgoing connections.
-_PORTS = range(12_000, 32_000)
-#: Ports that a run locks at a time; a dozen nodes need about two hundred.
-_BLOCK = 500
 _CALL_SECONDS = 1.0
 _LAPSE_SECONDS = 1.5
 GRACE_SECONDS = 8
 STATUS_SECONDS = 120
 
 
-class Ports:
-    """Hand out ports that no other soak on this machine hands out.
-
-    A port that is only probed may be taken by another run before it is bound.
-    """
-
-    def __init__(self) -> None:
-        self._locks: list[TextIO] = []
-        self._ports = itertools.chain.from_iterable(self._blocks())
-
-    def take(self) -> int:
-        """Give a port that nothing listens on."""
-        for port in self._ports:
-            with socket.socket() as probe:
-                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                try:
-                    probe.bind(('127.0.0.1', port))
-                except OSError:
-                    # Taken by another program: go on to the next one.
-                    continue
-            return port
-        raise RuntimeError('no free port left below the outgoing ones')
-
-    def _blocks(self) -> Iterator[Sequence[int]]:
-        """Give the blocks that this run can lock, one after the other."""
-        folder = pathlib.Path(tempfile.gettempdir())
-        for start in range(0, len(_PORTS), _BLOCK):
-            lock = open(folder / f'gateway-soak-ports-{start}', 'w')
-            try:
-                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            except BlockingIOError:
-                lock.close()
-                continue
-            self._locks.append(lock)
-            yield _PORTS[start : start + _BLOCK]
-
-    def address(self) -> str:
-        """Give an address on loopback."""
-        return f'127.0.0.1:{self.take()}'
-
-    def free(self) -> None:
-        """Let other runs have the ports, also later ones of this process."""
-        while self._locks:
-            self._locks.pop().close()
-
-
 @dataclass
 class Process:
     """Hold one process that the soak started, and how it ended."""
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -11,6 +11,7 @@
     NodeRole,
     NodeSettings,
 )
+from bendlead_testing.ports import free_port
 from gevent import socket
 
 Script = Callable[[socket.socket], None]
@@ -79,13 +80,6 @@
     return f'id: {number}\ndata: {text}\n\n'.encode()
 
 
-def free_port() -> int:
-    """Find a port that nothing listens on."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
-
-
 def settings(node: str, role: NodeRole, store: str) -> NodeSettings:
     """Make the settings of a node on loopback."""
     return NodeSettings(
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -13,6 +13,7 @@
 from bendlead_platform import PlatformDialect, PlatformStore
 from bendlead_store import ABSENT, Failure, FailureKind
 from bendlead_testing.platform_store import PlatformStandIn, Trouble
+from bendlead_testing.ports import free_port
 from parameterized import parameterized
 from result import Err
 
@@ -23,7 +24,6 @@
     engine,
     event,
     eventually,
-    free_port,
     route,
     settings,
 )
--- a/tests/test_gateway_server.py
+++ b/tests/test_gateway_server.py
@@ -9,11 +9,10 @@
 from bendlead_gateway._http import server as server_module
 from bendlead_gateway._http.server import HttpServer
 from bendlead_gateway.types import ClientLimits
+from bendlead_testing.ports import free_port
 from gevent import socket
 from parameterized import parameterized
 
-from tests.gateway_standins import free_port
-
 _LIMITS = ClientLimits()
 _FIRST = b'GET /1 HTTP/1.1\r\nHost: a\r\n\r\n'
 _SECOND = b'GET /2 HTTP/1.1\r\nHost: a\r\n\r\n'
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -22,6 +22,7 @@
 from bendlead_schema.gateway import NodeReport
 from bendlead_store import Entry, Version
 from bendlead_testing.platform_store import PlatformStandIn
+from bendlead_testing.ports import free_port
 from msgspec import json
 from parameterized import parameterized
 from result import Ok
@@ -32,7 +33,6 @@
     configuration,
     engine,
     eventually,
-    free_port,
     route,
     settings,
 )
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -12,9 +12,10 @@
 
 import gevent
 from bendlead_platform import load_settings, main
+from bendlead_testing.ports import free_port
 from gevent import socket
 
-from tests.gateway_standins import eventually, free_port
+from tests.gateway_standins import eventually
 
 _PROGRAM = pathlib.Path(__file__).parent.parent / 'deploy' / 'bendleadd.py'
 _SETTINGS = """
--- a/tests/test_gateway_watcher.py
+++ b/tests/test_gateway_watcher.py
@@ -7,10 +7,11 @@
 from bendlead_gateway._log import Log
 from bendlead_platform import PlatformDialect, PlatformStore
 from bendlead_testing.platform_store import PlatformStandIn
+from bendlead_testing.ports import free_port
 from gevent.lock import Semaphore
 from parameterized import parameterized
 
-from tests.gateway_standins import eventually, free_port
+from tests.gateway_standins import eventually
 
 _CHANGES = 20
 
--- a/tests/test_platform_preopen.py
+++ b/tests/test_platform_preopen.py
@@ -12,13 +12,13 @@
 from bendlead_platform import PlatformDialect, PlatformStore
 from bendlead_preopen import SETTINGS_VARIABLE, open_clients_socket
 from bendlead_testing.platform_store import Trouble
+from bendlead_testing.ports import free_port
 from parameterized import parameterized
 
 from tests.gateway_standins import (
     chunked,
     configuration,
     event,
-    free_port,
     route,
     settings,
 )
--- a/tests/test_soak_ports.py
+++ b/tests/test_soak_ports.py
@@ -1,19 +1,27 @@
-"""Ports of the soak, which many runs take on one machine."""
+"""Ports of tests and of the soak, which many runs take on one machine."""
 
+import pathlib
 import random
 import unittest
 from types import SimpleNamespace
 
 import gevent
 from bendlead_testing.gateway_soak.clients import Clients
-from bendlead_testing.gateway_soak.deployment import Ports
 from bendlead_testing.gateway_soak.sightings import Sightings
+from bendlead_testing.ports import Ports, free_port
 from gevent.server import StreamServer
 
+_OUTGOING = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
+
 
 class PortsTest(unittest.TestCase):
     """One process runs many seeds one after the other."""
 
+    def test_no_outgoing_connection_takes_the_port(self):
+        """One that was only probed was taken before its listener began."""
+        first_outgoing = int(_OUTGOING.read_text().split()[0])
+        self.assertLess(free_port(), first_outgoing)
+
     def test_ports_of_an_ended_run_are_free_again(self):
         first = Ports()
         taken = first.take()
