Items wait less for places that online has not asked for

Cause: two places of each engine were left to online by jobs of up to 0.2 of their time, and one up to 0.4. Beside the places kept for requests that can't be known of, that protects nobody, and where places are short a gap between bursts passes with idle engines and items that are late in the end. Change: one place, for the first 0.2 of a job's time.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/places.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/places.py
@@ -14,7 +14,7 @@
 #: Places left to online requests, by how much of a job's time has passed.
 #: A burst doubles online load within 0.2 s, and a report of it takes up to
 #: 0.1 s; what is due soon takes the risk that it has to step aside.
-_HEADROOM = ((0.2, 2), (0.4, 1))
+_HEADROOM = ((0.2, 1),)
 _LEAST_HEADROOM = 0
 #: A place is left for unseen requests where an engine gets this many of them
 #: on average, since one that finds no place waits until an item has gone. In
