The replay of loads is a package: load, engines, entries, owners, play

Cause: replay.py had grown to 483 lines with several owners in it, and held what comes, what serves it, what processes know and the play itself. Ruled out: one more module beside it for owners alone, since entries and owners share what is known of engines. Change: a package with one module for each of these, the simulated engines among them; the view of an entry and of an owner, which were one function with three optional arguments, stand with either.

--- /dev/null
+++ b/testing/src/bendlead_testing/replay/_load.py
@@ -0,0 +1,77 @@
+"""What comes and what serves it, and what became of it."""
+
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True)
+class Load:
+    """Describe what comes, and what serves it. Times are in seconds."""
+
+    #: Engines and clients' share of each data hall.
+    engines: Sequence[int] = (8, 7, 7, 8, 7)
+    clients: Sequence[float] = (1, 1, 1, 1, 1)
+    slots: int = 7
+    entries: int = 58
+    #: Processes that run items, each those of its own jobs.
+    owners: int = 1
+    #: Requests a second on average, and jobs a second.
+    online: float = 174
+    jobs: float = 2.2
+    items: int = 10
+    #: Begin and factor of each phase of one period of the online load.
+    phases: Sequence[tuple[float, float]] = ((0, 0.377), (3.8, 1.84))
+    period: float = 6.6
+    run: float = 0.7
+    item_run: float = 4.75
+    aim: float = 0.3
+    patience: float = 5.0
+    item_due: float = 18.0
+    age: float = 0.05
+    #: When a share of the engines takes no more requests.
+    lost_at: float = 1000
+    lost_share: float = 0.0
+    #: The share of the entries that hear only one another.
+    apart: float = 0.0
+    length: float = 24.0
+
+    def factor(self, now: float) -> float:
+        """Give the factor of the online load at a time."""
+        into = now % self.period
+        return [factor for begin, factor in self.phases if begin <= into][-1]
+
+
+@dataclass
+class Tally:
+    """Count how requests and items ended."""
+
+    online: Counter[str] = field(default_factory=Counter)
+    by_hall: list[Counter[str]] = field(default_factory=list)
+    items: Counter[str] = field(default_factory=Counter)
+    stops: int = 0
+
+    @property
+    def in_time(self) -> float:
+        """Give the share of online requests that began within the aim."""
+        return self.online['in_time'] / max(1, self.online.total())
+
+    @property
+    def lost(self) -> float:
+        """Give the share of online requests that nobody served."""
+        return self.online['lost'] / max(1, self.online.total())
+
+    @property
+    def refused(self) -> float:
+        """Give the share of online requests refused at their first try."""
+        return self.online['refused'] / max(1, self.online.total())
+
+    @property
+    def items_in_time(self) -> float:
+        """Give the share of items that were whole when due."""
+        return self.items['in_time'] / max(1, self.items.total())
+
+    @property
+    def worst_hall(self) -> float:
+        """Give the share in time of the hall that is served worst."""
+        return min(one['in_time'] / max(1, one.total()) for one in self.by_hall)
