Tests of entries and of jobs stand by what they prove

Cause: test_gateway_entry.py (514 lines) and test_gateway_jobs.py (419) held base cases that seven other files imported, and three subjects each. Ruled out: base cases in gateway_standins.py, which knows nothing of the nodes.

--- a/tests/test_gateway_bad_input.py
+++ b/tests/test_gateway_bad_input.py
@@ -3,8 +3,8 @@
 from bendlead_gateway.types import EngineId, NodeName
 from parameterized import parameterized
 
+from tests.gateway_cases import EntryCase
 from tests.gateway_standins import engine, eventually, route
-from tests.test_gateway_entry import EntryCase
 
 PLAIN = b'HTTP/1.1 200 x\r\nX-Response-Seal: s1\r\nContent-Length: 2\r\n\r\nok'
 
--- a/tests/test_gateway_gone.py
+++ b/tests/test_gateway_gone.py
@@ -6,6 +6,7 @@
 from gevent import socket
 from parameterized import parameterized
 
+from tests.gateway_cases import EntryCase
 from tests.gateway_standins import (
     FullListener,
     ScriptedPeer,
@@ -14,7 +15,6 @@
     event,
     route,
 )
-from tests.test_gateway_entry import EntryCase
 
 #: The rule's bound on what still runs for a client that has closed (s).
 _GONE_SECONDS = 0.5
--- a/tests/test_gateway_handover.py
+++ b/tests/test_gateway_handover.py
@@ -7,8 +7,8 @@
 from bendlead_gateway.http import HttpConnection
 from gevent.event import Event
 
+from tests.gateway_cases import OwnerCase
 from tests.gateway_standins import eventually
-from tests.test_gateway_jobs import OwnerCase
 
 _HEADERS = [('Host', 'a.example'), ('X-Wait-Ms', '1000')]
 
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -8,8 +8,8 @@
 from gevent.event import Event
 from parameterized import parameterized
 
+from tests.gateway_cases import EntryCase
 from tests.gateway_standins import chunked, event, eventually, route
-from tests.test_gateway_entry import EntryCase
 
 _SEAL = 'X-Response-Seal: s1\r\n'
 _PLAIN = (
--- a/tests/test_gateway_progress.py
+++ b/tests/test_gateway_progress.py
@@ -16,8 +16,8 @@
 )
 from parameterized import parameterized
 
+from tests.gateway_cases import OwnerCase, job, node_shard
 from tests.gateway_standins import chunked, event, eventually
-from tests.test_gateway_jobs import OwnerCase, job, node_shard
 
 _CUT = chunked(event(1, 'a'), event(2, 'b'), last=False)
 _TAIL = chunked(event(3, 'c'))
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -27,6 +27,7 @@
 from parameterized import parameterized
 from result import Ok
 
+from tests.gateway_cases import EntryCase, OwnerCase
 from tests.gateway_standins import (
     ScriptedPeer,
     SilentLink,
@@ -36,8 +37,6 @@
     route,
     settings,
 )
-from tests.test_gateway_entry import EntryCase
-from tests.test_gateway_jobs import OwnerCase
 
 #: A machine counts as in touch again this long (s) after its connections fell
 #: silent; what was acknowledged up to a second later must be in force then.
--- a/tests/test_platform_preopen.py
+++ b/tests/test_platform_preopen.py
@@ -15,6 +15,7 @@
 from bendlead_testing.ports import free_port
 from parameterized import parameterized
 
+from tests.gateway_cases import EntryCase
 from tests.gateway_standins import (
     chunked,
     configuration,
@@ -22,7 +23,6 @@
     route,
     settings,
 )
-from tests.test_gateway_entry import EntryCase
 
 _WHOLE = chunked(event(1, 'a'), headers='X-Response-Seal: s1\r\n')
 
