--- a/packages/bendlead-cli/src/bendlead_cli/_late.py
+++ b/packages/bendlead-cli/src/bendlead_cli/_late.py
@@ -7,7 +7,7 @@
 from enum import Enum
 
 from bendlead_cli._explain import LogLine, read_line
-from bendlead_cli._log_files import log_lines
+from bendlead_cli._log_files import STANDARD_INPUT, log_lines
 from bendlead_cli._printing import say
 
 _MS = 1000
@@ -105,7 +105,12 @@
     return causes
 
 
-def late(log: Sequence[str], *, aim_ms: float = 300, places: int = 8) -> None:
+def late(
+    *,
+    log: Sequence[str] = (STANDARD_INPUT,),
+    aim_ms: float = 300,
+    places: int = 8,
+) -> None:
     """Count why requests were late or refused, from logs of all entries.
 
     :param log: files with the log lines, - for standard input
