Teams and their keys: who is let in, what engines and owners are told

Cause: the adapter decoded no teams. Keys went on to engines, whoever had none or an unknown one was served, and jobs belonged to all. Ruled out: keys in clear inside (state dumps and messages between processes would hold them) and the check at the owner (the key would have to travel there). Change: a configuration holds teams with digests of their keys, put in force with its look-ups in one step; entries take the key off and name the team to engines and owners; tokens waiting are counted for each team; another team's job is unknown, and its id can't be taken. Jobs stored before are still read.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -13,8 +13,15 @@
 from bendlead_gateway._node import Node
 from bendlead_gateway._online.path import OnlinePath
 from bendlead_gateway._stopping import StopSchedule
+from bendlead_gateway._teams.access import Access, Admitted, TurnedAway
 from bendlead_gateway.dialect import Dialect
-from bendlead_gateway.types import NodeSettings, RouteKind
+from bendlead_gateway.types import (
+    NodeSettings,
+    RequestFacts,
+    Route,
+    RouteKind,
+    Team,
+)
 
 #: Descriptors kept for the store, engines and files, and the most of all that
 #: may be kept where there are few.
@@ -44,7 +51,8 @@
         """Take clients on a socket that listens already, or open one."""
         super().__init__(settings, store, dialect)
         self._online = OnlinePath(dialect, self.fleet, self.log, self.metrics)
-        self._relay = JobRelay(self.peers, self.log)
+        self._relay = JobRelay(self.peers, dialect, self.log)
+        self._access = Access(self.fleet.configuration)
         self._clients = HttpServer(
             clients or settings.clients_address or '',
             self._answer_client,
@@ -92,7 +100,7 @@
 
     def answer_peer_call(self, request: Request, responder: Responder) -> None:
         """Pass a call about jobs on for an entry that does not hear owners."""
-        self._relay.answer(request, responder, forwarded=True)
+        self._relay.forward(request, responder)
 
     def _log_trouble(self, reason: str) -> None:
         self.log.event('client-not-taken', reason=reason)
@@ -127,23 +135,80 @@
         call = self.dialect.job_call(
             request.method, request.target, request.headers
         )
+        if self.fleet.configuration.known is None:
+            responder.answer(HTTPStatus.SERVICE_UNAVAILABLE, _RETRY_AFTER)
+            return
         if call is not None:
-            self._relay.answer(request, responder)
+            public = self.fleet.configuration.takes_jobs_of_all(request.host)
+            self._answer_job_call(request, responder, public)
             return
         facts = self.dialect.request_facts(request.headers)
         if facts is None:
             responder.answer(HTTPStatus.BAD_REQUEST)
             return
-        if self.fleet.configuration.known is None:
-            responder.answer(HTTPStatus.SERVICE_UNAVAILABLE, _RETRY_AFTER)
-            return
         route = self.fleet.configuration.match(facts.host, request.path)
         if route is None:
             self._answer_unrouted(request, responder, facts.request)
         elif route.kind is RouteKind.BATCH:
-            self._relay.answer(request, responder)
+            self._answer_job_call(request, responder, route.public)
+        else:
+            self._answer_online(request, responder, facts, route)
+
+    def _answer_job_call(
+        self, request: Request, responder: Responder, public: bool
+    ) -> None:
+        judged = self._judge(request, public)
+        if isinstance(judged, Admitted):
+            self._relay.answer(request, responder, judged.team)
+        else:
+            self._turn_away(request, responder, judged)
+
+    def _answer_online(
+        self,
+        request: Request,
+        responder: Responder,
+        facts: RequestFacts,
+        route: Route,
+    ) -> None:
+        judged = self._judge(request, route.public)
+        if isinstance(judged, Admitted):
+            self._serve(request, responder, facts, route, judged.team)
         else:
-            self._online.serve(request, responder, facts, route)
+            self._turn_away(request, responder, judged)
+
+    def _serve(
+        self,
+        request: Request,
+        responder: Responder,
+        facts: RequestFacts,
+        route: Route,
+        team: Team | None,
+    ) -> None:
+        self._online.serve(request, responder, facts, route, team)
+
+    def _judge(self, request: Request, public: bool) -> Admitted | TurnedAway:
+        return self._access.judge(
+            self.dialect.caller_key(request.headers),
+            public=public,
+            surely_newest=self.fleet.config_watch.current,
+        )
+
+    def _turn_away(
+        self, request: Request, responder: Responder, why: TurnedAway
+    ) -> None:
+        facts = self.dialect.request_facts(request.headers)
+        self.log.event(
+            'caller-turned-away',
+            request=facts.request if facts else '-',
+            target=request.target,
+            version=self.fleet.configuration.version,
+            status=int(why.status),
+            reason=why.reason,
+        )
+        headers = []
+        if why.retry_after is not None:
+            headers.append(('Retry-After', f'{why.retry_after:.3f}'))
+        responder.answer(why.status, headers)
 
     def _refuse_late(
         self, request: Request, responder: Responder, stop: StopSchedule
@@ -166,7 +231,7 @@
             'no-route',
             request=name,
             path=request.path,
-            version=getattr(self.fleet.configuration.known, 'version', 0),
+            version=self.fleet.configuration.version,
             current=current,
         )
         if current:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
@@ -1,7 +1,8 @@
 """The configuration and the engines that this process believes in."""
 
 import time
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
+from dataclasses import dataclass, field
 
 import gevent
 from bendlead_store import Change, Entry
@@ -15,8 +16,11 @@
     Engine,
     EngineId,
     EngineState,
+    KeyDigest,
     Route,
+    RouteKind,
     ServiceName,
+    Team,
 )
 
 #: An engine that left the list while the store was away is kept this long
@@ -32,24 +36,53 @@
 _TOGETHER_SECONDS = 1.75
 
 
+@dataclass(frozen=True, slots=True)
+class _InForce:
+    """Hold one version with its look-ups, so that all change in one step."""
+
+    known: Configuration | None = None
+    by_host: Mapping[str, Sequence[Route]] = field(default_factory=dict)
+    by_key: Mapping[KeyDigest, Team] = field(default_factory=dict)
+
+
 class ConfigurationHolder:
     """Hold the newest configuration seen; it never goes back."""
 
     def __init__(self, dialect: Dialect, log: Log) -> None:
         self._dialect = dialect
         self._log = log
-        self._known: Configuration | None = None
-        self._by_host: dict[str, list[Route]] = {}
+        self._in_force = _InForce()
 
     @property
     def known(self) -> Configuration | None:
         """Give the configuration in force here, if one is known."""
-        return self._known
+        return self._in_force.known
+
+    @property
+    def version(self) -> int:
+        """Give the version in force here, or 0 for none."""
+        return self.known.version if self.known else 0
 
     @property
     def limits(self) -> ClientLimits:
         """Give the limits for clients."""
-        return self._known.limits if self._known else ClientLimits()
+        return self.known.limits if self.known else ClientLimits()
+
+    @property
+    def asks_for_keys(self) -> bool:
+        """Tell whether callers need the key of a team."""
+        return bool(self.known and self.known.teams)
+
+    def team_of(self, key: KeyDigest) -> Team | None:
+        """Find the team that holds a key."""
+        return self._in_force.by_key.get(key)
+
+    def takes_jobs_of_all(self, host: str) -> bool:
+        """Tell whether jobs of a host may be called about without a key."""
+        return any(
+            route.public and route.kind is RouteKind.BATCH
+            for route in self._in_force.by_host.get(host, ())
+        )
 
     def reset(self, entries: Sequence[Entry], after_outage: bool) -> None:
         """Take the whole content of the prefix."""
@@ -61,9 +94,30 @@
         if not change.deleted:
             self._take(Entry(change.key, change.version, change.body))
 
+    def take(self, found: Configuration, source: str) -> None:
+        """Put a configuration in force unless one as new is."""
+        if self.known and found.version <= self.version:
+            self._log.event(
+                'config-older',
+                version=found.version,
+                in_force=self.version,
+                source=source,
+            )
+            return
+        self._in_force = _InForce(
+            found, _routes_by_host(found.routes), _teams_by_key(found.teams)
+        )
+        self._log.event(
+            'config-in-force',
+            version=found.version,
+            source=source,
+            routes=len(found.routes),
+            teams=len(found.teams),
+        )
+
     def match(self, host: str, path: str) -> Route | None:
         """Find the route of a host with the longest prefix of a path."""
-        for route in self._by_host.get(host, ()):
+        for route in self._in_force.by_host.get(host, ()):
             if path.startswith(route.prefix):
                 return route
         return None
@@ -75,22 +129,7 @@
         if isinstance(decoded, Err):
             self._log.event('config-unreadable', reason=decoded.err_value)
             return
-        found = decoded.ok_value
-        if self._known and found.version <= self._known.version:
-            self._log.event(
-                'config-older',
-                version=found.version,
-                in_force=self._known.version,
-            )
-            return
-        self._known = found
-        self._by_host = _routes_by_host(found.routes)
-        self._log.event(
-            'config-in-force',
-            version=found.version,
-            revision=entry.version,
-            routes=len(found.routes),
-        )
+        self.take(decoded.ok_value, 'object service')
 
 
 class EngineList:
@@ -245,5 +284,9 @@
     return by_host
 
 
+def _teams_by_key(teams: Sequence[Team]) -> dict[KeyDigest, Team]:
+    return {key: team for team in teams for key in team.keys}
+
+
 def _prefix_length(route: Route) -> int:
     return len(route.prefix)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/api.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/api.py
@@ -1,6 +1,7 @@
 """Answer clients' calls about jobs for the shards held here."""
 
 import time
+from dataclasses import replace
 from http import HTTPStatus
 
 from bendlead_store import Failure, FailureKind
@@ -12,16 +13,19 @@
 from bendlead_gateway._jobs.keeper import ShardKeeper
 from bendlead_gateway._jobs.runner import ItemRunner
 from bendlead_gateway._jobs.shards import shard_of
+from bendlead_gateway._jobs.told_team import told_team
 from bendlead_gateway._log import Log
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import (
     EndJob,
     JobCall,
+    JobId,
     ReadBody,
     ReadResults,
     Route,
     RouteKind,
     Submission,
+    TeamName,
 )
 
 _AWAY = HTTPStatus.SERVICE_UNAVAILABLE
@@ -69,7 +73,7 @@
         elif call is None:
             self._submit(request, responder, board)
         else:
-            self._call(call, responder, board)
+            self._call(call, responder, board, told_team(request.headers))
 
     def _submit(
         self, request: Request, responder: Responder, board: Board
@@ -80,6 +84,7 @@
         if submission is None:
             responder.answer(HTTPStatus.BAD_REQUEST)
             return
+        submission = replace(submission, team=told_team(request.headers))
         route = self._configuration.match(submission.host, request.path)
         if route is None or route.kind is not RouteKind.BATCH:
             self._said(
@@ -89,6 +94,14 @@
                 HTTPStatus.SERVICE_UNAVAILABLE,
             )
             return
+        if _team_of(board, submission.job) not in {None, submission.team}:
+            self._said(
+                submission,
+                'id of another team',
+                responder,
+                HTTPStatus.CONFLICT,
+            )
+            return
         if submission.job in board.jobs:
             self._said(submission, 'again', responder, HTTPStatus.ACCEPTED)
             return
@@ -117,8 +130,8 @@
         limit = route.max_waiting_tokens
         if not limit:
             return True
-        tokens = sum(one.tokens for one in submission.items)
-        return board.waiting_tokens(submission.host) + tokens <= limit
+        waiting = board.waiting_tokens(submission.host, submission.team)
+        return waiting + submission.tokens <= limit
 
     def _said(
         self,
@@ -130,6 +143,7 @@
         self._log.event(
             'job-submitted',
             job=submission.job,
+            team=submission.team,
             items=len(submission.items),
             status=int(status),
             reason=reason,
@@ -140,7 +154,13 @@
         }
         responder.answer(status, headers.get(status, ()))
 
-    def _call(self, call: JobCall, responder: Responder, board: Board) -> None:
+    def _call(
+        self,
+        call: JobCall,
+        responder: Responder,
+        board: Board,
+        team: TeamName,
+    ) -> None:
         sure = board.sure(self._sure)
         if sure.is_err():
             failure: Failure = sure.err_value
@@ -151,8 +171,15 @@
             )
             return
         job = board.jobs.get(call.job)
-        if job is None:
-            self._log.event('job-unknown', job=call.job, epoch=board.epoch)
+        if job is None or job.team != team:
+            # The answer shows a team nothing of the jobs of others.
+            self._log.event(
+                'job-unknown',
+                job=call.job,
+                epoch=board.epoch,
+                team=team,
+                held_by=job.team if job else '-',
+            )
             responder.answer(HTTPStatus.NOT_FOUND)
         elif isinstance(call, ReadResults):
             self._read(call, responder, board, job)
@@ -198,3 +225,9 @@
         )
         self._log.event('job-ended', job=job.job, status=int(status))
         responder.answer(status, () if ended.is_ok() else _RETRY_AFTER)
+
+
+def _team_of(board: Board, job: JobId) -> TeamName | None:
+    """Tell whose job has an id, held or being accepted, if one has."""
+    held = board.jobs.get(job)
+    return held.team if held else board.pending.team_of(job)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
@@ -34,6 +34,7 @@
 from result import Err, Ok, Result
 
 from bendlead_gateway._jobs.held import HeldJob
+from bendlead_gateway._jobs.pending import PendingJobs
 from bendlead_gateway._jobs.progress import ProgressLog
 from bendlead_gateway.types import (
     ItemId,
@@ -42,6 +43,7 @@
     JobId,
     JobItem,
     Submission,
+    TeamName,
 )
 
 #: Pause between two commits of a shard (s): what comes meanwhile shares one
@@ -81,7 +83,7 @@
         self._kept = kept
         self._confirming: Event | None = None
         self._accepting: dict[JobId, Event] = {}
-        self._pending_tokens: dict[JobId, tuple[str, int]] = {}
+        self.pending = PendingJobs()
         self.jobs: dict[JobId, HeldJob] = {}
         self._progress = ProgressLog(
             self.jobs, lambda: self._committer.last_write_seconds
@@ -170,15 +172,14 @@
             done, self._confirming = self._confirming, None
             done.set()
 
-    def waiting_tokens(self, host: str) -> int:
-        """Count the tokens that wait or are being accepted for a host."""
+    def waiting_tokens(self, host: str, team: TeamName) -> int:
+        """Count the tokens of a team that wait or are being accepted."""
         held = sum(
-            job.waiting_tokens for job in self.jobs.values() if job.host == host
-        )
-        pending = sum(
-            tokens for at, tokens in self._pending_tokens.values() if at == host
+            job.waiting_tokens
+            for job in self.jobs.values()
+            if job.host == host and job.team == team
         )
-        return held + pending
+        return held + self.pending.tokens(host, team)
 
     def accept(self, submission: Submission) -> Result[None, Failure]:
         """Make a job durable, or join the attempt that does."""
@@ -189,14 +190,13 @@
                 return Ok(None)
             return Err(Failure(FailureKind.UNKNOWN, 'accept', 'store'))
         self._accepting[submission.job] = Event()
-        tokens = sum(one.tokens for one in submission.items)
-        self._pending_tokens[submission.job] = (submission.host, tokens)
+        self.pending.add(submission)
         try:
-            accepted = self._commit_job(submission, tokens)
+            accepted = self._commit_job(submission)
         finally:
             self._accepting.pop(submission.job).set()
         if isinstance(accepted, Ok) or accepted.err_value.had_no_effect:
-            self._pending_tokens.pop(submission.job, None)
+            self.pending.drop(submission.job)
         return accepted
 
     def record(self, job: HeldJob, result: ItemResult) -> Result[None, Failure]:
@@ -241,9 +241,7 @@
             for record in gone:
                 self.jobs.pop(JobId(record.job), None)
 
-    def _commit_job(
-        self, submission: Submission, tokens: int
-    ) -> Result[None, Failure]:
+    def _commit_job(self, submission: Submission) -> Result[None, Failure]:
         packed, bulk = pack_items([_stored(one) for one in submission.items])
         parts: list[str] = []
         if bulk:
@@ -257,7 +255,8 @@
             path=submission.path,
             accepted_at=time.time(),
             total=len(submission.items),
-            tokens=tokens,
+            tokens=submission.tokens,
+            team=submission.team,
             packed=packed,
             parts=parts,
         )
@@ -278,7 +277,7 @@
             if not self._committer.stalled:
                 break
             gevent.sleep(_COMMIT_INTERVAL)
-        self._pending_tokens.pop(submission.job, None)
+        self.pending.drop(submission.job)
 
     def _hold(self, submission: Submission) -> None:
         if submission.job not in self.jobs:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/held.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/held.py
@@ -14,6 +14,7 @@
     ItemResult,
     JobId,
     JobItem,
+    TeamName,
 )
 
 
@@ -136,6 +137,11 @@
         """Give the host whose routes the items take."""
         return self.state.accepted.host
 
+    @property
+    def team(self) -> TeamName:
+        """Give the team that handed the job in."""
+        return TeamName(self.state.accepted.team)
+
     @property
     def waiting_tokens(self) -> int:
         """Count the tokens of the items that no engine has finished."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -81,6 +81,7 @@
             list(item.headers.items()),
             run.engine.engine,
             run.progress.last_event,
+            run.job.team,
         )
         connection.send('POST', item.path, headers, item.body, _SILENT_SECONDS)
         while True:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
@@ -1,6 +1,7 @@
 """Pass clients' calls about jobs on to the process that holds them."""
 
 import time
+from dataclasses import replace
 from http import HTTPStatus
 
 import gevent
@@ -10,8 +11,11 @@
 from bendlead_gateway._http.client import HttpConnection, Response
 from bendlead_gateway._http.messages import Request, Responder
 from bendlead_gateway._jobs.shards import shard_of
+from bendlead_gateway._jobs.told_team import tell_team
 from bendlead_gateway._log import Log
 from bendlead_gateway._online.relay import passed_on
+from bendlead_gateway.dialect import Dialect
+from bendlead_gateway.types import Team, TeamName
 
 _CONNECT_SECONDS = 0.3
 #: An owner holds a read for up to a second.
@@ -36,19 +40,35 @@
     Reads and ends may be repeated; of a job a lost answer promises nothing.
     """
 
-    def __init__(self, peers: PeerTable, log: Log) -> None:
+    def __init__(self, peers: PeerTable, dialect: Dialect, log: Log) -> None:
         self._peers = peers
+        self._dialect = dialect
         self._log = log
         self._kept: dict[str, list[HttpConnection]] = {}
 
     def answer(
-        self, request: Request, responder: Responder, *, forwarded: bool = False
+        self, request: Request, responder: Responder, team: Team | None
     ) -> None:
-        """Have the holder of a job's shard answer a call.
+        """Have the holder of a job's shard answer a call of a team."""
+        told = replace(
+            request,
+            headers=tell_team(
+                self._dialect.without_key(request.headers),
+                team.name if team else TeamName(''),
+            ),
+        )
+        self._answer(told, responder, forwarded=False)
+
+    def forward(self, request: Request, responder: Responder) -> None:
+        """Answer an entry that does not hear the holder of a shard.
 
-        A forwarded one comes, at the internal port, from an entry that does not
-        hear the holder; it goes to the holder or nowhere.
+        The call goes to the holder or nowhere.
         """
+        self._answer(request, responder, forwarded=True)
+
+    def _answer(
+        self, request: Request, responder: Responder, *, forwarded: bool
+    ) -> None:
         shard = shard_of(request.host)
         until = time.monotonic() + _OWNER_SECONDS
         reason = ''
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -141,6 +141,7 @@
             engine.engine,
             exchange.left,
             exchange.last_event,
+            exchange.team,
         )
         connection.send(
             request.method,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from bendlead_gateway._http.messages import Request, Responder
-from bendlead_gateway.types import EngineId, RequestFacts, Route
+from bendlead_gateway.types import EngineId, RequestFacts, Route, TeamName
 
 #: Reads time out this much (s) after the request's own deadline.
 _READ_SLACK = 0.5
@@ -28,6 +28,8 @@
     facts: RequestFacts
     route: Route
     deadline: float
+    #: Whose request it is; nobody's where callers need no key.
+    team: TeamName = TeamName('')
     tried: set[EngineId] = field(default_factory=set)
     choice: Choice = field(default_factory=Choice)
     runs: int = 0
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -28,14 +28,16 @@
 from bendlead_gateway._scheduling import admission, retry
 from bendlead_gateway._scheduling.view import EngineView
 from bendlead_gateway.dialect import Dialect
-from bendlead_gateway.types import RequestFacts, Route
+from bendlead_gateway.types import RequestFacts, Route, Team, TeamName
 
 #: Below this many seconds left an engine is not asked any more.
 _LEAST_LEFT = 0.03
 _SHORTEST_TIMER = 0.001
 #: Fields left out of a request's line where they have this value: whoever keeps
 #: logs keeps some hundred kB of a process, and most requests are plain ones.
-_PLAIN_FIELDS = frozenset((('sends', 1), ('runs', 0), ('reason', '-')))
+_PLAIN_FIELDS = frozenset(
+    (('sends', 1), ('runs', 0), ('reason', '-'), ('team', ''))
+)
 
 #: What came of an attempt; nothing where another may be made.
 _Verdict = str | None
@@ -58,8 +60,9 @@
         responder: Responder,
         facts: RequestFacts,
         route: Route,
-    ) -> None:
-        """Serve one request and write one line on how it ended."""
+        team: Team | None,
+    ) -> str:
+        """Serve one request, write one line on how it ended, and tell it."""
         patience = route.timeout
         if facts.patience is not None:
             patience = min(patience, facts.patience)
@@ -69,6 +72,7 @@
             facts,
             route,
             request.received + patience,
+            team.name if team else TeamName(''),
             last_event=facts.resume_after,
         )
         outcome = 'client_gone'
@@ -83,6 +87,7 @@
             raise
         finally:
             self._conclude(exchange, outcome)
+        return outcome
 
     def _serve_in_time(self, exchange: Exchange) -> str:
         left = max(exchange.left, _SHORTEST_TIMER)
@@ -203,6 +208,7 @@
     fields: dict[str, object] = {
         'request': exchange.facts.request,
         'route': exchange.route.name,
+        'team': exchange.team,
         'outcome': outcome,
         'status': exchange.status,
         'engine': exchange.choice.engine,
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_teams/__init__.py
@@ -0,0 +1,1 @@
+"""Who is let in, and how many requests of each team."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/engines.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/engines.py
@@ -20,7 +20,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Engine:
-    """Describe one life of an engine as service discovery tells it."""
+    """Describe one life of an engine as service discovery tells it.
+
+    ``born`` tells the lives of an engine apart; 0 where it is not told.
+    """
 
     engine: EngineId
     service: ServiceName
@@ -29,6 +32,7 @@
     slots: int
     state: EngineState
     warmup: float = 0
+    born: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/jobs.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/jobs.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from bendlead_gateway._types.ids import ItemId, JobId
+from bendlead_gateway._types.teams import TeamName
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +27,13 @@
     host: str
     path: str
     items: Sequence[JobItem]
+    #: Who handed it in; nobody where callers need no key.
+    team: TeamName = TeamName('')
+
+    @property
+    def tokens(self) -> int:
+        """Count the tokens of all items."""
+        return sum(one.tokens for one in self.items)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/nodes.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/nodes.py
@@ -1,9 +1,10 @@
 """The processes of the gateway."""
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bendlead_gateway._types.ids import DataHall, NodeName
+from bendlead_gateway._types.teams import LimitWindow
 
 
 class NodeRole(enum.Enum):
@@ -29,6 +30,7 @@
     grace: float
     settle: float
     status_kept: float
+    limit_window: LimitWindow = field(default_factory=LimitWindow)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/routes.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/routes.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from bendlead_gateway._types.ids import ServiceName
+from bendlead_gateway._types.teams import Team
 
 
 class RouteKind(enum.Enum):
@@ -45,6 +46,8 @@
     run_target: float = 0
     retention: float = 0
     max_waiting_tokens: int = 0
+    #: Whether requests without a key are served.
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -81,3 +84,5 @@
     routes: Sequence[Route]
     services: Mapping[ServiceName, Service]
     limits: ClientLimits = field(default_factory=ClientLimits)
+    #: Where there are teams, requests carry the key of one.
+    teams: Sequence[Team] = ()
--- a/packages/bendlead-gateway/src/bendlead_gateway/dialect.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/dialect.py
@@ -15,10 +15,12 @@
     ItemId,
     ItemResult,
     JobCall,
+    KeyDigest,
     PeerRecord,
     RequestFacts,
     StopOrder,
     Submission,
+    TeamName,
 )
 
 
@@ -54,12 +56,19 @@
     def request_facts(self, headers: Headers) -> RequestFacts | None:
         """Read a client's headers, or nothing where no id came."""
 
+    def caller_key(self, headers: Headers) -> KeyDigest | None:
+        """Give the digest of a client's key, or nothing where none came."""
+
+    def without_key(self, headers: Headers) -> list[tuple[str, str]]:
+        """Leave out what tells or names the team of a client."""
+
     def engine_headers(
         self,
         headers: Headers,
         engine: EngineId,
         left: float,
         resume_after: int | None,
+        team: TeamName,
     ) -> list[tuple[str, str]]:
         """Make the headers that go to an engine with a client's request."""
 
@@ -70,6 +79,7 @@
         headers: Headers,
         engine: EngineId,
         resume_after: int | None,
+        team: TeamName,
     ) -> list[tuple[str, str]]:
         """Make the headers that go to an engine with an item of a job."""
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/types.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/types.py
@@ -42,6 +42,13 @@
     Service,
     ServiceShare,
 )
+from bendlead_gateway._types.teams import (
+    KeyDigest,
+    LimitWindow,
+    Team,
+    TeamName,
+    digest_key,
+)
 
 __all__ = (
     'ClientLimits',
@@ -59,6 +66,8 @@
     'JobCall',
     'JobId',
     'JobItem',
+    'KeyDigest',
+    'LimitWindow',
     'NodeName',
     'NodeRole',
     'NodeSettings',
@@ -74,4 +83,7 @@
     'ServiceShare',
     'StopOrder',
     'Submission',
+    'Team',
+    'TeamName',
+    'digest_key',
 )
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/records.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/records.py
@@ -254,6 +254,13 @@
     accepted_at: Annotated[float, Meta(description='Unix seconds.', ge=0.0)]
     total: Annotated[int, Meta(ge=0)]
     tokens: Annotated[int, Meta(ge=0)]
+    team: (
+        Annotated[
+            str,
+            Meta(description='Who handed the job in; empty where callers need no key.'),
+        ]
+        | UnsetType
+    ) = ''
     packed: (
         Annotated[
             str, Meta(description='Base64 of the compressed items, where they are few.')
--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -174,8 +174,10 @@
             ('X-Model', 'm'),
             ('X-Deadline-Ms', '5000'),
             ('Last-Event-Id', '4'),
+            ('X-Credential', 'k1'),
+            ('x-tenant', 'team-2'),
         ]
-        made = dict(_DIALECT.engine_headers(headers, 'i-1', 1.25, 9))
+        made = dict(_DIALECT.engine_headers(headers, 'i-1', 1.25, 9, 'team-1'))
         self.assertEqual(
             {
                 'X-Attempt-Id': 'id1',
@@ -183,6 +185,7 @@
                 'X-Deadline-Ms': '1250',
                 'X-Expect-Instance': 'i-1',
                 'Last-Event-Id': '9',
+                'X-Tenant': 'team-1',
             },
             made,
         )
