Limits of teams, counted over all entries

Cause: nothing counted the requests of a team. Ruled out before playing: a rate leased from one process a team, which costs every request a way there and says nothing while that process is away. Change: entries tell counts of each team with the loads; a process that starts asks for the levels; what was refused goes back; 429 with a time that spreads callers.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -5,22 +5,26 @@
 from http import HTTPStatus
 
 import gevent
+from bendlead_schema.gateway import NodeReport
 from bendlead_store import FollowedStore
+from msgspec.structs import replace
 
 from bendlead_gateway._http.messages import Request, Responder
 from bendlead_gateway._http.server import HttpServer
 from bendlead_gateway._jobs.relay import JobRelay
 from bendlead_gateway._node import Node
-from bendlead_gateway._online.path import OnlinePath
+from bendlead_gateway._online.path import REFUSED, OnlinePath
 from bendlead_gateway._stopping import StopSchedule
-from bendlead_gateway._teams.access import Access, Admitted, TurnedAway
+from bendlead_gateway._teams.limits import TeamLimits
+from bendlead_gateway._teams.reception import Reception
+from bendlead_gateway._teams.told import TeamCounts
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import (
+    NodeName,
     NodeSettings,
     RequestFacts,
     Route,
     RouteKind,
-    Team,
 )
 
 #: Descriptors kept for the store, engines and files, and the most of all that
@@ -52,7 +56,19 @@
         super().__init__(settings, store, dialect)
         self._online = OnlinePath(dialect, self.fleet, self.log, self.metrics)
         self._relay = JobRelay(self.peers, dialect, self.log)
-        self._access = Access(self.fleet.configuration)
+        self.limits = TeamLimits(
+            settings.limit_window,
+            self.peers.entry_group,
+            self.fleet.configuration.team_named,
+        )
+        self._reception = Reception(
+            dialect,
+            self.fleet.configuration,
+            self.limits,
+            lambda: self.fleet.config_watch.current,
+            self.log,
+            self.metrics,
+        )
         self._clients = HttpServer(
             clients or settings.clients_address or '',
             self._answer_client,
@@ -74,6 +90,32 @@
         self._ready.start()
         gevent.spawn(self._take_clients)
 
+    def report(self) -> NodeReport:
+        """Tell peers what runs and what was let through here."""
+        counts = self.limits.counts
+        return replace(
+            super().report(),
+            life=counts.life,
+            teams=dict(counts.counts),
+            asks_levels=self.limits.asks,
+        )
+
+    def hear_report(self, report: NodeReport) -> None:
+        """Take what a peer said, levels that were asked for too."""
+        super().hear_report(report)
+        self.limits.adopt(report.levels)
+
+    def hear_teams(
+        self, node: NodeName, told: TeamCounts, version: int, heard: float
+    ) -> None:
+        """Count what another entry let through."""
+        if told.life:
+            self.limits.hear(node, told, version, heard)
+
+    def team_levels(self) -> dict[str, float]:
+        """Give the requests of each team that still count."""
+        return dict(self.limits.levels())
+
     def leave(self) -> None:
         """Take clients until the platform has taken this node out, then end.
 
@@ -157,11 +199,9 @@
     def _answer_job_call(
         self, request: Request, responder: Responder, public: bool
     ) -> None:
-        judged = self._judge(request, public)
-        if isinstance(judged, Admitted):
-            self._relay.answer(request, responder, judged.team)
-        else:
-            self._turn_away(request, responder, judged)
+        admitted = self._reception.admit(request, responder, public=public)
+        if admitted:
+            self._relay.answer(request, responder, admitted.team)
 
     def _answer_online(
         self,
@@ -170,45 +210,17 @@
         facts: RequestFacts,
         route: Route,
     ) -> None:
-        judged = self._judge(request, route.public)
-        if isinstance(judged, Admitted):
-            self._serve(request, responder, facts, route, judged.team)
-        else:
-            self._turn_away(request, responder, judged)
-
-    def _serve(
-        self,
-        request: Request,
-        responder: Responder,
-        facts: RequestFacts,
-        route: Route,
-        team: Team | None,
-    ) -> None:
-        self._online.serve(request, responder, facts, route, team)
-
-    def _judge(self, request: Request, public: bool) -> Admitted | TurnedAway:
-        return self._access.judge(
-            self.dialect.caller_key(request.headers),
-            public=public,
-            surely_newest=self.fleet.config_watch.current,
+        admitted = self._reception.admit(
+            request, responder, public=route.public
         )
-
-    def _turn_away(
-        self, request: Request, responder: Responder, why: TurnedAway
-    ) -> None:
-        facts = self.dialect.request_facts(request.headers)
-        self.log.event(
-            'caller-turned-away',
-            request=facts.request if facts else '-',
-            target=request.target,
-            version=self.fleet.configuration.version,
-            status=int(why.status),
-            reason=why.reason,
-        )
-        headers = []
-        if why.retry_after is not None:
-            headers.append(('Retry-After', f'{why.retry_after:.3f}'))
-        responder.answer(why.status, headers)
+        if admitted is None:
+            return
+        team = admitted.team
+        if not self._reception.count(facts, responder, team):
+            return
+        outcome = self._online.serve(request, responder, facts, route, team)
+        if team and outcome == REFUSED:
+            self.limits.give_back(team)
 
     def _refuse_late(
         self, request: Request, responder: Responder, stop: StopSchedule
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
@@ -21,6 +21,7 @@
     RouteKind,
     ServiceName,
     Team,
+    TeamName,
 )
 
 #: An engine that left the list while the store was away is kept this long
@@ -43,6 +44,7 @@
     known: Configuration | None = None
     by_host: Mapping[str, Sequence[Route]] = field(default_factory=dict)
     by_key: Mapping[KeyDigest, Team] = field(default_factory=dict)
+    by_name: Mapping[TeamName, Team] = field(default_factory=dict)
 
 
 class ConfigurationHolder:
@@ -77,6 +79,10 @@
         """Find the team that holds a key."""
         return self._in_force.by_key.get(key)
 
+    def team_named(self, name: TeamName) -> Team | None:
+        """Find a team by its name."""
+        return self._in_force.by_name.get(name)
+
     def takes_jobs_of_all(self, host: str) -> bool:
         """Tell whether jobs of a host may be called about without a key."""
         return any(
@@ -105,7 +111,10 @@
             )
             return
         self._in_force = _InForce(
-            found, _routes_by_host(found.routes), _teams_by_key(found.teams)
+            found,
+            _routes_by_host(found.routes),
+            _teams_by_key(found.teams),
+            {team.name: team for team in found.teams},
         )
         self._log.event(
             'config-in-force',
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from bendlead_gateway._fleet.sums import FreshSums
+from bendlead_gateway._teams.told import TeamCounts
 from bendlead_gateway.types import EngineId, NodeName
 
 #: What a peer said counts for this long (s); then it is taken as stopped.
@@ -32,6 +33,9 @@
 _LOOK_SECONDS = 0.05
 
 
+_NO_TEAMS = TeamCounts()
+
+
 @dataclass(slots=True)
 class Report:
     """Keep what a peer said of its requests."""
@@ -45,6 +49,8 @@
     arrival: int = 0
     #: Seconds between the latest reports; told ones come between heard ones.
     pause: float = 0
+    #: What it let through of each team.
+    teams: TeamCounts = _NO_TEAMS
 
     @property
     def quiet(self) -> bool:
@@ -104,6 +110,7 @@
         batch: Mapping[EngineId, int],
         age: float = 0,
         version: int = 0,
+        teams: TeamCounts = _NO_TEAMS,
     ) -> None:
         """Take what a peer told of its requests some seconds ago."""
         heard = time.monotonic() - age
@@ -122,7 +129,7 @@
             self._reports.pop(node, None)
             self._arrivals += 1
             self._reports[node] = Report(
-                online, batch, heard, version, self._arrivals, pause
+                online, batch, heard, version, self._arrivals, pause, teams
             )
         self._online.put(node, online, heard)
         self._batch.put(node, batch, heard)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/news.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/news.py
@@ -1,7 +1,7 @@
 """Pass on what other processes told of their requests."""
 
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from bendlead_schema.gateway import NodeReport, ToldLoad
@@ -9,9 +9,21 @@
 from bendlead_gateway._fleet.links import Link, Links
 from bendlead_gateway._fleet.loads import LoadTable, Report
 from bendlead_gateway._fleet.peer import Peer
-from bendlead_gateway.types import EngineId, NodeName
+from bendlead_gateway._teams.told import TeamCounts
+from bendlead_gateway.types import EngineId, NodeName, TeamName
 
 _MS = 1000
+
+#: Takes what a node let through, its number for that, and when it said so (s).
+OnTeams = Callable[[NodeName, TeamCounts, int, float], None]
+
+
+def ignore_teams(
+    node: NodeName, told: TeamCounts, version: int, heard: float
+) -> None:
+    """Count no teams, as processes do that take no clients."""
+
+
 #: A report that was told on more than once is older than it is worth; one that
 #: is as old as this (s) is not told.
 _OLDEST_TOLD = 1.0
@@ -32,6 +44,7 @@
     since: float = 0
     online: Mapping[str, int] | None = None
     batch: Mapping[str, int] | None = None
+    teams: Mapping[str, int] | None = None
 
 
 class LoadNews:
@@ -43,8 +56,15 @@
     of entries it does not hear, and the entries would count on them.
     """
 
-    def __init__(self, own: NodeName, loads: LoadTable, links: Links) -> None:
+    def __init__(
+        self,
+        own: NodeName,
+        loads: LoadTable,
+        links: Links,
+        on_teams: OnTeams = ignore_teams,
+    ) -> None:
         self._own = own
+        self._on_teams = on_teams
         self._loads = loads
         self._links = links
         self._own_version = _OwnVersion()
@@ -53,13 +73,18 @@
         """Give a report of this process the version of its counts."""
         last = self._own_version
         now = time.monotonic()
-        changed = report.online != last.online or report.batch != last.batch
-        busy = bool(report.online or report.batch)
-        if changed or (busy and now - last.since > _REFRESH_SECONDS):
+        changed = (
+            report.online != last.online
+            or report.batch != last.batch
+            or report.teams != last.teams
+        )
+        # Who counts teams has to be heard of, also while nothing runs there.
+        wanted = bool(report.online or report.batch or report.life)
+        if changed or (wanted and now - last.since > _REFRESH_SECONDS):
             # Versions go on rising after a restart.
             version = max(last.version + 1, round(time.time() * _MS))
             self._own_version = _OwnVersion(
-                version, now, report.online, report.batch
+                version, now, report.online, report.batch, report.teams
             )
         report.version = self._own_version.version
 
@@ -76,18 +101,23 @@
 
     def take(self, peer: Peer, told: Sequence[ToldLoad]) -> None:
         """Take what a peer tells of others; what is newer stays."""
+        now = time.monotonic()
         for one in told:
             node = NodeName(one.node)
             if node == self._own:
                 continue
             peer.knows[node] = one.version
+            teams = counts_of_teams(one)
+            age = one.age_ms / _MS
             self._loads.report(
                 node,
                 {EngineId(name): count for name, count in one.online.items()},
                 {EngineId(name): count for name, count in one.batch.items()},
-                one.age_ms / _MS,
+                age,
                 one.version,
+                teams,
             )
+            self._on_teams(node, teams, one.version, now - age)
 
     def _news(self, peer: Peer) -> list[ToldLoad]:
         told: list[ToldLoad] = []
@@ -116,4 +146,14 @@
         version=known.version,
         online=dict(known.online),
         batch=dict(known.batch),
+        life=known.teams.life,
+        teams=dict(known.teams.counts),
+    )
+
+
+def counts_of_teams(said: NodeReport | ToldLoad) -> TeamCounts:
+    """Read what a node let through of each team."""
+    return TeamCounts(
+        said.life,
+        {TeamName(name): count for name, count in said.teams.items()},
     )
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peer.py
@@ -33,6 +33,8 @@
     #: Nodes that the peer does not hear.
     missed: Sequence[str] = ()
     listed: float = field(default_factory=time.monotonic)
+    #: When its counts were heard last, from itself or from others.
+    heard_of: float = 0
     #: How it is linked with this process, and seconds between two exchanges.
     link: Link = Link.NONE
     pause: float = 0
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -21,10 +21,16 @@
 from bendlead_gateway._fleet.claims import Claims
 from bendlead_gateway._fleet.links import Link, Links
 from bendlead_gateway._fleet.loads import LoadTable
-from bendlead_gateway._fleet.news import LoadNews
+from bendlead_gateway._fleet.news import (
+    LoadNews,
+    OnTeams,
+    counts_of_teams,
+    ignore_teams,
+)
 from bendlead_gateway._fleet.peer import QUIET_SECONDS, Peer
 from bendlead_gateway._http.client import HttpConnection
 from bendlead_gateway._log import Log
+from bendlead_gateway._teams.quota import Group
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import EngineId, NodeName, NodeRole, PeerRecord
 
@@ -67,6 +73,8 @@
         log: Log,
         report: Callable[[], NodeReport],
         on_report: Callable[[NodeReport], None],
+        on_teams: OnTeams = ignore_teams,
+        levels: Callable[[], dict[str, float]] = dict,
     ) -> None:
         self._own = own
         self._own_key = f'{dialect.peers_prefix}{own.node}'
@@ -76,8 +84,10 @@
         self._log = log
         self._report = report
         self._on_report = on_report
+        self._on_teams = on_teams
+        self._levels = levels
         self._links = Links()
-        self._news = LoadNews(own.node, loads, self._links)
+        self._news = LoadNews(own.node, loads, self._links, on_teams)
         self._survey = _Survey()
         self._peers: dict[NodeName, Peer] = {}
         self.claims = Claims(self._live)
@@ -106,6 +116,21 @@
         self._hear(report)
         return self._report_to(self._peers.get(NodeName(report.node)))
 
+    def entry_group(self) -> Group:
+        """Count the entries that are heard of lately, and all there may be."""
+        heard = 1
+        entries = 1
+        cut = time.monotonic() - _CUT_SECONDS
+        for node, peer in self._peers.items():
+            if peer.record.role is not NodeRole.ENTRY:
+                continue
+            known = self._loads.latest(node)
+            if known is not None:
+                peer.heard_of = known.heard
+                heard += 1
+            entries += max(peer.heard_of, peer.listed) > cut
+        return Group(heard, entries)
+
     def summary(self) -> dict[str, float]:
         """Show how long ago each peer was heard, for the state dump."""
         now = time.monotonic()
@@ -236,6 +261,8 @@
             report.told = self._news.tell(peer)
             if peer.record.node in survey.witnesses:
                 report.missed = list(survey.missed)
+            if peer.report is not None and peer.report.asks_levels:
+                report.levels = self._levels()
         return msgspec.json.encode(report)
 
     def _current_survey(self) -> _Survey:
@@ -272,12 +299,15 @@
         peer.missed = report.missed
         self._news.take(peer, report.told)
         self._on_report(report)
+        teams = counts_of_teams(report)
         self._loads.report(
             node,
             {EngineId(name): count for name, count in report.online.items()},
             {EngineId(name): count for name, count in report.batch.items()},
             version=report.version,
+            teams=teams,
         )
+        self._on_teams(node, teams, report.version, peer.heard)
 
     def _live(self) -> list[Peer]:
         return [peer for peer in self._peers.values() if not peer.silent]
--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -18,9 +18,11 @@
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._reload import Reloader, SettingsSource
+from bendlead_gateway._teams.told import TeamCounts
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import (
     ClientLimits,
+    NodeName,
     NodeSettings,
     PeerRecord,
 )
@@ -69,7 +71,9 @@
             self.fleet.loads,
             self.log,
             self.report,
-            self.fleet.notice,
+            self.hear_report,
+            self.hear_teams,
+            self.team_levels,
         )
         self.peers_watch = self.fleet.watcher(
             dialect.peers_prefix, self.peers, _GATHER_PEERS_SECONDS
@@ -114,6 +118,19 @@
         """Answer a call of a peer that is not a report."""
         responder.answer(HTTPStatus.NOT_FOUND)
 
+    def hear_report(self, report: NodeReport) -> None:
+        """Take what a peer said."""
+        self.fleet.notice(report)
+
+    def hear_teams(
+        self, node: NodeName, told: TeamCounts, version: int, heard: float
+    ) -> None:
+        """Take what a node let through of each team; entries count it."""
+
+    def team_levels(self) -> dict[str, float]:
+        """Give the requests of each team that still count."""
+        return {}
+
     def report(self) -> NodeReport:
         """Tell peers what runs here."""
         own = self.fleet.loads.own
@@ -129,6 +146,7 @@
             revisions=self.fleet.revisions(),
             answered_ms=_age_ms(self.store.contact.answered_at),
             failed_ms=_age_ms(self.store.contact.failed_at),
+            configuration=self.fleet.configuration.version,
         )
 
     def state(self) -> dict[str, object]:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -39,6 +39,9 @@
     (('sends', 1), ('runs', 0), ('reason', '-'), ('team', ''))
 )
 
+#: The outcome of a request that has surely not run.
+REFUSED = 'refused'
+
 #: What came of an attempt; nothing where another may be made.
 _Verdict = str | None
 
@@ -176,7 +179,7 @@
         exchange.failure = reason
         headers = [('Retry-After', f'{retry_after:.3f}')]
         exchange.answer(HTTPStatus.SERVICE_UNAVAILABLE, headers)
-        return 'refused'
+        return REFUSED
 
     def _break_off(self, exchange: Exchange, reason: str) -> str:
         exchange.failure = reason
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
@@ -42,6 +42,20 @@
         Annotated[dict[str, int], Meta(description='Its items of jobs by engine.')]
         | UnsetType
     ) = field(default_factory=dict)
+    life: (
+        Annotated[
+            int,
+            Meta(
+                description='Unix millisecond at which the entry started; 0 where it counts no teams.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    teams: (
+        Annotated[dict[str, int], Meta(description='Its requests of each team.')]
+        | UnsetType
+    ) = field(default_factory=dict)
 
 
 class NodeReport(Struct, kw_only=True):
@@ -128,3 +142,49 @@
         ]
         | UnsetType
     ) = -1
+    life: (
+        Annotated[
+            int,
+            Meta(
+                description='Unix millisecond at which the entry started; 0 where it counts no teams.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    teams: (
+        Annotated[
+            dict[str, int],
+            Meta(
+                description='Requests of each team let through since then, of those with any lately.'
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=dict)
+    asks_levels: (
+        Annotated[
+            bool,
+            Meta(
+                description='Whether the node has started and asks for the levels of teams.'
+            ),
+        ]
+        | UnsetType
+    ) = False
+    levels: (
+        Annotated[
+            dict[str, float],
+            Meta(
+                description='Requests of each team that still count, where the other asked.'
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=dict)
+    configuration: (
+        Annotated[
+            int,
+            Meta(
+                description='Version of the configuration in force; 0 for none.', ge=0
+            ),
+        ]
+        | UnsetType
+    ) = 0
--- a/tests/test_gateway_teams.py
+++ b/tests/test_gateway_teams.py
@@ -2,6 +2,8 @@
 
 import json
 
+import gevent
+from bendlead_gateway._entry import EntryNode
 from bendlead_gateway._owner import OwnerNode
 from bendlead_gateway.types import NodeRole
 from bendlead_platform import PlatformDialect, PlatformStore
@@ -29,6 +31,7 @@
 _PLAIN = (
     b'HTTP/1.1 200 OK\r\nX-Response-Seal: s1\r\nContent-Length: 2\r\n\r\nok'
 )
+_SHED = b'HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
 _CUT = chunked(event(1, 'a'), headers='X-Response-Seal: s\r\n', last=False)
 _TAIL = chunked(event(2, 'b'), headers='X-Response-Seal: s\r\n')
 
@@ -140,6 +143,64 @@
             self.assertNotIn(key, dumped + known)
 
 
+class LimitTest(EntryCase):
+    """What callers over the limit of their team get."""
+
+    #: Two requests at once fit into this limit, and two more a second later.
+    _TEAMS = ({'name': 't', 'api_keys': [_KEY], 'per_s': 2, 'burst': 2},)
+
+    def begin(self, answers):
+        """Start an entry, and let the burst come back."""
+        self.start(route('safe'), answers=answers)
+        self.configure(2, self._TEAMS)
+        gevent.sleep(1.1)
+
+    def configure(self, version, teams):
+        """Put a configuration with teams in force."""
+        made = {**configuration(version, route('safe')), 'tenants': list(teams)}
+        self.store.set('config', 'main', made)
+        known = self.entry.fleet.configuration
+        eventually(lambda: known.version == version)
+
+    def status(self):
+        """Send a request of the team and give its status."""
+        head, _body = self.read(self.ask(extra=[('X-Credential', _KEY)]))
+        return head
+
+    def test_one_too_many_is_told_when_to_come_back(self):
+        self.begin([_PLAIN])
+        self.assertEqual([200, 200], [self.status().status for _ in range(2)])
+        refused = self.status()
+        self.assertEqual(429, refused.status)
+        self.assertEqual(2, self.sent())
+        later = float(refused.find('retry-after'))
+        self.assertTrue(0 < later < 1.2, later)
+
+    def test_refused_requests_are_not_counted(self):
+        self.begin([_SHED])
+        self.assertEqual([503] * 4, [self.status().status for _ in range(4)])
+
+    def test_a_limit_is_counted_over_entries(self):
+        self.begin([_PLAIN])
+        made = settings('entry-2', NodeRole.ENTRY, self.store.address)
+        store = PlatformStore(made.store_address)
+        other = EntryNode(made, store, PlatformDialect())
+        other.serve()
+        eventually(lambda: other.peers.entry_group().heard == 2)
+        self.assertEqual([200, 200], [self.status().status for _ in range(2)])
+        eventually(lambda: other.limits.levels().get('t', 0) > 1)
+        first, self.entry = self.entry, other
+        self.assertEqual(429, self.status().status)
+        self.assertIs(first.limits.group.majority, True)
+
+    def test_a_higher_limit_holds_at_once(self):
+        self.begin([_PLAIN, _PLAIN])
+        self.assertEqual([200, 200], [self.status().status for _ in range(2)])
+        self.assertEqual(429, self.status().status)
+        self.configure(3, [{**self._TEAMS[0], 'per_s': 20, 'burst': 20}])
+        self.assertEqual([200, 200], [self.status().status for _ in range(2)])
+
+
 class TeamJobTest(OwnerCase):
     """Jobs belong to a team."""
 
