--- a/packages/bendlead-cli/src/bendlead_cli/main.py
+++ b/packages/bendlead-cli/src/bendlead_cli/main.py
@@ -10,6 +10,7 @@
 from bendlead_cli._explain import explain
 from bendlead_cli._late import late
 from bendlead_cli._printing import Output, say, show
+from bendlead_cli._teams import teams
 
 _DATA_FIELD = b'data: '
 _DONE = b'[DONE]'
@@ -84,6 +85,7 @@
             'delete': _fleet.delete,
             'status': _fleet.status,
             'state': _fleet.state,
+            'teams': teams,
             'stop': {
                 'plan': _fleet.stop_plan,
                 'status': _fleet.stop_status,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -100,6 +100,10 @@
             asks_levels=self.limits.asks,
         )
 
+    def state(self) -> dict[str, object]:
+        """Dump what this process believes, also of teams."""
+        return {**super().state(), 'teams': self.limits.usage()}
+
     def hear_report(self, report: NodeReport) -> None:
         """Take what a peer said, levels that were asked for too."""
         super().hear_report(report)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_metrics.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_metrics.py
@@ -13,6 +13,13 @@
 _BUCKETS = (0.03, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 2, 5)
 
 
+#: Teams that have a series of their own; each costs whoever stores the metrics,
+#: and there may be thousands of teams.
+_MOST_TEAMS = 50
+#: Stands for all others together.
+_OTHERS = 'others'
+
+
 class Histogram:
     """Count durations by buckets."""
 
@@ -48,6 +55,8 @@
     def __init__(self) -> None:
         #: Client requests by outcome.
         self.requests: Counter[str] = Counter()
+        #: Requests over the limit of their team, by team.
+        self.over_limit: Counter[str] = Counter()
         #: Failed attempts at engines by step.
         self.engine_failures: Counter[str] = Counter()
         #: Items of batch jobs by what ended a run of theirs.
@@ -81,6 +90,7 @@
 
         labelled = (
             ('requests', 'outcome', self.requests),
+            ('over_limit', 'team', _busiest(self.over_limit)),
             ('engine_failures', 'step', self.engine_failures),
             ('items', 'ending', self.items),
         )
@@ -114,3 +124,12 @@
                 histogram.cumulative(),
                 histogram.total,
             )
+
+
+def _busiest(by_team: Counter[str]) -> Counter[str]:
+    """Keep the teams that count most, and the sum of the others."""
+    kept = Counter(dict(by_team.most_common(_MOST_TEAMS)))
+    others = by_team.total() - kept.total()
+    if others:
+        kept[_OTHERS] += others
+    return kept
--- a/packages/bendlead-gateway/src/bendlead_gateway/_teams/limits.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_teams/limits.py
@@ -98,6 +98,19 @@
                 found[name] = round(one.bucket.level, 1)
         return found
 
+    def usage(self) -> dict[TeamName, dict[str, float]]:
+        """Show what each team uses of its limit, for the state dump."""
+        levels = self.levels()
+        return {
+            name: {
+                'rate': one.limit.rate,
+                'burst': one.limit.burst,
+                'level': levels.get(name, 0),
+                'passed_here': one.own.count,
+            }
+            for name, one in self._usage.items()
+        }
+
     def take(self, team: Team) -> float:
         """Let a request through, or give the seconds until one fits."""
         if not team.limited:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_teams/reception.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_teams/reception.py
@@ -63,6 +63,7 @@
         if wait <= 0:
             return True
         self._metrics.requests['over_limit'] += 1
+        self._metrics.over_limit[team.name] += 1
         self._log.event(
             'over-limit',
             request=facts.request,
--- /dev/null
+++ b/tests/test_cli_teams.py
@@ -0,0 +1,64 @@
+"""What operators see of the limits of teams."""
+
+import io
+import unittest
+from contextlib import redirect_stdout
+from unittest import mock
+
+from bendlead_cli import _teams
+from bendlead_cli._printing import Output
+from bendlead_gateway._metrics import Metrics
+
+_ENTRIES = {
+    'one:1': {
+        'b': {'rate': 33, 'burst': 33, 'level': 12.5, 'passed_here': 7},
+        'a': {'rate': 0, 'burst': 0, 'level': 0, 'passed_here': 2},
+    },
+    'two:2': {
+        'b': {'rate': 33, 'burst': 33, 'level': 12.0, 'passed_here': 6},
+    },
+}
+
+
+class TeamsTest(unittest.TestCase):
+    """`bendlead teams` over two entries."""
+
+    def run_command(self, output):
+        """Give what the command prints."""
+
+        def send(connection, _method, _path):
+            return {'teams': _ENTRIES[connection.entry]}
+
+        printed = io.StringIO()
+        with (
+            redirect_stdout(printed),
+            mock.patch.object(_teams.Connection, 'send', send),
+        ):
+            _teams.teams(list(_ENTRIES), output=output)
+        return printed.getvalue()
+
+    def test_levels_are_the_highest_and_counts_add_up(self):
+        lines = self.run_command(Output.TEXT).splitlines()
+        self.assertEqual(['a', '-', '0', '0', '2'], lines[1].split())
+        self.assertEqual(['b', '33', '33', '12.5', '13'], lines[2].split())
+
+    def test_json(self):
+        self.assertIn('"level": 12.5', self.run_command(Output.JSON))
+
+
+class TeamMetricsTest(unittest.TestCase):
+    """Series by team are bounded, and nothing is lost of the sum."""
+
+    def test_the_busiest_teams_and_all_others(self):
+        metrics = Metrics()
+        metrics.over_limit.update({f't{at}': at + 1 for at in range(200)})
+        page = metrics.page().decode()
+        lines = [
+            line
+            for line in page.splitlines()
+            if line.startswith('bendlead_gateway_over_limit_total')
+        ]
+        self.assertEqual(51, len(lines))
+        counts = [float(line.rpartition(' ')[2]) for line in lines]
+        self.assertEqual(sum(range(1, 201)), sum(counts))
+        self.assertIn('bendlead_gateway_over_limit_total{team="t199"}', page)
