--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
@@ -2,10 +2,10 @@
 
 import time
 from collections.abc import Callable, Collection, Mapping, Sequence
-from dataclasses import dataclass, field
 
 import gevent
 from bendlead_store import Change, Entry, Failure
+from msgspec import Struct, field
 from result import Err
 
 from bendlead_gateway._log import Log
@@ -38,8 +38,7 @@
 _TOGETHER_SECONDS = 1.75
 
 
-@dataclass(frozen=True, slots=True)
-class _InForce:
+class _InForce(Struct, frozen=True):
     """Hold one version with its look-ups, so that all change in one step."""
 
     known: Configuration | None = None
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/claims.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/claims.py
@@ -1,16 +1,15 @@
 """Who holds which shard, by the reports of the peers that are heard."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
 from bendlead_schema.gateway import HeldShard, NodeReport
+from msgspec import Struct
 
 from bendlead_gateway._fleet.peer import Peer
 from bendlead_gateway.types import NodeName, NodeRole
 
 
-@dataclass(frozen=True, slots=True)
-class Claim:
+class Claim(Struct, frozen=True):
     """Say who holds a shard and where to reach it."""
 
     node: NodeName
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/health.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/health.py
@@ -1,7 +1,8 @@
 """How engines did with real requests: pace, failures, pauses."""
 
 import time
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from bendlead_gateway.types import EngineId
 
@@ -20,8 +21,7 @@
 _SILENT_SECONDS = 0.25
 
 
-@dataclass(slots=True)
-class _Record:
+class _Record(Struct):
     """Keep how one engine did."""
 
     pace: float = 0
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/links.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/links.py
@@ -7,9 +7,10 @@
 
 import enum
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
 from hashlib import blake2b
 
+from msgspec import Struct, field
+
 from bendlead_gateway.types import DataHall, NodeName, NodeRole, PeerRecord
 
 #: Up to so many processes each exchanges with each other; then a pause of 0.1 s
@@ -35,8 +36,7 @@
     NONE = 'none'
 
 
-@dataclass(frozen=True, slots=True)
-class _Place:
+class _Place(Struct, frozen=True):
     """Say where a process stands: its hall, and its place in the hall."""
 
     hall: int
@@ -44,8 +44,7 @@
     owner: bool
 
 
-@dataclass(slots=True)
-class Links:
+class Links(Struct):
     """Lay the links of the fleet.
 
     The processes of a hall stand in a ring and are linked with those some steps
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
@@ -3,7 +3,8 @@
 import time
 from collections import Counter
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from bendlead_gateway._fleet.sums import FreshSums
 from bendlead_gateway._teams.told import TeamCounts
@@ -36,8 +37,7 @@
 _NO_TEAMS = TeamCounts()
 
 
-@dataclass(slots=True)
-class Report:
+class Report(Struct):
     """Keep what a peer said of its requests."""
 
     online: Mapping[EngineId, int]
@@ -67,8 +67,7 @@
         return max(heard - self.heard, self.pause * _PAUSE_KEPT)
 
 
-@dataclass(slots=True)
-class OwnLoad:
+class OwnLoad(Struct):
     """Count the requests of this process on each engine."""
 
     online: Counter[EngineId] = field(default_factory=Counter)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/news.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/news.py
@@ -2,9 +2,9 @@
 
 import time
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
 
 from bendlead_schema.gateway import NodeReport, ToldLoad
+from msgspec import Struct
 
 from bendlead_gateway._fleet.links import Link, Links
 from bendlead_gateway._fleet.loads import LoadTable, Report
@@ -36,8 +36,7 @@
 _REFRESH_SECONDS = 0.5
 
 
-@dataclass(slots=True)
-class _OwnVersion:
+class _OwnVersion(Struct):
     """Keep the version of this process's counts and since when it is so."""
 
     version: int = 0
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peer.py
@@ -2,10 +2,10 @@
 
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 
 import gevent
 from bendlead_schema.gateway import NodeReport
+from msgspec import Struct, field
 
 from bendlead_gateway._fleet.links import Link
 from bendlead_gateway.types import NodeName, PeerRecord
@@ -22,8 +22,7 @@
 _MISSED_EXCHANGES = 3
 
 
-@dataclass(slots=True)
-class Peer:
+class Peer(Struct):
     """Keep what is known of one peer."""
 
     record: PeerRecord
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -3,7 +3,6 @@
 import random
 import time
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass
 from http import HTTPStatus
 
 import gevent
@@ -16,6 +15,7 @@
     FailureKind,
     FollowedStore,
 )
+from msgspec import Struct
 from result import Err, Ok
 
 from bendlead_gateway._fleet.claims import Claims
@@ -52,8 +52,7 @@
 _DECODER = msgspec.json.Decoder(NodeReport)
 
 
-@dataclass(frozen=True, slots=True)
-class _Survey:
+class _Survey(Struct, frozen=True):
     """Keep who is not heard, and who is asked for news of them."""
 
     made: float = 0
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/pool.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/pool.py
@@ -1,7 +1,8 @@
 """Keep connections to engines for the next request."""
 
 import time
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from bendlead_gateway._http.client import HttpConnection
 from bendlead_gateway.types import Engine, EngineId
@@ -19,14 +20,12 @@
 _KEPT_PER_ENGINE = 24
 
 
-@dataclass(slots=True)
-class _Rested:
+class _Rested(Struct):
     connection: HttpConnection
     until: float
 
 
-@dataclass(slots=True)
-class EnginePool:
+class EnginePool(Struct):
     """Lend connections; the one used last goes out first."""
 
     _kept: dict[EngineId, list[_Rested]] = field(default_factory=dict)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/sums.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/sums.py
@@ -3,15 +3,15 @@
 import math
 import time
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from bendlead_gateway.types import EngineId, NodeName
 
 _NOTHING: Mapping[EngineId, int] = {}
 
 
-@dataclass(slots=True)
-class FreshSums:
+class FreshSums(Struct):
     """Keep the sum of each engine's counts over what was heard lately.
 
     A look costs the same however many peers there are; a report costs what it
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
@@ -3,9 +3,9 @@
 import select
 from collections import deque
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 
 import httptools
+from msgspec import Struct, field
 
 from bendlead_gateway._http.sockets import connect
 from bendlead_gateway.types import Headers
@@ -25,8 +25,7 @@
     """The peer sent nothing within the time it was given."""
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseHead:
+class ResponseHead(Struct, frozen=True):
     """Hold the status line and the headers of an answer."""
 
     status: int
@@ -41,16 +40,14 @@
         return None
 
 
-@dataclass(frozen=True, slots=True)
-class Response:
+class Response(Struct, frozen=True):
     """Hold a whole answer."""
 
     head: ResponseHead
     body: bytes
 
 
-@dataclass(slots=True)
-class _Message:
+class _Message(Struct):
     """Gather one answer."""
 
     reason: str = ''
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/messages.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/messages.py
@@ -1,10 +1,10 @@
 """What a client asks, and how it is answered."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from http import HTTPStatus
 
 from gevent import socket
+from msgspec import Struct
 
 from bendlead_gateway.types import Headers
 
@@ -17,8 +17,7 @@
     """The process ends before an answer could be finished."""
 
 
-@dataclass(slots=True)
-class Request:
+class Request(Struct):
     """Hold one whole request of a client."""
 
     method: str
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/parsing.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/parsing.py
@@ -2,10 +2,10 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from http import HTTPStatus
 
 import httptools
+from msgspec import Struct, field
 
 from bendlead_gateway._http.messages import Request
 from bendlead_gateway.types import ClientLimits
@@ -19,8 +19,7 @@
         self.status = status
 
 
-@dataclass(slots=True)
-class _Draft:
+class _Draft(Struct):
     """Gather one request while it is parsed."""
 
     target: bytes = b''
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/api.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/api.py
@@ -1,10 +1,10 @@
 """Answer clients' calls about jobs for the shards held here."""
 
 import time
-from dataclasses import replace
 from http import HTTPStatus
 
 from bendlead_store import Failure, FailureKind
+from msgspec.structs import replace
 
 from bendlead_gateway._fleet.catalog import ConfigurationHolder
 from bendlead_gateway._http.messages import Request, Responder
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/held.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/held.py
@@ -2,11 +2,11 @@
 
 import time
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass, field
 
 from bendlead_ledger import BEFORE_FIRST, DirectJobState, KeptProgress
 from bendlead_schema.records import DirectProgress, DirectResult
 from gevent.event import Event
+from msgspec import Struct, field
 
 from bendlead_gateway.types import (
     ItemId,
@@ -18,8 +18,7 @@
 )
 
 
-@dataclass(slots=True)
-class Progress:
+class Progress(Struct):
     """Keep how far an item has come; events are kept over its runs."""
 
     item: JobItem
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -1,9 +1,10 @@
 """One run of an item of a batch job at one engine."""
 
 import time
-from dataclasses import dataclass
 from http import HTTPStatus
 
+from msgspec import Struct
+
 from bendlead_gateway._fleet.fleet import Fleet
 from bendlead_gateway._http.client import HttpConnection, ResponseHead
 from bendlead_gateway._jobs.board import Board
@@ -23,8 +24,7 @@
     """A run ended without the item's whole output."""
 
 
-@dataclass(slots=True, eq=False)
-class ItemRun:
+class ItemRun(Struct, eq=False):
     """Keep one run of an item so that it can be stopped."""
 
     engine: Engine
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/patience.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/patience.py
@@ -1,10 +1,10 @@
 """How long a holder that can't write keeps its shard."""
 
 import time
-from dataclasses import dataclass
 
 from bendlead_ledger import ShardId, head_key
 from bendlead_store import FollowedStore
+from msgspec import Struct
 from result import Err
 
 #: A holder that could not write is given this long (s) to return once the
@@ -16,8 +16,7 @@
 _LINKED_SECONDS = 1.0
 
 
-@dataclass(slots=True)
-class _Answers:
+class _Answers(Struct):
     """Keep when answers without a failure between them began and ended."""
 
     first: float
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/pending.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/pending.py
@@ -1,12 +1,11 @@
 """Jobs that are being accepted: their ids and tokens are taken already."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from bendlead_gateway.types import JobId, Submission, TeamName
 
 
-@dataclass(slots=True)
-class PendingJobs:
+class PendingJobs(Struct):
     """Keep the jobs whose acceptance is not known to have failed or worked."""
 
     _submissions: dict[JobId, Submission] = field(default_factory=dict)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
@@ -1,10 +1,10 @@
 """Pass clients' calls about jobs on to the process that holds them."""
 
 import time
-from dataclasses import replace
 from http import HTTPStatus
 
 import gevent
+from msgspec.structs import replace
 
 from bendlead_gateway._fleet.claims import Claim
 from bendlead_gateway._fleet.peers import PeerTable
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/room.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/room.py
@@ -1,7 +1,8 @@
 """The places of engines, as one round of an owner sees them."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from bendlead_gateway._fleet.balancer import Balancer
 from bendlead_gateway._scheduling.places import (
@@ -52,7 +53,6 @@
         return found
 
 
-@dataclass(frozen=True, slots=True)
-class _ServiceView:
+class _ServiceView(Struct, frozen=True):
     engines: Sequence[EngineView]
     kept: int
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -2,10 +2,10 @@
 
 import time
 from collections.abc import Iterator
-from dataclasses import dataclass
 
 import gevent
 from gevent.event import Event
+from msgspec import Struct
 
 from bendlead_gateway._fleet.balancer import pick_service
 from bendlead_gateway._fleet.fleet import Fleet
@@ -43,8 +43,7 @@
 _Waiting = tuple[Board, HeldJob, Progress]
 
 
-@dataclass(frozen=True, slots=True)
-class _Candidate:
+class _Candidate(Struct, frozen=True):
     """Hold an item that could start, with its rank."""
 
     urgency: Urgency
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/events.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/events.py
@@ -1,13 +1,13 @@
 """Split a stream into its events, which may come in any pieces."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 _BLANK = b'\n\n'
 
 
-@dataclass(frozen=True, slots=True)
-class StreamEvent:
+class StreamEvent(Struct, frozen=True):
     """Hold one whole event as it came, its number and its data."""
 
     raw: bytes
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -1,7 +1,8 @@
 """What is known of one client request while it is served."""
 
 import time
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from bendlead_gateway._http.messages import Request, Responder
 from bendlead_gateway.types import EngineId, RequestFacts, Route, TeamName
@@ -10,8 +11,7 @@
 _READ_SLACK = 0.5
 
 
-@dataclass(slots=True)
-class Choice:
+class Choice(Struct):
     """Keep which engine was chosen and what its load was taken for."""
 
     engine: str = '-'
@@ -19,8 +19,7 @@
     batch: int = 0
 
 
-@dataclass(slots=True)
-class Exchange:
+class Exchange(Struct):
     """Keep one request, its client and what its attempts came to."""
 
     request: Request
--- a/packages/bendlead-gateway/src/bendlead_gateway/_reload.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_reload.py
@@ -1,9 +1,9 @@
 """Take up what the settings file says anew while the process runs."""
 
-from dataclasses import fields
 from typing import Protocol
 
 from bendlead_store import FollowedStore
+from msgspec.structs import fields
 from result import Err, Result
 
 from bendlead_gateway._log import Log
--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/admission.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/admission.py
@@ -5,7 +5,7 @@
 more requests; a client that is told early still has time to come back.
 """
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from bendlead_gateway._scheduling.view import Chance
 
@@ -25,16 +25,14 @@
 _LEAST_RETRY = 0.2
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(Struct, frozen=True):
     """Tell why a request is refused and when to come back (s)."""
 
     reason: str
     retry_after: float
 
 
-@dataclass(frozen=True, slots=True)
-class Asked:
+class Asked(Struct, frozen=True):
     """Say what a client asked for: in seconds, its aim and its patience."""
 
     target: float
--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/placement.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/placement.py
@@ -10,7 +10,9 @@
 
 import heapq
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
+
+from msgspec import Struct
+from msgspec.structs import replace
 
 from bendlead_gateway._scheduling.view import Chance, EngineView
 
@@ -35,8 +37,7 @@
 _MOST_LAID = 2
 
 
-@dataclass(frozen=True, slots=True)
-class Traffic:
+class Traffic(Struct, frozen=True):
     """Say how long (s) a request runs, and how old what is known of others.
 
     ``delay`` is the time from a request's begin to its news here.
@@ -55,8 +56,7 @@
         return online / self.run_seconds * self.delay
 
 
-@dataclass(frozen=True, slots=True)
-class Placement:
+class Placement(Struct, frozen=True):
     """Name the engine for a request, and the wait (s) that the fleet imposes.
 
     The wait is that of one more request where all unseen ones have the best
@@ -115,16 +115,14 @@
     return paces[len(paces) // 2]
 
 
-@dataclass(frozen=True, slots=True)
-class _Laid:
+class _Laid(Struct, frozen=True):
     """Say at which engine a request was laid out, and what it meets there."""
 
     number: int
     view: EngineView
 
 
-@dataclass(slots=True)
-class _Place:
+class _Place(Struct):
     """Cost one more request at an engine, by what was laid out there."""
 
     view: EngineView
--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/places.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/places.py
@@ -5,7 +5,8 @@
 """
 
 from collections.abc import Container, Iterable, Sequence
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from bendlead_gateway._scheduling.placement import Traffic
 from bendlead_gateway._scheduling.view import EngineView
--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/urgency.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/urgency.py
@@ -5,9 +5,10 @@
 items that end just after they are due.
 """
 
-from dataclasses import dataclass
 from enum import IntEnum
 
+from msgspec import Struct
+
 #: Weight of the newest item in the smoothed times of whole items.
 _NEWEST = 0.1
 #: Until items have been timed, one is taken to hold its place this long (s).
@@ -29,8 +30,7 @@
     TOO_LATE = 2
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Urgency:
+class Urgency(Struct, frozen=True, order=True):
     """Order items: those that can still be in time, oldest job first."""
 
     prospect: Prospect
--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/view.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/view.py
@@ -1,7 +1,8 @@
 """What is known of an engine when a request or an item is placed."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from bendlead_gateway.types import Engine, EngineId
 
@@ -9,8 +10,7 @@
 Chance = Callable[[], float]
 
 
-@dataclass(frozen=True, slots=True)
-class EngineView:
+class EngineView(Struct, frozen=True):
     """Hold the load of one engine as it is believed here.
 
     ``online`` counts requests of clients and ``batch`` items of jobs, here and
--- a/packages/bendlead-gateway/src/bendlead_gateway/_stopping.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_stopping.py
@@ -1,7 +1,8 @@
 """Until when a process that was told to stop takes work, and when it ends."""
 
 import time
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 #: After SIGTERM new work is taken for this long (s): the platform asks once a
 #: second and takes a node out after two misses. It goes on sending clients
@@ -17,8 +18,7 @@
 _MARGIN_SHARE = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class StopSchedule:
+class StopSchedule(Struct, frozen=True):
     """Hold the moments of one stop, on the steady clock (s)."""
 
     began: float
--- a/packages/bendlead-gateway/src/bendlead_gateway/_teams/access.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_teams/access.py
@@ -1,8 +1,9 @@
 """Find the team behind a caller's key, or say why the caller is turned away."""
 
-from dataclasses import dataclass
 from http import HTTPStatus
 
+from msgspec import Struct
+
 from bendlead_gateway._fleet.catalog import ConfigurationHolder
 from bendlead_gateway.types import KeyDigest, Team
 
@@ -10,15 +11,13 @@
 _RETRY_SECONDS = 0.3
 
 
-@dataclass(frozen=True, slots=True)
-class Admitted:
+class Admitted(Struct, frozen=True):
     """Let a caller in; without a team where no key is asked for."""
 
     team: Team | None
 
 
-@dataclass(frozen=True, slots=True)
-class TurnedAway:
+class TurnedAway(Struct, frozen=True):
     """Tell why a caller is not let in, and when to come back (s), if ever."""
 
     reason: str
--- a/packages/bendlead-gateway/src/bendlead_gateway/_teams/limits.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_teams/limits.py
@@ -2,7 +2,8 @@
 
 import time
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from bendlead_gateway._teams.quota import Allowance, Bucket, Group, allowance
 from bendlead_gateway._teams.told import TeamCounts, ToldByEntry
@@ -22,16 +23,14 @@
 _LOOK_SECONDS = 0.05
 
 
-@dataclass(slots=True)
-class _OwnCount:
+class _OwnCount(Struct):
     """Count the requests of a team that were let through here."""
 
     count: int = 0
     changed: float = 0
 
 
-@dataclass(slots=True)
-class _Usage:
+class _Usage(Struct):
     """Keep a team's bucket and what was let through here."""
 
     bucket: Bucket
--- a/packages/bendlead-gateway/src/bendlead_gateway/_teams/quota.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_teams/quota.py
@@ -5,7 +5,7 @@
 that start again and know nothing of what was let through before.
 """
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from bendlead_gateway.types import LimitWindow, Team
 
@@ -24,8 +24,7 @@
 _ALONE_REQUESTS = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class Group:
+class Group(Struct, frozen=True):
     """Count the entries that hear one another, this one too, and all."""
 
     heard: int
@@ -42,8 +41,7 @@
         return self.heard / self.entries
 
 
-@dataclass(frozen=True, slots=True)
-class Allowance:
+class Allowance(Struct, frozen=True):
     """Say what a group may let through: a rate (1/s), and requests at once."""
 
     rate: float
@@ -71,8 +69,7 @@
     return Allowance(team.rate * part, max(1, capacity * part))
 
 
-@dataclass(slots=True)
-class Bucket:
+class Bucket(Struct):
     """Hold the requests of a team that its rate has not yet let drain away."""
 
     level: float
--- a/packages/bendlead-gateway/src/bendlead_gateway/_teams/told.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_teams/told.py
@@ -1,7 +1,8 @@
 """What other entries told of the requests that they let through."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from bendlead_gateway.types import TeamName
 
@@ -14,8 +15,7 @@
 _SHORTEST_PAUSE = 0.02
 
 
-@dataclass(frozen=True, slots=True)
-class TeamCounts:
+class TeamCounts(Struct, frozen=True):
     """Tell the requests of each team let through in one life of an entry.
 
     ``life`` is the Unix millisecond of its start. Teams that had none lately
@@ -26,8 +26,7 @@
     counts: Mapping[TeamName, int] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class _Known:
+class _Known(Struct):
     """Keep the count of one team at one entry."""
 
     count: int
@@ -45,8 +44,7 @@
         return added
 
 
-@dataclass(slots=True)
-class ToldByEntry:
+class ToldByEntry(Struct):
     """Keep what one entry told last, on the steady clock (s)."""
 
     life: int = 0
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/engines.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/engines.py
@@ -1,7 +1,8 @@
 """Engines and what their answers mean."""
 
 import enum
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from bendlead_gateway._types.ids import (
     DataHall,
@@ -18,8 +19,7 @@
     DRAINING = 'draining'
 
 
-@dataclass(frozen=True, slots=True)
-class Engine:
+class Engine(Struct, frozen=True):
     """Describe one life of an engine as service discovery tells it.
 
     ``born`` tells the lives of an engine apart; 0 where it is not told.
@@ -35,8 +35,7 @@
     born: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class EngineAnswer:
+class EngineAnswer(Struct, frozen=True):
     """Say what the head of an engine's answer means for the request.
 
     ``request`` names the request the answer is for, where it tells.
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/jobs.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/jobs.py
@@ -2,14 +2,14 @@
 
 import enum
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from bendlead_gateway._types.ids import ItemId, JobId
 from bendlead_gateway._types.teams import TeamName
 
 
-@dataclass(frozen=True, slots=True)
-class JobItem:
+class JobItem(Struct, frozen=True):
     """Hold one request of a batch job."""
 
     item: ItemId
@@ -19,8 +19,7 @@
     tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class Submission:
+class Submission(Struct, frozen=True):
     """Hold a batch job as a client hands it in."""
 
     job: JobId
@@ -36,8 +35,7 @@
         return sum(one.tokens for one in self.items)
 
 
-@dataclass(frozen=True, slots=True)
-class ReadResults:
+class ReadResults(Struct, frozen=True):
     """Ask for the results of a job from a position on; wait in seconds."""
 
     job: JobId
@@ -45,16 +43,14 @@
     wait: float
 
 
-@dataclass(frozen=True, slots=True)
-class ReadBody:
+class ReadBody(Struct, frozen=True):
     """Ask for the body of one item."""
 
     job: JobId
     item: ItemId
 
 
-@dataclass(frozen=True, slots=True)
-class EndJob:
+class EndJob(Struct, frozen=True):
     """Ask for the end of a job."""
 
     job: JobId
@@ -70,8 +66,7 @@
     GIVEN_UP = 'given_up'
 
 
-@dataclass(frozen=True, slots=True)
-class ItemResult:
+class ItemResult(Struct, frozen=True):
     """Hold the final result of one item."""
 
     item: ItemId
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/nodes.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/nodes.py
@@ -1,7 +1,8 @@
 """The processes of the gateway."""
 
 import enum
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from bendlead_gateway._types.ids import DataHall, NodeName
 from bendlead_gateway._types.teams import LimitWindow
@@ -14,8 +15,7 @@
     OWNER = 'owner'
 
 
-@dataclass(frozen=True, slots=True)
-class NodeSettings:
+class NodeSettings(Struct, frozen=True):
     """Hold what one process is told at its start; times in seconds."""
 
     node: NodeName
@@ -33,8 +33,7 @@
     limit_window: LimitWindow = field(default_factory=LimitWindow)
 
 
-@dataclass(frozen=True, slots=True)
-class PeerRecord:
+class PeerRecord(Struct, frozen=True):
     """Say where a process of ours answers its peers."""
 
     node: NodeName
@@ -43,8 +42,7 @@
     address: str
 
 
-@dataclass(frozen=True, slots=True)
-class StopOrder:
+class StopOrder(Struct, frozen=True):
     """Ask to empty a node within some seconds, or tell that it is empty."""
 
     node: NodeName
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/requests.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/requests.py
@@ -1,15 +1,15 @@
 """What clients send."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from bendlead_gateway._types.ids import RequestId
 
 Headers = Sequence[tuple[str, str]]
 
 
-@dataclass(frozen=True, slots=True)
-class RequestFacts:
+class RequestFacts(Struct, frozen=True):
     """Hold what the head of a client's request says to the gateway.
 
     ``patience`` is how long the client waits, in seconds, where it tells.
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/routes.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/routes.py
@@ -2,7 +2,8 @@
 
 import enum
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from bendlead_gateway._types.ids import ServiceName
 from bendlead_gateway._types.teams import Team
@@ -17,16 +18,14 @@
     BATCH = 'batch'
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceShare:
+class ServiceShare(Struct, frozen=True):
     """Give a service its weight among those a route is split over."""
 
     service: ServiceName
     weight: int
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True):
     """Say where requests of a host and path go and what may be done to them.
 
     Times are in seconds.
@@ -57,8 +56,7 @@
         return self.kind is RouteKind.SAFE
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
+class Service(Struct, frozen=True):
     """Describe the engines of one service."""
 
     name: ServiceName
@@ -66,8 +64,7 @@
     connection_limit: int
 
 
-@dataclass(frozen=True, slots=True)
-class ClientLimits:
+class ClientLimits(Struct, frozen=True):
     """Bound what a client may send (bytes) and how long it takes (s)."""
 
     header_bytes: int = 16_384
@@ -76,8 +73,7 @@
     idle_seconds: float = 15
 
 
-@dataclass(frozen=True, slots=True)
-class Configuration:
+class Configuration(Struct, frozen=True):
     """Hold one whole version of what operators configured."""
 
     version: int
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/teams.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/teams.py
@@ -2,9 +2,10 @@
 
 import hashlib
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import NewType
 
+from msgspec import Struct
+
 TeamName = NewType('TeamName', str)
 #: A key as it is kept and compared; the key itself is never kept.
 KeyDigest = NewType('KeyDigest', str)
@@ -21,8 +22,7 @@
     )
 
 
-@dataclass(frozen=True, slots=True)
-class Team:
+class Team(Struct, frozen=True):
     """Say who may call, how urgent its calls are and how many it may make.
 
     ``rate`` is in requests a second and ``burst`` in requests above it; a rate
@@ -41,8 +41,7 @@
         return self.rate > 0
 
 
-@dataclass(frozen=True, slots=True)
-class LimitWindow:
+class LimitWindow(Struct, frozen=True):
     """Say what may pass of a team in each window of some seconds.
 
     That is its rate over the window and its burst, an ``excess`` share more,
--- a/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
@@ -2,12 +2,12 @@
 
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 
 import gevent
 from bendlead_schema.records import Record
 from bendlead_store import Failure, FailureKind
 from gevent.event import AsyncResult, Event
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from bendlead_ledger._log import ShardLog
@@ -26,8 +26,7 @@
     return ()
 
 
-@dataclass(slots=True)
-class _Ticket:
+class _Ticket(Struct):
     records: Sequence[Record]
     done: AsyncResult = field(default_factory=AsyncResult)
 
--- a/packages/bendlead-ledger/src/bendlead_ledger/_direct.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_direct.py
@@ -7,7 +7,6 @@
 
 import base64
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 
 import msgspec
 from bendlead_schema.records import (
@@ -17,6 +16,7 @@
     DirectProgress,
     DirectResult,
 )
+from msgspec import Struct, field
 
 from bendlead_ledger import _codec
 
@@ -27,8 +27,7 @@
 BEFORE_FIRST = -1
 
 
-@dataclass(slots=True)
-class KeptProgress:
+class KeptProgress(Struct):
     """Keep the events that the log holds of an item without result."""
 
     last_event: int = BEFORE_FIRST
@@ -51,8 +50,7 @@
         return True
 
 
-@dataclass(slots=True)
-class DirectJobState:
+class DirectJobState(Struct):
     """Keep the results of one job in their order."""
 
     accepted: DirectJobAccepted
--- a/packages/bendlead-ledger/src/bendlead_ledger/_grants.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_grants.py
@@ -3,7 +3,8 @@
 import time
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from bendlead_ledger._state import JobState
 
@@ -12,8 +13,7 @@
 _LEAST_SHARE = 0.001
 
 
-@dataclass(frozen=True, slots=True)
-class TeamPolicy:
+class TeamPolicy(Struct, frozen=True):
     """Say how a policy ranks the batch work of a team."""
 
     rank: int = 0
--- a/packages/bendlead-ledger/src/bendlead_ledger/_jobs.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_jobs.py
@@ -3,7 +3,6 @@
 import time
 from collections import defaultdict
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass, field
 
 from bendlead_schema.messages import (
     Acknowledged,
@@ -35,6 +34,7 @@
 )
 from bendlead_schema.settings import LedgerSettings
 from bendlead_store import Failure, FailureKind
+from msgspec import Struct, field
 from result import Err
 
 from bendlead_ledger._committer import Committer
@@ -60,8 +60,7 @@
 )
 
 
-@dataclass(slots=True)
-class _Cursor:
+class _Cursor(Struct):
     """Remember where the scan for waiting items of a job stands."""
 
     position: int = 0
--- a/packages/bendlead-ledger/src/bendlead_ledger/_log.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_log.py
@@ -8,7 +8,6 @@
 import random
 import time
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
 from functools import partial
 
 import gevent
@@ -30,6 +29,7 @@
     Version,
 )
 from gevent.pool import Pool
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from bendlead_ledger import _codec
@@ -49,8 +49,7 @@
 _READS_AT_ONCE = 4
 
 
-@dataclass(frozen=True, slots=True)
-class Owner:
+class Owner(Struct, frozen=True):
     """Name the process that writes a shard and where to reach it."""
 
     node: str
--- a/packages/bendlead-ledger/src/bendlead_ledger/_runs.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_runs.py
@@ -6,15 +6,14 @@
 
 import time
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 
 from bendlead_schema.messages import RunLease
+from msgspec import Struct
 
 from bendlead_ledger._ids import unique
 
 
-@dataclass(slots=True)
-class Run:
+class Run(Struct):
     """Remember which items an endpoint holds until a monotonic time."""
 
     run: str
--- a/packages/bendlead-ledger/src/bendlead_ledger/_state.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_state.py
@@ -8,7 +8,6 @@
 import base64
 import enum
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
 from types import MappingProxyType
 from typing import Any, Final
 
@@ -30,6 +29,7 @@
     ResultsRecorded,
     Snapshot,
 )
+from msgspec import Struct, field
 
 from bendlead_ledger._codec import FORMAT
 from bendlead_ledger._direct import DirectJobState
@@ -43,8 +43,7 @@
     FAILED = 2
 
 
-@dataclass(slots=True)
-class JobState:
+class JobState(Struct):
     """Keep one byte for each item, so that a large job stays small."""
 
     accepted: JobAccepted
@@ -96,8 +95,7 @@
         return True
 
 
-@dataclass(slots=True)
-class RequestState:
+class RequestState(Struct):
     """Keep one recorded online request."""
 
     accepted: RequestAccepted
--- a/packages/bendlead-store/src/bendlead_store/_failure.py
+++ b/packages/bendlead-store/src/bendlead_store/_failure.py
@@ -1,7 +1,8 @@
 """Failures that carry the step and the peer at which they arose."""
 
 import enum
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 
 class FailureKind(enum.Enum):
@@ -15,8 +16,7 @@
     UNKNOWN = 'unknown'
 
 
-@dataclass(frozen=True, slots=True)
-class Failure:
+class Failure(Struct, frozen=True):
     """Tell a caller what failed, where, and when to come back (seconds)."""
 
     kind: FailureKind
--- a/packages/bendlead-store/src/bendlead_store/_protocol.py
+++ b/packages/bendlead-store/src/bendlead_store/_protocol.py
@@ -1,9 +1,9 @@
 """What the system needs of an object service."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Final, NewType, Protocol
 
+from msgspec import Struct
 from result import Result
 
 from bendlead_store._failure import Failure
@@ -16,8 +16,7 @@
 ABSENT: Final = Version(0)
 
 
-@dataclass(frozen=True, slots=True)
-class Entry:
+class Entry(Struct, frozen=True):
     """Hold a value together with the version a conditional update needs."""
 
     key: str
@@ -25,8 +24,7 @@
     body: bytes = b''
 
 
-@dataclass(frozen=True, slots=True)
-class Change:
+class Change(Struct, frozen=True):
     """Tell a watcher that a key was written or deleted at a version."""
 
     key: str
@@ -35,24 +33,21 @@
     body: bytes = b''
 
 
-@dataclass(frozen=True, slots=True)
-class VirtualMachine:
+class VirtualMachine(Struct, frozen=True):
     """Name a VM on the platform's lagging list."""
 
     address: str
     leaving: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Listing:
+class Listing(Struct, frozen=True):
     """Hold everything under a prefix as of one revision of the service."""
 
     entries: Sequence[Entry]
     as_of: Version
 
 
-@dataclass(frozen=True, slots=True)
-class Following:
+class Following(Struct, frozen=True):
     """Hold the changes since a revision, and where to go on from."""
 
     changes: Sequence[Change]
@@ -77,8 +72,7 @@
         """Delete a key if it is still at the expected version."""
 
 
-@dataclass(slots=True)
-class Contact:
+class Contact(Struct):
     """Keep when short calls were last answered and last failed (s).
 
     On the steady clock. Held calls do not count: they may be cut while the
--- a/tests/gateway_cases.py
+++ b/tests/gateway_cases.py
@@ -1,7 +1,6 @@
 """Base cases: an entry or an owner beside scripted engines, in one process."""
 
 import base64
-import dataclasses
 import json
 import unittest
 
@@ -13,6 +12,7 @@
 from bendlead_platform import PlatformDialect, PlatformStore
 from bendlead_testing.platform_store import PlatformStandIn
 from bendlead_testing.ports import free_port
+from msgspec import structs
 
 from tests.gateway_standins import (
     ScriptedPeer,
@@ -48,7 +48,7 @@
             self._start_engine(number, given)
         self.store.set('config', 'main', configuration(1, *routes))
         made = settings('entry-1', NodeRole.ENTRY, self.store.address)
-        made = dataclasses.replace(made, **changed)
+        made = structs.replace(made, **changed)
         store = PlatformStore(made.store_address)
         self.entry = EntryNode(made, store, PlatformDialect())
         self.entry.serve()
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -1,11 +1,10 @@
 """An entry that was told to stop: what it still takes, and until when."""
 
-from dataclasses import replace
-
 import gevent
 from bendlead_gateway.http import BrokenAnswerError, HttpConnection
 from gevent import socket
 from gevent.event import Event
+from msgspec.structs import replace
 from parameterized import parameterized
 
 from tests.gateway_cases import EntryCase
--- a/tests/test_gateway_reload.py
+++ b/tests/test_gateway_reload.py
@@ -3,13 +3,13 @@
 import os
 import tempfile
 import unittest
-from dataclasses import replace
 from unittest import mock
 
 from bendlead_gateway._log import Log
 from bendlead_gateway._reload import Reloader
 from bendlead_gateway.types import NodeRole
 from bendlead_platform import SettingsFile
+from msgspec.structs import replace
 from parameterized import parameterized
 from result import Err, Ok
 
--- a/tests/test_gateway_scheduling.py
+++ b/tests/test_gateway_scheduling.py
@@ -1,7 +1,6 @@
 """The decisions of load, each by itself."""
 
 import unittest
-from dataclasses import replace
 from types import SimpleNamespace
 
 from bendlead_gateway._scheduling import admission, placement, retry
@@ -18,6 +17,7 @@
     NodeName,
     ServiceName,
 )
+from msgspec.structs import replace
 from parameterized import parameterized
 
 _SLOTS = 8
