Entries that hear nobody yet serve each team once

Entries start within 0.7 s of one another and hear each other 0.3 to 0.7 s later. A new one took the burst for used up and held itself to a share of it, so that nothing fitted for many seconds. Ruled out: waiting for the others, which is most of the aim of 0.3 s. Change: what counts while too few are heard is a bucket of its own, which lets one request of each team through at the start; the main bucket starts full; until peers are listed an entry takes itself for one of 300.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -46,6 +46,9 @@
 _NOTHING_DONE = frozenset((FailureKind.NOT_DONE, FailureKind.LIMITED))
 #: A peer that falls silent may only be cut off for this long (s).
 _CUT_SECONDS = 60.0
+#: Until the peers are listed there may be as many entries as this; each lets
+#: its share of a team's limit through.
+_ENTRIES_UNTIL_LISTED = 300
 #: How many peers are asked for them, and how often (s) others are chosen.
 _WITNESSES = 2
 _SURVEY_SECONDS = 0.25
@@ -89,10 +92,12 @@
         self._news = LoadNews(own.node, loads, self._links, on_teams)
         self._survey = _Survey()
         self._peers: dict[NodeName, Peer] = {}
+        self._listed = False
         self.claims = Claims(self._live)
 
     def reset(self, entries: Sequence[Entry], after_outage: bool) -> None:
         """Take the whole list of processes."""
+        self._listed = True
         versions = {entry.key: entry for entry in entries}
         own = versions.get(self._own_key)
         for entry in entries:
@@ -122,6 +127,8 @@
 
     def entry_group(self) -> Group:
         """Count the entries that are heard of lately, and all there may be."""
+        if not self._listed:
+            return Group(1, _ENTRIES_UNTIL_LISTED)
         heard = 1
         entries = 1
         cut = time.monotonic() - _CUT_SECONDS
--- a/packages/bendlead-gateway/src/bendlead_gateway/_teams/limits.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_teams/limits.py
@@ -1,11 +1,18 @@
 """Hold each team to its limit over all entries."""
 
+import math
 import time
 from collections.abc import Callable, Mapping
 
 from msgspec import Struct, field
 
-from bendlead_gateway._teams.quota import Allowance, Bucket, Group, allowance
+from bendlead_gateway._teams.quota import (
+    Allowance,
+    Bucket,
+    Group,
+    allowance,
+    most_at_once,
+)
 from bendlead_gateway._teams.told import TeamCounts, ToldByEntry
 from bendlead_gateway.types import LimitWindow, NodeName, Team, TeamName
 
@@ -34,6 +41,9 @@
     """Keep a team's bucket and what was let through here."""
 
     bucket: Bucket
+    #: What counts while this entry hears too few others. One request is let
+    #: through at first: little enough for all entries to start at once.
+    alone: Bucket
     limit: Team
     own: _OwnCount = field(default_factory=_OwnCount)
 
@@ -92,7 +102,7 @@
         """Give the requests of each team that still count."""
         found: dict[TeamName, float] = {}
         for name, one in self._usage.items():
-            one.bucket.drain(self._now(), self._allowed(one.limit))
+            self._drain(one)
             if one.bucket.level > 0:
                 found[name] = round(one.bucket.level, 1)
         return found
@@ -115,10 +125,10 @@
         if not team.limited:
             return 0
         usage = self._usage_of(team)
-        allowed = self._allowed(team)
-        now = self._now()
-        usage.bucket.drain(now, allowed)
-        wait = usage.bucket.wait(self._unseen(team.name, now), allowed)
+        allowed = self._drain(usage)
+        bucket = usage.bucket if self._group.majority else usage.alone
+        unseen = self._unseen(team.name, self._now())
+        wait = bucket.wait(unseen, allowed)
         if wait <= 0:
             self._add(usage, 1)
         return wait
@@ -162,19 +172,27 @@
         What was not heard of for long has drained away in part; so it fills a
         bucket and no more.
         """
-        bucket = usage.bucket
-        allowed = self._allowed(usage.limit)
-        bucket.drain(self._now(), allowed)
-        level = max(0, bucket.level + added)
-        if late:
-            level = min(level, max(bucket.level, allowed.capacity))
-        bucket.level = level
+        allowed = self._drain(usage)
+        most = allowed.capacity if late else math.inf
+        for bucket in (usage.bucket, usage.alone):
+            bucket.add(added, most)
 
     def _add(self, usage: _Usage, requests: int) -> None:
-        usage.bucket.level = max(0, usage.bucket.level + requests)
+        for bucket in (usage.bucket, usage.alone):
+            bucket.add(requests)
         usage.own.count += requests
         usage.own.changed = self._now()
 
+    def _drain(self, usage: _Usage) -> Allowance:
+        allowed = self._allowed(usage.limit)
+        now = self._now()
+        usage.bucket.drain(now, allowed)
+        usage.alone.drain(now, allowed)
+        if self._group.majority:
+            # Whoever is cut off later goes on from what was known before.
+            usage.alone.level = usage.bucket.level
+        return allowed
+
     def _usage_of(self, team: Team) -> _Usage:
         usage = self._usage.get(team.name)
         if usage is None:
@@ -190,7 +208,11 @@
         return self._usage_of(team)
 
     def _begin(self, team: Team) -> _Usage:
-        usage = _Usage(Bucket(team.burst, self._started), team)
+        usage = _Usage(
+            Bucket(most_at_once(team, self._window), self._started),
+            Bucket(max(0, self._allowed(team).capacity - 1), self._now()),
+            team,
+        )
         self._usage[team.name] = usage
         return usage
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_teams/quota.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_teams/quota.py
@@ -5,6 +5,8 @@
 that start again and know nothing of what was let through before.
 """
 
+import math
+
 from msgspec import Struct
 
 from bendlead_gateway.types import LimitWindow, Team
@@ -56,8 +58,8 @@
     groups is within the limit, whoever hears whom.
     """
     whole = team.rate * window.seconds + team.burst
-    tolerance = whole * window.excess + window.slack
-    capacity = max(1, team.burst + tolerance * _LENT_SHARE)
+    tolerance = _tolerance(team, window)
+    capacity = most_at_once(team, window)
     if not group.majority:
         alone = _ALONE_REQUESTS if group.entries <= tolerance else 0
         return Allowance(
@@ -69,6 +71,20 @@
     return Allowance(team.rate * part, max(1, capacity * part))
 
 
+def most_at_once(team: Team, window: LimitWindow) -> float:
+    """Give the requests of a team that may be let through at one moment.
+
+    A new entry takes all of them for used up: there may have been others just
+    before, and each new one lets a request through while it hears nobody.
+    """
+    return max(1, team.burst + _tolerance(team, window) * _LENT_SHARE)
+
+
+def _tolerance(team: Team, window: LimitWindow) -> float:
+    whole = team.rate * window.seconds + team.burst
+    return whole * window.excess + window.slack
+
+
 class Bucket(Struct):
     """Hold the requests of a team that its rate has not yet let drain away."""
 
@@ -81,6 +97,11 @@
         self.at = max(self.at, now)
         self.level = max(0, self.level - passed * allowed.rate)
 
+    def add(self, requests: float, most: float = math.inf) -> None:
+        """Add requests, but fill the bucket to no more than the most."""
+        filled = min(self.level + requests, max(self.level, most))
+        self.level = max(0, filled)
+
     def wait(self, unseen: float, allowed: Allowance) -> float:
         """Give the seconds until one more request fits, 0 if it does now.
 
--- a/testing/src/bendlead_testing/team_replay.py
+++ b/testing/src/bendlead_testing/team_replay.py
@@ -16,6 +16,8 @@
 
 TEAM = TeamName('team-1')
 _TICK = 0.1
+#: Entries are up for this long (s) before a load begins, at 100 s.
+_UP_SECONDS = 30.0
 #: An entry that was heard of longer ago than this (s) counts as not heard.
 _HEARD_SECONDS = 1.5
 
@@ -48,6 +50,8 @@
     silences: Sequence[Silence] = ()
     #: When which entries start again.
     restarts: Sequence[tuple[float, Sequence[int]]] = ()
+    #: For how long an entry that has started hears nobody and is not heard.
+    joining: float = 0.7
     window: LimitWindow = field(default_factory=lambda: LimitWindow(5, 0.1, 20))
 
 
@@ -76,7 +80,7 @@
 
 class _Clock:
     def __init__(self) -> None:
-        self.now = 100.0
+        self.now = 100.0 - _UP_SECONDS
 
     def __call__(self) -> float:
         return self.now
@@ -88,10 +92,11 @@
     def __init__(self, load: TeamLoad, clock: _Clock) -> None:
         self._load = load
         self._clock = clock
-        self._heard = [
-            [clock.now] * load.entries for _entry in range(load.entries)
-        ]
+        everybody = range(load.entries)
+        began = clock.now + _UP_SECONDS
+        self._heard = [[began] * load.entries for _entry in everybody]
         self._silent = bool(load.silences)
+        self._joined = [0.0] * load.entries
         self._version = 1
         self._under_way: deque[tuple[float, Callable[[], None]]] = deque()
         self._lives = 0
@@ -101,6 +106,7 @@
         """Start entries again; they have heard nobody."""
         for one in entries:
             self._heard[one] = [-_HEARD_SECONDS] * self._load.entries
+            self._joined[one] = self._clock.now + self._load.joining
             self.limits[one] = self._start(one)
 
     def tell(self) -> None:
@@ -136,6 +142,8 @@
             self._under_way.append((said + self._load.delay, hear))
 
     def _apart(self, one: int, other: int, now: float) -> bool:
+        if now < max(self._joined[one], self._joined[other]):
+            return True
         if not self._silent:
             return False
         at = now - 100
@@ -169,6 +177,7 @@
     chance = random.Random(seed)
     clock = _Clock()
     entries = _Entries(load, clock)
+    clock.now += _UP_SECONDS
     tally = TeamTally()
     reached = load.reached or range(load.entries)
     exact = _Exact(load.team)
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -65,6 +65,10 @@
                     restarts=[(6, _ALL[:3]), (7.5, _ALL[3:6]), (9, _ALL[6:9])],
                 ),
             ),
+            (
+                'small_team_all_restarted_twice',
+                TeamLoad(_SMALL, 14, restarts=[(7, _ALL), (9, _ALL)]),
+            ),
             ('slow_news', TeamLoad(_LARGE, _HOT, delay=0.3)),
         ],
     )
@@ -80,6 +84,11 @@
             ('large_team', TeamLoad(_LARGE, 20), 0),
             ('small_team', TeamLoad(_SMALL, 1.9), 0),
             ('all_restarted', TeamLoad(_LARGE, 20, restarts=[(7, _ALL)]), 10),
+            (
+                'small_team_all_restarted',
+                TeamLoad(_SMALL, 1.9, restarts=[(7, _ALL)]),
+                1,
+            ),
             (
                 'restarted_in_turn',
                 TeamLoad(
@@ -207,6 +216,15 @@
         limits.adopt({TEAM: 48.5, 'nobody': 3})
         self.assertGreater(limits.take(_LARGE), 0)
 
+    def test_a_new_entry_that_hears_nobody_serves_each_team_once(self):
+        """All of them may start at the same moment."""
+        limits = TeamLimits(
+            _WINDOW, lambda: Group(1, 18), {TEAM: _LARGE}.get, lambda: self.now
+        )
+        waits = [limits.take(_LARGE) for _request in range(3)]
+        self.assertEqual(0, waits[0])
+        self.assertGreater(min(waits[1:]), 0)
+
     def test_old_entries_adopt_nothing(self):
         self.limits.adopt({TEAM: 48.5})
         self.assertEqual(_FIT, self.fits())
--- a/tests/test_gateway_teams.py
+++ b/tests/test_gateway_teams.py
@@ -193,6 +193,15 @@
         self.assertEqual(429, self.status().status)
         self.assertIs(first.limits.group.majority, True)
 
+    def test_nothing_is_sure_until_the_peers_are_listed(self):
+        """There may be many entries of which this one knows none yet."""
+        self.begin([_PLAIN])
+        self.assertIs(True, self.entry.peers.entry_group().majority)
+        made = settings('entry-2', NodeRole.ENTRY, self.store.address)
+        store = PlatformStore(made.store_address)
+        other = EntryNode(made, store, PlatformDialect())
+        self.assertIs(False, other.peers.entry_group().majority)
+
     def test_a_higher_limit_holds_at_once(self):
         self.begin([_PLAIN, _PLAIN])
         self.assertEqual([200, 200], [self.status().status for _ in range(2)])
