Counts of teams are told for 1.5 s, 3 before

Whoever has heard nothing for 1.5 s counts as not heard, so nobody needs an older count. Ruled out: leaving names out, which every receiver would have to number alike. Change: 1.5 s.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_teams/limits.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_teams/limits.py
@@ -17,9 +17,9 @@
 from bendlead_gateway.types import LimitWindow, NodeName, Team, TeamName
 
 _MS = 1000
-#: A count is told for as long (s) after its last change: twice the time in
-#: which any news reaches all entries that count as heard.
-_TOLD_SECONDS = 3.0
+#: A count is told for as long (s) after its last change: who has heard nothing
+#: for longer counts as not heard.
+_TOLD_SECONDS = 1.5
 #: An entry asks others for their levels for this long (s) after its start; it
 #: has heard each of those it is linked with by then.
 _ASK_SECONDS = 1.5
