A process whose clock was set back between two lives is counted again

Cause: lives of an entry are ordered by the time of day of their start. Where the clock was set back meanwhile, the counts of the new life were taken for news that came late, for as long as the process lived, and others let the team through beside it. Ruled out: a counter of starts, which an entry has nowhere to keep.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_teams/told.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_teams/told.py
@@ -60,10 +60,12 @@
         What it had let through before it was first heard counts where the
         entry is ``new``; else that is known from others, or long past.
         """
-        if told.life < self.life or version < self.version:
-            # It came by a longer way than what is known.
+        older = told.life < self.life or version < self.version
+        if older and heard - self.heard < _LONGEST_UNSEEN:
+            # It came by a longer way than what is known. Later on it is a new
+            # life of a machine whose clock was set back.
             return {}
-        if told.life > self.life:
+        if told.life != self.life:
             new = new or self.life > 0
             self.life = told.life
             self._teams.clear()
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -187,6 +187,14 @@
         self.tell(30, 7, life=7)
         self.assertEqual(_FIT - 3, self.fits())
 
+    def test_a_life_that_began_before_by_a_clock_set_back(self):
+        """It counts once the other life has not been heard of for long."""
+        self.tell(30, 5, life=8)
+        self.now += 10
+        self.tell(0, 2, life=7)
+        self.tell(20, 3, life=7)
+        self.assertEqual(_FIT - 20, self.fits())
+
     def test_what_has_not_run_goes_back(self):
         self.assertEqual(_FIT, self.fits())
         self.limits.give_back(_LARGE)
