--- a/packages/bendlead-cli/src/bendlead_cli/_explain.py
+++ b/packages/bendlead-cli/src/bendlead_cli/_explain.py
@@ -11,14 +11,18 @@
 #: How much before and after its own lines (s) others may explain a request.
 _BEFORE_SECONDS = 3.0
 _AFTER_SECONDS = 0.5
+_IN_FORCE = 'config-in-force'
 #: Events that change what a process believes, and whom they concern.
 _CONTEXT = frozenset(
     (
         'clients-refused',
-        'config-in-force',
+        _IN_FORCE,
+        'config-not-passed-on',
+        'engine-born-again',
         'engine-failed',
         'engine-gone',
         'engine-listed',
+        'engine-unreadable',
         'engines-awaited',
         'late-request',
         'leaving',
@@ -81,13 +85,13 @@
 
 def find_lines(lines: Iterable[str], name: str) -> list[LogLine]:
     """Find the lines about a name and those that may explain them."""
-    waiting: deque[LogLine] = deque()
     events = [line for line in map(read_line, lines) if line]
     own = [line for line in events if line.concerns(name)]
     if not own:
         return []
     first = min(line.moment for line in own) - _BEFORE_SECONDS
     last = max(line.moment for line in own) + _AFTER_SECONDS
+    waiting = deque(_versions_before(events, own, first))
     for line in events:
         if line.concerns(name):
             waiting.append(line)
@@ -97,6 +101,23 @@
     return sorted(waiting, key=lambda line: line.moment)
 
 
+def _versions_before(
+    events: Iterable[LogLine], own: Sequence[LogLine], first: float
+) -> Iterable[LogLine]:
+    """Find the configuration that each node had in force before a moment.
+
+    It may have come long before, and decides who is let in and where to.
+    """
+    nodes = {line.fields.get('node') for line in own}
+    newest: dict[str | None, LogLine] = {}
+    for line in events:
+        node = line.fields.get('node')
+        told = line.event == _IN_FORCE and node in nodes
+        if told and line.moment < first:
+            newest[node] = line
+    return newest.values()
+
+
 def explain(name: str, *, log: Sequence[str] = (STANDARD_INPUT,)) -> None:
     """Show what became of a request, item or job, from logs of all nodes.
 
--- a/tests/test_cli_explain.py
+++ b/tests/test_cli_explain.py
@@ -6,11 +6,14 @@
 from parameterized import parameterized
 
 _EVENTS = (
+    'time=10.0 event=config-in-force node=n2 version=1',
+    'time=20.0 event=config-in-force node=n2 version=2',
     'time=100.0 event=engine-failed node=n1 engine=i-1 reason="timed out"',
     'time=101.0 event=request node=n1 request=r1 engine=i-1 outcome=unknown',
     'time=101.1 event=request node=n1 request=r2 engine=i-2 outcome=answered',
     'time=101.2 event=engine-failed node=n2 engine=i-9 reason=reset',
     'time=101.3 event=watch-lost node=n1 prefix=config/',
+    'time=101.4 event=caller-turned-away node=n2 request=r3 status=401',
     'time=109.0 event=engine-gone node=n1 engine=i-1 reason=removed',
     'no event at all',
 )
@@ -51,8 +54,17 @@
             ('failed', 'r1', ['engine-failed', 'request', 'watch-lost']),
             ('other_engine', 'r2', ['request', 'watch-lost']),
             ('unknown', 'r9', []),
+            (
+                'turned_away',
+                'r3',
+                ['config-in-force', 'caller-turned-away'],
+            ),
         ],
     )
     def test_found(self, _name, request, expected):
         found = find_lines(_LOG, request)
         self.assertEqual(expected, [line.event for line in found])
+
+    def test_the_newest_version_before_is_shown_however_old(self):
+        found = find_lines(_LOG, 'r3')
+        self.assertEqual('2', found[0].fields['version'])
