The OpenAI-compatible face counts a team's requests over all entries

Cause: its gate kept a bucket of its own on each entry, so three entries let three times the limit through. Ruled out: a second way of counting; the gateway's limits know nothing of how counts travel. Change: a thin public module of the gateway gives TeamLimits to the node; entries tell counts and levels with their heartbeats; the node's own bucket goes. Retry-After is the wait until the team has room. Memory not measured.

--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/teams.py
@@ -0,0 +1,16 @@
+"""Limits of teams over all entries, for whatever face takes their requests."""
+
+from bendlead_gateway._teams.limits import TeamLimits
+from bendlead_gateway._teams.quota import Group
+from bendlead_gateway._teams.told import TeamCounts
+from bendlead_gateway.types import LimitWindow, NodeName, Team, TeamName
+
+__all__ = (
+    'Group',
+    'LimitWindow',
+    'NodeName',
+    'Team',
+    'TeamCounts',
+    'TeamLimits',
+    'TeamName',
+)
--- a/packages/bendlead-node/src/bendlead_node/_entry/gate.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/gate.py
@@ -2,18 +2,20 @@
 
 import hashlib
 import hmac
-import time
+import math
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
 from http import HTTPStatus
 
 from bendlead_schema.objects import Team
 
 from bendlead_node._common.config import ConfigTable
 from bendlead_node._common.web import Answer, Call, CallError
+from bendlead_node._entry.shared_limits import SharedLimits
 
 _BEARER = 'Bearer '
-_BURST_SECONDS = 1.0
+#: One of the requests under way has ended by then (s).
+_LATER_SECONDS = 1.0
 _DIGEST_BYTES = 32
 
 
@@ -22,19 +24,14 @@
     return hashlib.blake2b(key.encode(), digest_size=_DIGEST_BYTES).hexdigest()
 
 
-@dataclass(slots=True)
-class _Usage:
-    allowance: float
-    refilled: float
-    running: int = 0
-
-
 class Gate:
     """Find the team behind a key and hold it to its limits."""
 
-    def __init__(self, config: ConfigTable) -> None:
+    def __init__(self, config: ConfigTable, limits: SharedLimits) -> None:
+        """Hold teams to what all entries together may let through."""
         self._config = config
-        self._usage: dict[str, _Usage] = {}
+        self._limits = limits
+        self._running: Counter[str] = Counter()
 
     def team(self, call: Call) -> Team:
         """Find the team of a call, or refuse it."""
@@ -63,46 +60,34 @@
 
     def admitted(self, team: Team, run: Callable[[], Answer]) -> Answer:
         """Run a request within the limits of its team, to its last byte."""
-        usage = self._refill(team)
-        if usage.allowance < 1:
-            raise _limited(team, 'requests per second')
-        if usage.running >= team.concurrency:
-            raise _limited(team, 'requests at once')
-        usage.allowance -= 1
-        usage.running += 1
+        if self._running[team.name] >= team.concurrency:
+            raise _limited(team, 'requests at once', _LATER_SECONDS)
+        wait = self._limits.take(team)
+        if wait > 0:
+            raise _limited(team, 'requests per second', wait)
+        self._running[team.name] += 1
         try:
             answer = run()
         except BaseException:
-            usage.running -= 1
+            self._running[team.name] -= 1
             raise
         if isinstance(answer.body, bytes):
-            usage.running -= 1
+            self._running[team.name] -= 1
         else:
-            answer.body = _until_end(answer.body, usage)
+            answer.body = self._until_end(answer.body, team)
         return answer
 
-    def _refill(self, team: Team) -> _Usage:
-        now = time.monotonic()
-        rate = team.requests_per_second
-        burst = max(1, rate * _BURST_SECONDS)
-        usage = self._usage.setdefault(team.name, _Usage(burst, now))
-        earned = (now - usage.refilled) * rate
-        usage.allowance = min(burst, usage.allowance + earned)
-        usage.refilled = now
-        return usage
+    def _until_end(self, body: Iterable[bytes], team: Team) -> Iterator[bytes]:
+        try:
+            yield from body
+        finally:
+            self._running[team.name] -= 1
 
 
-def _limited(team: Team, limit: str) -> CallError:
+def _limited(team: Team, limit: str, seconds: float) -> CallError:
     return CallError(
         HTTPStatus.TOO_MANY_REQUESTS,
         'rate_limit_exceeded',
         f'team {team.name} is over its limit of {limit}',
-        retry_after=1,
+        retry_after=max(1, math.ceil(seconds)),
     )
-
-
-def _until_end(body: Iterable[bytes], usage: _Usage) -> Iterator[bytes]:
-    try:
-        yield from body
-    finally:
-        usage.running -= 1
--- a/packages/bendlead-node/src/bendlead_node/_entry/members.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/members.py
@@ -3,8 +3,12 @@
 import time
 from dataclasses import dataclass
 
+from bendlead_gateway.teams import Group
 from bendlead_schema.messages import EndpointHeartbeat, EntryHeartbeat
 
+#: An entry that falls silent may be cut off and serve on for this long (s).
+_CUT_SECONDS = 60.0
+
 
 @dataclass(slots=True)
 class EntryPeer:
@@ -52,6 +56,14 @@
         known.heartbeat = heartbeat
         known.heard = now
 
+    def group(self) -> Group:
+        """Count the entries that are alive, and those that may be."""
+        now = time.monotonic()
+        ages = [now - peer.heard for peer in self._entries.values()]
+        heard = sum(age < self._suspect_after for age in ages)
+        known = sum(age < _CUT_SECONDS for age in ages)
+        return Group(heard + 1, known + 1)
+
     def entries(self) -> list[EntryHeartbeat]:
         """List the other entries that are alive."""
         since = time.monotonic() - self._suspect_after
--- a/packages/bendlead-node/src/bendlead_node/_entry/peer_api.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/peer_api.py
@@ -44,6 +44,7 @@
         relay: Relay,
         config: ConfigTable,
         heartbeat: Callable[[], EntryHeartbeat],
+        hear_entry: Callable[[EntryHeartbeat], None],
     ) -> None:
         self._gate = gate
         self._members = members
@@ -51,6 +52,7 @@
         self._relay = relay
         self._config = config
         self._heartbeat = heartbeat
+        self._hear_entry = hear_entry
 
     def routes(self) -> list[Route]:
         """List the paths that peers use."""
@@ -66,7 +68,7 @@
 
     def entry_heartbeat(self, call: Call) -> Answer:
         """Exchange heartbeats with another entry."""
-        self._members.hear_entry(self._gate.read(call, EntryHeartbeat))
+        self._hear_entry(self._gate.read(call, EntryHeartbeat))
         return json_answer(self._heartbeat())
 
     def endpoint_heartbeat(self, call: Call) -> Answer:
--- a/packages/bendlead-node/src/bendlead_node/_entry/process.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/process.py
@@ -14,7 +14,6 @@
     NodeSettings,
 )
 from bendlead_store import open_store
-from result import Ok
 
 from bendlead_node._common.config import ConfigTable
 from bendlead_node._common.peer_gate import PeerGate
@@ -44,6 +43,7 @@
 from bendlead_node._entry.recovery import Recovery
 from bendlead_node._entry.relay import Relay
 from bendlead_node._entry.routing import Router
+from bendlead_node._entry.shared_limits import SharedLimits
 
 _PEER_SECONDS = 10.0
 _MEND_SECONDS = 1.0
@@ -78,7 +78,8 @@
             self._peers,
             self._journal,
         )
-        self._gate = Gate(self._config)
+        self._limits = SharedLimits(settings.node, self._config, self._members)
+        self._gate = Gate(self._config, self._limits)
         self._policy = PolicyTable(self._config)
         self._server: WebServer | None = None
 
@@ -192,6 +193,7 @@
             self._relay,
             self._config,
             self._heartbeat,
+            self._hear_entry,
         )
 
     def _own_routes(self) -> list[Route]:
@@ -229,6 +231,7 @@
         )
 
     def _heartbeat(self) -> EntryHeartbeat:
+        told = self._limits.news()
         return EntryHeartbeat(
             node=self._settings.node,
             address=self._server.address if self._server else '',
@@ -239,8 +242,16 @@
             revision=self._config.revision,
             digest=self._config.digest,
             incarnation=self._incarnation,
+            life=told.life,
+            beat=told.beat,
+            teams=told.teams,
+            levels=told.levels,
         )
 
+    def _hear_entry(self, heartbeat: EntryHeartbeat) -> None:
+        self._members.hear_entry(heartbeat)
+        self._limits.hear(heartbeat)
+
     def _beat(self) -> None:
         while True:
             known = {entry.address for entry in self._members.entries()}
@@ -257,8 +268,8 @@
             self._heartbeat(),
             EntryHeartbeat,
         )
-        if isinstance(heard, Ok):
-            self._members.hear_entry(heard.ok_value)
+        if heard.is_ok():
+            self._hear_entry(heard.unwrap())
 
     def _follow_machines(self) -> None:
         """Have this process or its endpoints leave with their VMs."""
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/messages.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/messages.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import Annotated, Any, TypeAlias
 
-from msgspec import Meta, Struct, field
+from msgspec import Meta, Struct, UnsetType, field
 
 from . import records
 
@@ -320,6 +320,35 @@
     incarnation: Annotated[
         str, Meta(description='Unique for each start of the process.')
     ] = ''
+    life: (
+        Annotated[
+            int,
+            Meta(description='Unix millisecond at which the process started.', ge=0),
+        ]
+        | UnsetType
+    ) = 0
+    beat: (
+        Annotated[int, Meta(description='Number of this heartbeat, which rises.', ge=0)]
+        | UnsetType
+    ) = 0
+    teams: (
+        Annotated[
+            dict[str, int],
+            Meta(
+                description='Requests of each team let through since the start, of those with any lately.'
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=dict)
+    levels: (
+        Annotated[
+            dict[str, float],
+            Meta(
+                description='Requests of each team that still count, for entries that have just started.'
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=dict)
 
 
 class EndpointHeartbeat(Struct, kw_only=True):
--- /dev/null
+++ b/tests/test_shared_limits.py
@@ -0,0 +1,118 @@
+"""Entries of the OpenAI-compatible face count teams' requests together."""
+
+import unittest
+from http import HTTPStatus
+
+from bendlead_node._common.config import ConfigTable, config_key
+from bendlead_node._common.web import CallError, json_answer
+from bendlead_node._entry.gate import Gate
+from bendlead_node._entry.members import Members
+from bendlead_node._entry.shared_limits import SharedLimits
+from bendlead_schema.messages import EntryHeartbeat, VersionedKey
+from bendlead_schema.objects import Team
+from msgspec import json
+
+_TEAM = Team(
+    format=1,
+    name='team-1',
+    key_hashes=[],
+    operator=False,
+    requests_per_second=10,
+    concurrency=100,
+    share=1,
+)
+
+
+class Entry:
+    """One entry: what it lets through, and its heartbeat."""
+
+    def __init__(self, name):
+        self.name = name
+        config = ConfigTable()
+        body = json.encode(_TEAM).decode()
+        key = config_key('team', _TEAM.name)
+        config.merge(
+            [VersionedKey(key=key, version=1, deleted=False, body=body)]
+        )
+        self.members = Members(name, suspect_after=2)
+        self.limits = SharedLimits(name, config, self.members)
+        self.gate = Gate(config, self.limits)
+
+    def ask(self):
+        """Give the status of one request of the team."""
+        try:
+            answer = self.gate.admitted(_TEAM, lambda: json_answer({}))
+        except CallError as error:
+            return error.status
+        return answer.status
+
+    def passed(self, count):
+        """Count the requests that pass of so many."""
+        return sum(self.ask() == HTTPStatus.OK for _one in range(count))
+
+    def beat(self):
+        """Give what this entry tells the others."""
+        told = self.limits.news()
+        return EntryHeartbeat(
+            node=self.name,
+            address=self.name,
+            data_hall='h',
+            region='',
+            leaving=False,
+            shards=[],
+            revision=1,
+            digest='',
+            incarnation='1',
+            life=told.life,
+            beat=told.beat,
+            teams=told.teams,
+            levels=told.levels,
+        )
+
+
+class SharedLimitTest(unittest.TestCase):
+    """Three entries let a team's limit through, not three times as much."""
+
+    def setUp(self):
+        self.entries = [Entry(f'entry-{number}') for number in range(3)]
+        for entry in self.entries:
+            # The burst has drained away since their start.
+            entry.limits._limits._started -= 10
+
+    def exchange(self):
+        """Have each entry hear each other."""
+        for entry in self.entries:
+            heartbeat = entry.beat()
+            for other in self.entries:
+                if other is not entry:
+                    other.members.hear_entry(heartbeat)
+                    other.limits.hear(heartbeat)
+
+    def test_three_entries_share_one_limit(self):
+        self.exchange()
+        passed = self.entries[0].passed(20)
+        self.exchange()
+        for other in self.entries[1:]:
+            passed += other.passed(20)
+            self.exchange()
+        # Ten a second, ten at once, and a part of a tenth of a window's.
+        self.assertTrue(10 <= passed <= 14, passed)
+
+    def test_the_answer_tells_when_to_come_back(self):
+        entry = self.entries[0]
+        entry.passed(20)
+        with self.assertRaises(CallError) as caught:
+            entry.gate.admitted(_TEAM, lambda: json_answer({}))
+        self.assertEqual(HTTPStatus.TOO_MANY_REQUESTS, caught.exception.status)
+        self.assertEqual(1, caught.exception.retry_after)
+
+    def test_who_was_heard_once_may_be_cut_off_and_serve_on(self):
+        self.exchange()
+        entry = self.entries[0]
+        for peer in entry.members._entries.values():
+            peer.heard -= 10
+        group = entry.members.group()
+        self.assertEqual((1, 3), (group.heard, group.entries))
+        for peer in entry.members._entries.values():
+            peer.heard -= 60
+        self.assertEqual(1, entry.members.group().entries)
