The soak's stand-in engines tell the version of their software as text

Ruled out: reading a number as well; whoever wrote it is no engine of the page. Change: the stand-in.

--- a/testing/src/bendlead_testing/gateway_soak/engine_process.py
+++ b/testing/src/bendlead_testing/gateway_soak/engine_process.py
@@ -114,7 +114,7 @@
             'service': self._asked.service,
             'address': self._asked.listen,
             'zone': self._asked.hall,
-            'version': 1,
+            'version': 'v1',
             'slots': self._asked.slots,
             'state': 'draining' if self._leaving else 'ready',
             'sequence': self._sequence,
