Sight: lines name the request that came again, and the engines that ended under it

Cause: lines named attempts only, so repeats could not be told from other requests, nor an engine that ended from one that broke off one answer. Ruled out: taking each broken answer for an end (engines break off single answers). Change: a digest of team, method, host, target and body on the lines of attempts that failed; EngineEnds asks the engine for a connection 0.03 and 0.3 s after an answer broke off, and takes its leaving the list as news. No decision hangs on it yet.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
@@ -168,6 +168,13 @@
         """List all engines, draining ones too."""
         return list(self._engines.values())
 
+    def takes_requests(self, engine: Engine) -> bool:
+        """Tell whether the same life of an engine is listed as ready."""
+        known = self._engines.get(engine.engine)
+        if known is None or known.born != engine.born:
+            return False
+        return known.state is EngineState.READY
+
     def warming(self, engine: Engine) -> bool:
         """Tell whether an engine is still slow from its start."""
         if engine.born:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
@@ -14,6 +14,8 @@
 from bendlead_gateway._fleet.pool import EnginePool
 from bendlead_gateway._fleet.watcher import Follower, Watcher
 from bendlead_gateway._log import Log
+from bendlead_gateway._metrics import Metrics
+from bendlead_gateway._suspects.ends import EngineEnds
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import DataHall, Engine
 
@@ -27,7 +29,12 @@
     """Hold the configuration, the engines, and what is known of both."""
 
     def __init__(
-        self, store: FollowedStore, dialect: Dialect, hall: DataHall, log: Log
+        self,
+        store: FollowedStore,
+        dialect: Dialect,
+        hall: DataHall,
+        log: Log,
+        metrics: Metrics,
     ) -> None:
         self._store = store
         self._log = log
@@ -38,6 +45,7 @@
         self.pool = EnginePool()
         self.configuration = ConfigurationHolder(dialect, log)
         self.engines = EngineList(dialect, log, self._forget)
+        self.ends = EngineEnds(self.engines.takes_requests, log, metrics)
         self.balancer = Balancer(self.engines, self.loads, self.health, hall)
         prefix = dialect.config_key.partition('/')[0]
         self.config_watch = self.watcher(f'{prefix}/', self.configuration)
@@ -81,3 +89,4 @@
     def _forget(self, engine: Engine) -> None:
         self.pool.forget(engine.engine)
         self.health.forget(engine.engine)
+        self.ends.gone(engine)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -28,6 +28,7 @@
     ignore_teams,
 )
 from bendlead_gateway._fleet.peer import QUIET_SECONDS, Peer
+from bendlead_gateway._fleet.probe import refuses_connections
 from bendlead_gateway._http.client import HttpConnection
 from bendlead_gateway._log import Log
 from bendlead_gateway._teams.quota import Group
@@ -160,7 +161,7 @@
             gevent.sleep(QUIET_SECONDS / 2)
             for peer in self._live():
                 owner = peer.record.role is NodeRole.OWNER
-                if owner and peer.quiet and _has_ended(peer):
+                if owner and peer.quiet and _has_ended(peer.record):
                     peer.heard = 0
                     self._loads.forget(peer.record.node)
                     self._log.event('peer-ended', peer=peer.record.node)
@@ -324,12 +325,5 @@
         return [peer for peer in self._peers.values() if not peer.silent]
 
 
-def _has_ended(peer: Peer) -> bool:
-    try:
-        HttpConnection(peer.record.address, _PROBE_SECONDS).close()
-    except ConnectionRefusedError:
-        return True
-    except OSError:
-        # Cut off or slow: it may be alive.
-        return False
-    return False
+def _has_ended(record: PeerRecord) -> bool:
+    return refuses_connections(record.address, _PROBE_SECONDS)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/held.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/held.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 from msgspec import Struct, field
 
+from bendlead_gateway._suspects.digest import RequestDigest, digest_request
 from bendlead_gateway.types import (
     ItemId,
     ItemOutcome,
@@ -17,6 +18,9 @@
     TeamName,
 )
 
+#: The method of the requests that items make.
+ITEM_METHOD = 'POST'
+
 
 class Progress(Struct):
     """Keep how far an item has come; events are kept over its runs."""
@@ -166,6 +170,12 @@
             if not one.running and one.not_before <= now:
                 yield one
 
+    def digest(self, item: JobItem) -> RequestDigest:
+        """Name the request that an item makes at an engine."""
+        return digest_request(
+            self.team, ITEM_METHOD, self.host, item.path, item.body
+        )
+
     def body(self, item: ItemId) -> bytes | None:
         """Give the body of an item without result, unless it is unknown."""
         found = self.progress.get(item)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -8,8 +8,9 @@
 from bendlead_gateway._fleet.fleet import Fleet
 from bendlead_gateway._http.client import HttpConnection, ResponseHead
 from bendlead_gateway._jobs.board import Board
-from bendlead_gateway._jobs.held import HeldJob, Progress
+from bendlead_gateway._jobs.held import ITEM_METHOD, HeldJob, Progress
 from bendlead_gateway._online.events import EventSplitter, StreamEvent
+from bendlead_gateway._suspects.digest import RequestDigest
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import Engine, ItemOutcome, Route
 
@@ -35,6 +36,11 @@
     connection: HttpConnection | None = None
     stopped: bool = False
 
+    @property
+    def digest(self) -> RequestDigest:
+        """Name the request, which is the same at each run."""
+        return self.job.digest(self.progress.item)
+
     def stop(self) -> None:
         """Close the connection; the engine drops the run."""
         self.stopped = True
@@ -83,7 +89,9 @@
             run.progress.last_event,
             run.job.team,
         )
-        connection.send('POST', item.path, headers, item.body, _SILENT_SECONDS)
+        connection.send(
+            ITEM_METHOD, item.path, headers, item.body, _SILENT_SECONDS
+        )
         while True:
             head = connection.read_head(_SILENT_SECONDS)
             answer = self._dialect.engine_answer(head.status, head.headers)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -214,6 +214,7 @@
 
     def _note_failure(self, run: ItemRun, error: Exception) -> None:
         ending = 'stopped' if run.stopped else 'failed'
+        digest = '-' if run.stopped else run.digest
         self._metrics.items[ending] += 1
         self._log.event(
             'item-run',
@@ -221,11 +222,14 @@
             item=run.progress.item.item,
             engine=run.engine.engine,
             ending=ending,
+            digest=digest,
             last_event=run.progress.last_event,
             failures=run.progress.failures,
             reason=error,
         )
         if not run.stopped:
+            if isinstance(error, OSError):
+                self._fleet.ends.broke_off(run.engine, digest)
             self._fleet.health.failed(run.engine.engine)
             run.progress.not_before = time.monotonic() + _FAILED_PAUSE
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_metrics.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_metrics.py
@@ -61,6 +61,8 @@
         self.engine_failures: Counter[str] = Counter()
         #: Items of batch jobs by what ended a run of theirs.
         self.items: Counter[str] = Counter()
+        #: Engines that ended while they ran requests of ours.
+        self.engine_ends = 0
         #: Log lines that were left out.
         self.dropped_lines = 0
         #: Calls to the object service.
@@ -105,6 +107,7 @@
             yield family
         plain = (
             ('dropped_lines', self.dropped_lines),
+            ('engine_ends', self.engine_ends),
             ('store_calls', self.store_calls),
         )
         for name, count in plain:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -59,7 +59,9 @@
         self.dialect = dialect
         self.log = Log(settings.node)
         self.metrics = Metrics()
-        self.fleet = Fleet(store, dialect, settings.hall, self.log)
+        self.fleet = Fleet(
+            store, dialect, settings.hall, self.log, self.metrics
+        )
         self.leaving = False
         self._told_to_stop = False
         self._reloader: Reloader | None = None
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -114,6 +114,7 @@
                 engine.engine, unreachable=silent and limit is None
             )
             self._note(engine, Step.HEAD, error, paused)
+            self._fleet.ends.broke_off(engine, exchange.digest)
             raise UnknownOutcomeError(f'no answer: {error}') from error
         finally:
             if limit is not None and not silent:
@@ -195,6 +196,7 @@
             silent = isinstance(broken.__cause__, SilentPeerError)
             paused = self._health.failed(engine.engine, unreachable=silent)
             self._note(engine, Step.BODY, broken, paused)
+            self._fleet.ends.broke_off(engine, exchange.digest)
             raise
 
     def _note(
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, field
 
 from bendlead_gateway._http.messages import Request, Responder
+from bendlead_gateway._suspects.digest import RequestDigest, digest_request
 from bendlead_gateway.types import EngineId, RequestFacts, Route, TeamName
 
 #: Reads time out this much (s) after the request's own deadline.
@@ -39,6 +40,21 @@
     first_event: float = 0
     status: int = 0
     failure: str = '-'
+    _digest: RequestDigest | None = None
+
+    @property
+    def digest(self) -> RequestDigest:
+        """Name the request, whichever attempt of its caller this is."""
+        if self._digest is None:
+            request = self.request
+            self._digest = digest_request(
+                self.team,
+                request.method,
+                self.facts.host,
+                request.target,
+                request.body,
+            )
+        return self._digest
 
     @property
     def left(self) -> float:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -223,6 +223,9 @@
         'total_ms': round(exchange.waited * 1000, 1),
         'reason': exchange.failure,
     }
+    if exchange.runs:
+        # The same where its caller sends it again, unlike its id.
+        fields['digest'] = exchange.digest
     return {
         name: found
         for name, found in fields.items()
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/ends.py
@@ -0,0 +1,116 @@
+"""Find out which engines have ended, and which requests they ran then.
+
+An answer that breaks off tells little: an engine may have dropped this one
+request, or a link was cut. The engine has ended where its address then refuses
+connections, or where it leaves the list without having said that it drains.
+"""
+
+import time
+from collections.abc import Callable
+
+import gevent
+from msgspec import Struct, field
+
+from bendlead_gateway._fleet.probe import refuses_connections
+from bendlead_gateway._log import Log
+from bendlead_gateway._metrics import Metrics
+from bendlead_gateway._suspects.digest import RequestDigest
+from bendlead_gateway.types import Engine, EngineState
+
+#: When an engine is asked for a connection after an answer broke off (s). Its
+#: listening socket may close some ms after its connections.
+_PROBE_PAUSES = (0.03, 0.27)
+_PROBE_SECONDS = 0.15
+#: How long (s) an answer that broke off waits for news of its engine: one that
+#: fell silent leaves the list after three heartbeats of 1.2 s and some more.
+_NEWS_SECONDS = 6.0
+
+#: Takes an engine that has ended and a request that it ran.
+OnEnd = Callable[[Engine, RequestDigest], None]
+
+
+def ignore_end(engine: Engine, digest: RequestDigest) -> None:
+    """Hold nothing against a request."""
+
+
+class _Broken(Struct):
+    """Keep the requests whose answers from one engine broke off."""
+
+    engine: Engine
+    at: float
+    digests: set[RequestDigest] = field(default_factory=set)
+    ended: bool = False
+
+
+class EngineEnds:
+    """Watch the engines whose answers broke off, and tell of their ends."""
+
+    def __init__(
+        self,
+        takes_requests: Callable[[Engine], bool],
+        log: Log,
+        metrics: Metrics,
+    ) -> None:
+        self._takes_requests = takes_requests
+        self._log = log
+        self._metrics = metrics
+        self._broken: dict[tuple[str, int], _Broken] = {}
+        self.on_end: OnEnd = ignore_end
+
+    def broke_off(self, engine: Engine, digest: RequestDigest) -> None:
+        """Note that an engine's answer to a request broke off."""
+        self._expire()
+        broken = self._broken.get(_life(engine))
+        if broken is None:
+            if not self._takes_requests(engine):
+                # Its end was planned, and cuts off what it did not finish.
+                return
+            broken = _Broken(engine, time.monotonic())
+            self._broken[_life(engine)] = broken
+            gevent.spawn(self._probe, broken)
+        if digest in broken.digests:
+            return
+        broken.digests.add(digest)
+        if broken.ended:
+            self.on_end(engine, digest)
+
+    def gone(self, engine: Engine) -> None:
+        """Note that an engine left the list, or was started again."""
+        broken = self._broken.get(_life(engine))
+        if broken is not None and engine.state is EngineState.READY:
+            self._end(broken, 'left the list')
+
+    def _probe(self, broken: _Broken) -> None:
+        for pause in _PROBE_PAUSES:
+            gevent.sleep(pause)
+            if refuses_connections(broken.engine.address, _PROBE_SECONDS):
+                self._end(broken, 'refuses connections')
+                return
+
+    def _end(self, broken: _Broken, reason: str) -> None:
+        if broken.ended:
+            return
+        broken.ended = True
+        self._metrics.engine_ends += 1
+        self._log.event(
+            'engine-ended',
+            engine=broken.engine.engine,
+            born=broken.engine.born,
+            reason=reason,
+            after_ms=round((time.monotonic() - broken.at) * 1000),
+            digests=','.join(sorted(broken.digests)),
+        )
+        for digest in broken.digests:
+            self.on_end(broken.engine, digest)
+
+    def _expire(self) -> None:
+        """Forget the answers that broke off long ago."""
+        oldest = time.monotonic() - _NEWS_SECONDS
+        for life, broken in list(self._broken.items()):
+            if broken.at < oldest:
+                self._broken.pop(life)
+
+
+def _life(engine: Engine) -> tuple[str, int]:
+    """Name one life of an engine, which may keep its id."""
+    return engine.engine, engine.born
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -250,3 +250,73 @@
         except OSError:
             # One end is gone; so is the other, as far as a peer can tell.
             sink.close()
+
+
+class MortalEngine:
+    """Answer requests, and end under those whose body is of a kind.
+
+    It sends the head of an answer first, as an engine does that has begun;
+    then its process is gone: all its connections close, and its address
+    refuses new ones.
+    """
+
+    HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+    def __init__(self, deadly: bytes, runs_seconds: float = 0.02) -> None:
+        self._deadly = deadly
+        self._runs_seconds = runs_seconds
+        self._open: list[socket.socket] = []
+        self._tasks: list[gevent.Greenlet] = []
+        self.bodies: list[bytes] = []
+        self.ended = False
+        self._sock = socket.socket()
+        self._sock.bind(('127.0.0.1', 0))
+        self._sock.listen(64)
+        self.address = f'127.0.0.1:{self._sock.getsockname()[1]}'
+        self._accepting = gevent.spawn(self._accept)
+
+    def close(self) -> None:
+        """End, as under a request of that kind."""
+        self.ended = True
+        self._accepting.kill(block=False)
+        for sock in (self._sock, *self._open):
+            sock.close()
+
+    def _accept(self) -> None:
+        while True:
+            sock, _peer = self._sock.accept()
+            self._open.append(sock)
+            self._tasks.append(gevent.spawn(self._serve, sock))
+
+    def _serve(self, sock: socket.socket) -> None:
+        try:
+            while body := _read_body(sock):
+                self._answer(sock, body)
+        except OSError:
+            # Its caller has closed, or the engine has ended.
+            sock.close()
+
+    def _answer(self, sock: socket.socket, body: bytes) -> None:
+        self.bodies.append(body)
+        sock.sendall(self.HEAD)
+        gevent.sleep(self._runs_seconds)
+        if self._deadly in body:
+            self.close()
+            return
+        text = event(1, 'ok')
+        sock.sendall(b'%x\r\n%b\r\n0\r\n\r\n' % (len(text), text))
+
+
+def _read_body(sock: socket.socket) -> bytes:
+    """Read one request with a length and give its body."""
+    received = b''
+    while b'\r\n\r\n' not in received:
+        part = sock.recv(65536)
+        if not part:
+            return b''
+        received += part
+    head, _blank, body = received.partition(b'\r\n\r\n')
+    length = int(head.lower().partition(b'content-length:')[2].split()[0])
+    while len(body) < length:
+        body += sock.recv(65536)
+    return body
