--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -82,13 +82,13 @@
 
     def __init__(self) -> None:
         self._started: WeakSet[gevent.Greenlet] = WeakSet()
-        gevent.Greenlet.add_spawn_callback(self._started.add)
+        gevent.Greenlet.add_spawn_callback(self._note)
 
     def end(self) -> None:
         """End them, and those that they start while they end."""
         for _attempt in range(_END_ATTEMPTS):
             gevent.killall(self._alive, timeout=_END_SECONDS)
-        gevent.Greenlet.remove_spawn_callback(self._started.add)
+        gevent.Greenlet.remove_spawn_callback(self._note)
         if self._alive:
             raise AssertionError(f'tasks that do not end: {self._alive}')
 
@@ -97,11 +97,31 @@
         while self._alive:
             gevent.joinall(self._alive)
 
+    def _note(self, task: gevent.Greenlet) -> None:
+        self._started.add(task)
+
     @property
     def _alive(self) -> list[gevent.Greenlet]:
         return [one for one in self._started if not one.dead]
 
 
+class ProcessLife(Tasks):
+    """Start a node and end it as a kill does: all its tasks, none of others.
+
+    A test runs its engines and its object service in the same process.
+    """
+
+    def start(self, starts: Callable[[], Any]) -> Any:
+        """Start a node in a task of its own and give it."""
+        root = gevent.spawn(starts)
+        self._started.add(root)
+        return root.get()
+
+    def _note(self, task: gevent.Greenlet) -> None:
+        if task.spawning_greenlet() in self._started:
+            self._started.add(task)
+
+
 def chunked(*parts: bytes, headers: str = '', last: bool = True) -> bytes:
     """Make a chunked 200 answer."""
     head = f'HTTP/1.1 200 OK\r\n{headers}Transfer-Encoding: chunked\r\n\r\n'
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -7,10 +7,14 @@
 lines of all attempts showed ``runs=1``, at another entry each time.
 """
 
+import base64
+import json
 import unittest
+from functools import partial
 
 import gevent
 from bendlead_gateway._entry import EntryNode
+from bendlead_gateway._owner import OwnerNode
 from bendlead_gateway.http import BrokenAnswerError, HttpConnection
 from bendlead_gateway.types import NodeRole
 from bendlead_platform import PlatformDialect, PlatformStore
@@ -19,6 +23,7 @@
 
 from tests.gateway_standins import (
     MortalEngine,
+    ProcessLife,
     Tasks,
     configuration,
     engine,
@@ -29,6 +34,8 @@
 
 _DEADLY = b'deadly prompt'
 _ENGINES = 9
+#: Engines that end under a request until it is kept from all others.
+_ENDS = 3
 
 
 class CrashCase(unittest.TestCase):
@@ -69,6 +76,33 @@
         )
         return node
 
+    def owner(self):
+        """Start an owner and wait until it holds all shards."""
+        made = settings('owner-1', NodeRole.OWNER, self.store.address)
+        store = PlatformStore(made.store_address)
+        node = OwnerNode(made, store, PlatformDialect())
+        node.serve()
+        eventually(lambda: len(node._keeper.boards) == 4)
+        return node
+
+    def submit(self, owner, *bodies):
+        """Hand a job in whose items have these bodies."""
+        items = [
+            {
+                'id': f'i{at}',
+                'path': '/x/1',
+                'body': base64.b64encode(body).decode(),
+                'tokens': 10,
+            }
+            for at, body in enumerate(bodies)
+        ]
+        connection = HttpConnection(owner.record.address, 1)
+        self.addCleanup(connection.close)
+        headers = [('Host', 'a.example'), ('X-Attempt-Id', 'j1')]
+        told = json.dumps({'items': items}).encode()
+        answer = connection.request('POST', '/x/j1', headers, told, 4)
+        self.assertEqual(202, answer.head.status)
+
     def ask(self, entry, body=_DEADLY, path='/x/1'):
         """Send a request as a new attempt; give its status, 0 if cut."""
         self.attempts += 1
@@ -131,3 +165,34 @@
     def lines(self, entry, text):
         """List the lines of an entry with some text."""
         return [line for line in entry.log.recent if text in line]
+
+
+class RepeatedTest(CrashCase):
+    """The request comes again; few engines may end under it."""
+
+    def test_entries_together(self):
+        self.configure(route('streaming'))
+        entries = [self.entry(number) for number in range(3)]
+        for attempt in range(12):
+            self.ask(entries[attempt % 3])
+            gevent.sleep(0.15)
+        self.assertEqual(_ENDS, self.ended)
+
+    def test_after_all_entries_were_restarted(self):
+        self.configure(route('streaming'))
+        for number in range(3):
+            life = ProcessLife()
+            entry = life.start(partial(self.entry, number))
+            for _attempt in range(4):
+                self.ask(entry)
+                gevent.sleep(0.15)
+            life.end()
+        self.assertEqual(_ENDS, self.ended)
+
+    def test_item_of_a_job(self):
+        self.configure(route('batch', max_attempts=3))
+        owner = self.owner()
+        self.submit(owner, _DEADLY)
+        eventually(lambda: self.ended >= _ENDS, 8)
+        gevent.sleep(3)
+        self.assertEqual(_ENDS, self.ended)
