A request under which three engines have ended is kept from all others

Cause: each attempt of a client was served by itself, at whatever entry it came to; which engines had ended under a request was forgotten with its answer. A retry budget per attempt bounds nothing where the caller repeats. The same held for items, whose runs count only answers of 500, for plain routes and for streams that go on elsewhere. Ruled out: retries within an attempt (runs=1 on all lines); callers that a better answer would stop (the tests' caller repeats whatever it is told). Change: ends of engines are held against a digest of team, method, host, target and body; from the third end on the request is refused at once (503, true: it has not run), an item waits. Processes tell one another in their reports, and the object service keeps what has two ends. A whole answer clears. Ranking of waiting items has a module of its own.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -160,7 +160,11 @@
 
     def _knows_fleet(self) -> bool:
         known = self.fleet.configuration.known is not None
-        return known and self.fleet.engines_watch.current
+        return (
+            known
+            and self.fleet.engines_watch.current
+            and self.fleet.suspects_watch.current
+        )
 
     def _answer_ready(self, request: Request, responder: Responder) -> None:
         ready = (
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
@@ -15,7 +15,7 @@
 from bendlead_gateway._fleet.watcher import Follower, Watcher
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
-from bendlead_gateway._suspects.ends import EngineEnds
+from bendlead_gateway._suspects.suspects import Suspects
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import DataHall, Engine
 
@@ -45,12 +45,22 @@
         self.pool = EnginePool()
         self.configuration = ConfigurationHolder(dialect, log)
         self.engines = EngineList(dialect, log, self._forget)
-        self.ends = EngineEnds(self.engines.takes_requests, log, metrics)
+        self.suspects = Suspects(
+            self.engines.takes_requests,
+            store,
+            dialect.suspects_prefix,
+            log,
+            metrics,
+        )
         self.balancer = Balancer(self.engines, self.loads, self.health, hall)
         prefix = dialect.config_key.partition('/')[0]
         self.config_watch = self.watcher(f'{prefix}/', self.configuration)
         self.engines_watch = self.watcher(dialect.engines_prefix, self.engines)
 
+        self.suspects_watch = self.watcher(
+            dialect.suspects_prefix, self.suspects.keeper
+        )
+
     def watcher(
         self, prefix: str, follower: Follower, gather: float = _GATHER_SECONDS
     ) -> Watcher:
@@ -63,7 +73,7 @@
 
     def revisions(self) -> dict[str, int]:
         """Tell peers the newest revision seen below each prefix."""
-        return {one.prefix: one.newest for one in self._watches()}
+        return {one.prefix: one.newest for one in self._watches() if one.newest}
 
     def notice(self, report: NodeReport) -> None:
         """Take what a peer has seen of engines and the object service."""
@@ -82,11 +92,13 @@
         """Follow the store from now on."""
         gevent.spawn(self.config_watch.run)
         gevent.spawn(self.engines_watch.run)
+        gevent.spawn(self.suspects_watch.run)
+        gevent.spawn(self.suspects.keeper.run)
 
-    def _watches(self) -> tuple[Watcher, Watcher]:
-        return self.config_watch, self.engines_watch
+    def _watches(self) -> tuple[Watcher, ...]:
+        return self.config_watch, self.engines_watch, self.suspects_watch
 
     def _forget(self, engine: Engine) -> None:
         self.pool.forget(engine.engine)
         self.health.forget(engine.engine)
-        self.ends.gone(engine)
+        self.suspects.ends.gone(engine)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peer.py
@@ -41,11 +41,14 @@
     knows: dict[NodeName, int] = field(default_factory=dict)
     #: It was told of all counts that arrived here up to this one.
     told_until: int = 0
+    #: The same of suspected requests.
+    suspects_told: int = 0
 
     def forget_told(self) -> None:
         """Start over: what was told last may not have arrived."""
         self.knows.clear()
         self.told_until = 0
+        self.suspects_told = 0
 
     @property
     def silent(self) -> bool:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -31,6 +31,7 @@
 from bendlead_gateway._fleet.probe import refuses_connections
 from bendlead_gateway._http.client import HttpConnection
 from bendlead_gateway._log import Log
+from bendlead_gateway._suspects.suspects import Suspects
 from bendlead_gateway._teams.quota import Group
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import EngineId, NodeName, NodeRole, PeerRecord
@@ -94,6 +95,8 @@
         self._survey = _Survey()
         self._peers: dict[NodeName, Peer] = {}
         self._listed = False
+        #: What is exchanged of suspected requests, if anything is.
+        self.suspects: Suspects | None = None
         self.claims = Claims(self._live)
 
     def reset(self, entries: Sequence[Entry], after_outage: bool) -> None:
@@ -271,6 +274,10 @@
         if peer is not None:
             survey = self._current_survey()
             report.told = self._news.tell(peer)
+            if self.suspects:
+                peer.suspects_told, report.suspects = self.suspects.news(
+                    peer.suspects_told
+                )
             if peer.record.node in survey.witnesses:
                 report.missed = list(survey.missed)
             if peer.report is not None and peer.report.asks_levels:
@@ -310,6 +317,8 @@
         peer.heard = time.monotonic()
         peer.missed = report.missed
         self._news.take(peer, report.told)
+        if self.suspects:
+            self.suspects.hear(report.suspects)
         self._on_report(report)
         teams = counts_of_teams(report)
         self._loads.report(
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/held.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/held.py
@@ -31,6 +31,9 @@
     failures: int = 0
     finished: bool = False
     not_before: float = 0
+    #: Made when it is first asked for: waiting items are looked at every 25 ms,
+    #: and to digest 15 kB takes 0.02 ms.
+    digest: RequestDigest | None = None
     #: When the run under way began, on the steady clock (s).
     _since: float | None = None
     #: When its first run here began, on the steady clock (s).
@@ -170,11 +173,14 @@
             if not one.running and one.not_before <= now:
                 yield one
 
-    def digest(self, item: JobItem) -> RequestDigest:
+    def digest(self, progress: Progress) -> RequestDigest:
         """Name the request that an item makes at an engine."""
-        return digest_request(
-            self.team, ITEM_METHOD, self.host, item.path, item.body
-        )
+        if progress.digest is None:
+            item = progress.item
+            progress.digest = digest_request(
+                self.team, ITEM_METHOD, self.host, item.path, item.body
+            )
+        return progress.digest
 
     def body(self, item: ItemId) -> bytes | None:
         """Give the body of an item without result, unless it is unknown."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -39,7 +39,7 @@
     @property
     def digest(self) -> RequestDigest:
         """Name the request, which is the same at each run."""
-        return self.job.digest(self.progress.item)
+        return self.job.digest(self.progress)
 
     def stop(self) -> None:
         """Close the connection; the engine drops the run."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -1,15 +1,14 @@
 """Run the items of held jobs in the places that online requests leave."""
 
 import time
-from collections.abc import Iterator
 
 import gevent
 from gevent.event import Event
-from msgspec import Struct
 
 from bendlead_gateway._fleet.balancer import pick_service
 from bendlead_gateway._fleet.fleet import Fleet
 from bendlead_gateway._jobs.board import Board
+from bendlead_gateway._jobs.candidates import Candidate, Candidates
 from bendlead_gateway._jobs.held import HeldJob, Progress
 from bendlead_gateway._jobs.item_run import (
     ItemAttempts,
@@ -31,27 +30,12 @@
     ItemOutcome,
     ItemResult,
     NodeName,
-    Route,
     ServiceName,
 )
 
 _ROUND_SECONDS = 0.025
 #: Pause before an item that failed is run again (s).
 _FAILED_PAUSE = 0.3
-#: Added to the time after which an item may be given up, for clocks (s).
-_RETENTION_SLACK = 4.0
-
-_Waiting = tuple[Board, HeldJob, Progress]
-
-
-class _Candidate(Struct, frozen=True):
-    """Hold an item that could start, with its rank."""
-
-    urgency: Urgency
-    board: Board
-    job: HeldJob
-    progress: Progress
-    route: Route
 
 
 class ItemRunner:
@@ -77,6 +61,9 @@
         self._runs: set[ItemRun] = set()
         self._wake = Event()
         self._work = WorkWatch(keeper, self._pace)
+        self._candidates = Candidates(
+            keeper, fleet, self._pace, metrics, self._give_up
+        )
 
     @property
     def running(self) -> int:
@@ -117,7 +104,7 @@
             run.stop()
 
     def _run_urgency(self, run: ItemRun) -> Urgency:
-        return self._urgency(run.job, run.progress, run.route)
+        return self._candidates.urgency(run.job, run.progress, run.route)
 
     def _stop_orphans(self) -> None:
         """Stop runs of jobs that ended or whose shard is held elsewhere."""
@@ -130,53 +117,20 @@
     def _start_runs(self, room: Room) -> None:
         places: dict[ServiceName, ItemPlaces] = {}
         full: set[str] = set()
-        for candidate in self._candidates():
+        for candidate in self._candidates.ranked():
             route = candidate.route
             if route.name in full:
                 continue
             service = pick_service(route)
             if service not in places:
                 places[service] = room.idle_places(service)
-            view = places[service].take(_age(candidate.job, route))
+            view = places[service].take(candidate.age)
             if view is None:
                 full.add(route.name)
             else:
                 self._start(candidate, view.engine)
 
-    def _candidates(self) -> list[_Candidate]:
-        """List the items that could start, the most urgent first."""
-        found: list[_Candidate] = []
-        for board, job, progress in self._waiting():
-            route = self._fleet.configuration.match(
-                job.host, progress.item.path
-            )
-            if route is None:
-                self._give_up_unrouted(board, job, progress)
-            elif _expired(job, route):
-                self._finish(board, job, progress, ItemOutcome.GIVEN_UP)
-            else:
-                urgency = self._urgency(job, progress, route)
-                found.append(_Candidate(urgency, board, job, progress, route))
-        found.sort(key=_urgency_of)
-        return found
-
-    def _urgency(
-        self, job: HeldJob, progress: Progress, route: Route
-    ) -> Urgency:
-        accepted_at = job.state.accepted.accepted_at
-        return self._pace.urgency(
-            accepted_at, _seconds_since(job), progress.spent, route.run_target
-        )
-
-    def _waiting(self) -> Iterator[_Waiting]:
-        """List the items that could start now."""
-        now = time.monotonic()
-        for board in list(self._keeper.boards.values()):
-            for job in list(board.jobs.values()):
-                for progress in list(job.waiting(now)):
-                    yield board, job, progress
-
-    def _start(self, candidate: _Candidate, engine: Engine) -> None:
+    def _start(self, candidate: Candidate, engine: Engine) -> None:
         run = ItemRun(
             engine,
             candidate.board,
@@ -229,7 +183,7 @@
         )
         if not run.stopped:
             if isinstance(error, OSError):
-                self._fleet.ends.broke_off(run.engine, digest)
+                self._fleet.suspects.broke_off(run.engine, digest)
             self._fleet.health.failed(run.engine.engine)
             run.progress.not_before = time.monotonic() + _FAILED_PAUSE
 
@@ -243,12 +197,16 @@
         progress.finished = True
         text = ''
         if outcome is ItemOutcome.COMPLETED:
+            self._fleet.suspects.answered(lambda: job.digest(progress))
             self._pace.observe(progress.spent, progress.took)
             text = '\n'.join(progress.texts)
         found = ItemResult(progress.item.item, outcome, text)
         self._metrics.items[outcome.value] += 1
         gevent.spawn(self._record, board, job, found)
 
+    def _give_up(self, board: Board, job: HeldJob, progress: Progress) -> None:
+        self._finish(board, job, progress, ItemOutcome.GIVEN_UP)
+
     def _record(self, board: Board, job: HeldJob, found: ItemResult) -> None:
         recorded = board.record(job, found)
         failure = recorded.err_value if recorded.is_err() else '-'
@@ -260,31 +218,3 @@
             characters=len(found.text),
             failure=failure,
         )
-
-    def _give_up_unrouted(
-        self, board: Board, job: HeldJob, progress: Progress
-    ) -> None:
-        """Give an item up once its route is surely gone."""
-        if self._fleet.config_watch.current and self._fleet.configuration.known:
-            self._finish(board, job, progress, ItemOutcome.GIVEN_UP)
-
-
-def _urgency_of(one: _Candidate) -> Urgency:
-    return one.urgency
-
-
-def _expired(job: HeldJob, route: Route) -> bool:
-    if not route.retention:
-        return False
-    return _seconds_since(job) > route.retention + _RETENTION_SLACK
-
-
-def _age(job: HeldJob, route: Route) -> float:
-    """Give the share of a job's time that has passed."""
-    if not route.run_target:
-        return 0
-    return _seconds_since(job) / route.run_target
-
-
-def _seconds_since(job: HeldJob) -> float:
-    return time.time() - job.state.accepted.accepted_at
--- a/packages/bendlead-gateway/src/bendlead_gateway/_metrics.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_metrics.py
@@ -63,6 +63,8 @@
         self.items: Counter[str] = Counter()
         #: Engines that ended while they ran requests of ours.
         self.engine_ends = 0
+        #: Times that a request was kept from engines that end under it.
+        self.quarantined = 0
         #: Log lines that were left out.
         self.dropped_lines = 0
         #: Calls to the object service.
@@ -108,6 +110,7 @@
         plain = (
             ('dropped_lines', self.dropped_lines),
             ('engine_ends', self.engine_ends),
+            ('quarantined', self.quarantined),
             ('store_calls', self.store_calls),
         )
         for name, count in plain:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -81,6 +81,7 @@
             self.hear_teams,
             self.team_levels,
         )
+        self.peers.suspects = self.fleet.suspects
         self.peers_watch = self.fleet.watcher(
             dialect.peers_prefix, self.peers, _GATHER_PEERS_SECONDS
         )
@@ -173,6 +174,7 @@
             },
             'online': dict(self.fleet.loads.own.online),
             'batch': dict(self.fleet.loads.own.batch),
+            'suspects': self.fleet.suspects.summary(),
             'peers': self.peers.summary(),
             'recent': self.log.recent,
         }
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -91,6 +91,8 @@
                 connection.keep_no_longer()
                 raise UnknownOutcomeError(f'engine said {head.status}')
         self._relay(exchange, engine, connection, head)
+        if head.status < HTTPStatus.MULTIPLE_CHOICES:
+            self._fleet.suspects.answered(lambda: exchange.digest)
         return answer.idle_seconds
 
     def _ask(
@@ -114,7 +116,7 @@
                 engine.engine, unreachable=silent and limit is None
             )
             self._note(engine, Step.HEAD, error, paused)
-            self._fleet.ends.broke_off(engine, exchange.digest)
+            self._fleet.suspects.broke_off(engine, exchange.digest)
             raise UnknownOutcomeError(f'no answer: {error}') from error
         finally:
             if limit is not None and not silent:
@@ -196,7 +198,7 @@
             silent = isinstance(broken.__cause__, SilentPeerError)
             paused = self._health.failed(engine.engine, unreachable=silent)
             self._note(engine, Step.BODY, broken, paused)
-            self._fleet.ends.broke_off(engine, exchange.digest)
+            self._fleet.suspects.broke_off(engine, exchange.digest)
             raise
 
     def _note(
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -40,6 +40,7 @@
     first_event: float = 0
     status: int = 0
     failure: str = '-'
+    quarantined: bool = False
     _digest: RequestDigest | None = None
 
     @property
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -27,6 +27,7 @@
 )
 from bendlead_gateway._scheduling import admission, retry
 from bendlead_gateway._scheduling.view import EngineView
+from bendlead_gateway._suspects.evidence import REQUEST_SECONDS
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import RequestFacts, Route, Team, TeamName
 
@@ -106,6 +107,9 @@
             placed = self._fleet.balancer.choose(service, exchange.tried)
             if placed is None or exchange.left < _LEAST_LEFT:
                 return self._give_up(exchange, 'no engine left to ask')
+            left = self._quarantine_left(exchange)
+            if left:
+                return self._quarantine(exchange, left)
             refusal = self._judge(exchange, placed.wait)
             if refusal:
                 return self._refuse(
@@ -116,6 +120,23 @@
             if verdict:
                 return verdict
 
+    def _quarantine_left(self, exchange: Exchange) -> float:
+        return self._fleet.suspects.quarantine_left(
+            lambda: exchange.digest, REQUEST_SECONDS
+        )
+
+    def _quarantine(self, exchange: Exchange, left: float) -> str:
+        """Keep a request from engines under which others have ended.
+
+        Each of them cuts off or delays what some eight others have running.
+        """
+        self._metrics.quarantined += 1
+        exchange.quarantined = True
+        reason = 'quarantined: engines ended under it'
+        if exchange.runs:
+            return self._give_up(exchange, reason)
+        return self._refuse(exchange, reason, left)
+
     def _judge(
         self, exchange: Exchange, wait: float
     ) -> admission.Refusal | None:
@@ -150,6 +171,7 @@
         exchange.runs += 1
         exchange.failure = str(error)
         if exchange.may_run_again:
+            self._fleet.suspects.await_news(exchange.digest)
             return None
         return otherwise(exchange, exchange.failure)
 
@@ -223,7 +245,7 @@
         'total_ms': round(exchange.waited * 1000, 1),
         'reason': exchange.failure,
     }
-    if exchange.runs:
+    if exchange.runs or exchange.quarantined:
         # The same where its caller sends it again, unlike its id.
         fields['digest'] = exchange.digest
     return {
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/ends.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/ends.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 import gevent
+from gevent.event import Event
 from msgspec import Struct, field
 
 from bendlead_gateway._fleet.probe import refuses_connections
@@ -21,6 +22,8 @@
 #: listening socket may close some ms after its connections.
 _PROBE_PAUSES = (0.03, 0.27)
 _PROBE_SECONDS = 0.15
+#: How long (s) the first of these answers is awaited by a request.
+_AWAITED_SECONDS = 0.1
 #: How long (s) an answer that broke off waits for news of its engine: one that
 #: fell silent leaves the list after three heartbeats of 1.2 s and some more.
 _NEWS_SECONDS = 6.0
@@ -40,6 +43,8 @@
     at: float
     digests: set[RequestDigest] = field(default_factory=set)
     ended: bool = False
+    #: Set once it is known whether the engine refuses connections at once.
+    probed: Event = field(default_factory=Event)
 
 
 class EngineEnds:
@@ -80,11 +85,19 @@
         if broken is not None and engine.state is EngineState.READY:
             self._end(broken, 'left the list')
 
+    def await_probe(self, digest: RequestDigest) -> None:
+        """Wait until the engines that broke off a request were asked."""
+        for broken in list(self._broken.values()):
+            if digest in broken.digests:
+                broken.probed.wait(_AWAITED_SECONDS)
+
     def _probe(self, broken: _Broken) -> None:
         for pause in _PROBE_PAUSES:
             gevent.sleep(pause)
             if refuses_connections(broken.engine.address, _PROBE_SECONDS):
                 self._end(broken, 'refuses connections')
+            broken.probed.set()
+            if broken.ended:
                 return
 
     def _end(self, broken: _Broken, reason: str) -> None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/dialect.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/dialect.py
@@ -32,6 +32,7 @@
     engines_prefix: str
     peers_prefix: str
     stops_prefix: str
+    suspects_prefix: str
     #: The path at which the platform asks whether a node takes clients.
     ready_path: str
 
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
@@ -58,6 +58,36 @@
     ) = field(default_factory=dict)
 
 
+class SuspectRecord(Struct, kw_only=True):
+    """
+    Tell under which engines' ends a request ran; also kept in the object service.
+    """
+
+    digest: Annotated[
+        str,
+        Meta(description='Names the request, whichever attempt of its caller it is.'),
+    ]
+    ends: (
+        Annotated[
+            dict[str, int],
+            Meta(
+                description='Unix millisecond of each end, by the life of its engine.'
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=dict)
+    cleared_ms: (
+        Annotated[
+            int,
+            Meta(
+                description='Unix millisecond at which an engine answered it whole; 0 for never. Earlier ends do not count.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+
+
 class NodeReport(Struct, kw_only=True):
     """
     Tell a peer what runs here and which shards are held.
@@ -188,3 +218,12 @@
         ]
         | UnsetType
     ) = 0
+    suspects: (
+        Annotated[
+            list[SuspectRecord],
+            Meta(
+                description='Requests under which engines ended, as far as news to the other.'
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=list)
--- a/packages/bendlead-schema/src/bendlead_schema/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/gateway.py
@@ -3,11 +3,13 @@
 from bendlead_schema._generated.gateway import (
     HeldShard,
     NodeReport,
+    SuspectRecord,
     ToldLoad,
 )
 
 __all__ = (
     'HeldShard',
     'NodeReport',
+    'SuspectRecord',
     'ToldLoad',
 )
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -18,8 +18,9 @@
 from bendlead_gateway.http import BrokenAnswerError, HttpConnection
 from bendlead_gateway.types import NodeRole
 from bendlead_platform import PlatformDialect, PlatformStore
-from bendlead_testing.platform_store import PlatformStandIn
+from bendlead_testing.platform_store import PlatformStandIn, Trouble
 from bendlead_testing.ports import free_port
+from parameterized import parameterized
 
 from tests.gateway_standins import (
     MortalEngine,
@@ -103,8 +104,19 @@
         answer = connection.request('POST', '/x/j1', headers, told, 4)
         self.assertEqual(202, answer.head.status)
 
-    def ask(self, entry, body=_DEADLY, path='/x/1'):
-        """Send a request as a new attempt; give its status, 0 if cut."""
+    def results(self, owner):
+        """Read the results of the job."""
+        connection = HttpConnection(owner.record.address, 1)
+        self.addCleanup(connection.close)
+        headers = [('Host', 'a.example')]
+        target = '/-/lots/j1?watch_after=0'
+        answer = connection.request('GET', target, headers, b'', 4)
+        if answer.head.status != 200:
+            return []
+        return json.loads(answer.body)['results']
+
+    def begin(self, entry, body=_DEADLY, extra=()):
+        """Send a request as a new attempt and give its connection."""
         self.attempts += 1
         connection = HttpConnection(entry.settings.clients_address, 1)
         self.addCleanup(connection.close)
@@ -112,15 +124,26 @@
             ('Host', 'a.example'),
             ('X-Attempt-Id', f'id{self.attempts}'),
             ('X-Deadline-Ms', '2000'),
+            *extra,
         ]
+        connection.send('POST', '/x/1', headers, body, 1)
+        return connection
+
+    def ask(self, entry, body=_DEADLY, extra=()):
+        """Send a request as a new attempt; give its status, 0 if cut."""
+        connection = self.begin(entry, body, extra)
         try:
-            connection.send('POST', path, headers, body, 1)
             head = connection.read_head(3)
             b''.join(connection.read_parts(head, 3))
         except BrokenAnswerError:
             return 0
         return head.status
 
+    @property
+    def reached(self):
+        """Count the requests that reached engines."""
+        return sum(len(one.bodies) for one in self.engines)
+
     @property
     def ended(self):
         """Count the engines that have ended."""
@@ -196,3 +219,116 @@
         eventually(lambda: self.ended >= _ENDS, 8)
         gevent.sleep(3)
         self.assertEqual(_ENDS, self.ended)
+
+    @parameterized.expand(
+        [
+            ('plain', {'kind': 'safe', 'max_attempts': 3}),
+            ('plain_run_once', {'kind': 'unsafe'}),
+            ('resumable_stream', {'kind': 'streaming', 'resumable': True}),
+        ]
+    )
+    def test_kinds_of_routes(self, _name, changed):
+        self.configure(route(**changed))
+        entry = self.entry()
+        for _attempt in range(8):
+            self.ask(entry)
+            gevent.sleep(0.15)
+        self.assertEqual(_ENDS, self.ended)
+
+    def test_resumed_by_its_caller(self):
+        self.configure(route('streaming', resumable=True, max_attempts=1))
+        entry = self.entry()
+        for _attempt in range(8):
+            self.ask(entry, extra=[('Last-Event-Id', '3')])
+            gevent.sleep(0.15)
+        self.assertEqual(_ENDS, self.ended)
+
+    def test_refused_at_once_and_truly(self):
+        """It is told when to come back, and has reached no engine."""
+        self.configure(route('streaming'))
+        entry = self.entry()
+        for _attempt in range(_ENDS):
+            self.ask(entry)
+            gevent.sleep(0.15)
+        reached = self.reached
+        head = self.begin(entry).read_head(3)
+        self.assertEqual(503, head.status)
+        self.assertGreater(float(head.find('retry-after')), 3000)
+        self.assertEqual(reached, self.reached)
+
+    def test_good_requests_are_served(self):
+        """Of the same caller, on the same path, and beside its ends."""
+        self.configure(route('streaming'), runs_seconds=0.05)
+        entry = self.entry()
+        for attempt in range(8):
+            beside = gevent.spawn(self.ask, entry, b'good %d' % attempt)
+            self.ask(entry)
+            if beside.get() != 200:
+                self.assertEqual(200, self.ask(entry, b'good %d' % attempt))
+            gevent.sleep(0.15)
+        self.assertEqual(200, self.ask(entry, b'good'))
+
+    def test_other_entry_cut_off_from_its_peers(self):
+        """It learns from the object service what the others found."""
+        self.configure(route('streaming'))
+        entry = self.entry(1)
+        alone = self.entry(2)
+        for one in (entry, alone):
+            one.peers.suspects = None
+        for _attempt in range(_ENDS):
+            self.ask(entry)
+            gevent.sleep(0.15)
+        self.ask(alone)
+        self.assertEqual(_ENDS, self.ended)
+
+    def test_while_the_object_service_is_away(self):
+        """Peers tell one another."""
+        self.configure(route('streaming'))
+        entries = [self.entry(number) for number in range(2)]
+        eventually(lambda: all(one.peers.summary() for one in entries))
+        self.store.trouble = Trouble.AWAY
+        for attempt in range(8):
+            self.ask(entries[attempt % 2])
+            gevent.sleep(0.15)
+        self.assertEqual(_ENDS, self.ended)
+
+    def test_kept_once_the_object_service_is_back(self):
+        self.configure(route('streaming'))
+        entry = self.entry()
+        self.store.trouble = Trouble.AWAY
+        for _attempt in range(_ENDS):
+            self.ask(entry)
+            gevent.sleep(0.15)
+        self.store.trouble = Trouble.NONE
+        self.assertTrue(
+            eventually(lambda: self.store.list_names('bendlead-suspects'), 6)
+        )
+
+    def test_released_by_the_operator(self):
+        self.configure(route('streaming'))
+        entry = self.entry()
+        for _attempt in range(_ENDS):
+            self.ask(entry)
+            gevent.sleep(0.15)
+        eventually(lambda: self.store.list_names('bendlead-suspects'))
+        gevent.sleep(0.5)
+        name = self.store.list_names('bendlead-suspects')[0]
+        self.store.remove('bendlead-suspects', name)
+        gevent.sleep(0.5)
+        self.ask(entry)
+        self.assertEqual(_ENDS + 1, self.ended)
+
+    def test_good_item_of_the_same_job(self):
+        self.configure(route('batch', max_attempts=3))
+        owner = self.owner()
+        self.submit(owner, _DEADLY, b'good')
+        done = eventually(lambda: self.results(owner), 8)
+        self.assertEqual(['completed'], [one['state'] for one in done])
+
+    def test_item_is_given_up_at_its_retention(self):
+        self.configure(route('batch', max_attempts=3, retention_s=4))
+        owner = self.owner()
+        self.submit(owner, _DEADLY)
+        done = eventually(lambda: self.results(owner), 12)
+        self.assertEqual(['dead_lettered'], [one['state'] for one in done])
+        self.assertEqual(_ENDS, self.ended)
--- /dev/null
+++ b/tests/test_gateway_suspects.py
@@ -0,0 +1,182 @@
+"""What is held against requests, without engines, and over a replayed load."""
+
+import unittest
+
+from bendlead_gateway._suspects.digest import digest_request
+from bendlead_gateway._suspects.evidence import (
+    ENDS_UNTIL_QUARANTINE,
+    ITEM_SECONDS,
+    LONGEST_SECONDS,
+    REQUEST_SECONDS,
+    Evidence,
+)
+from bendlead_schema.gateway import SuspectRecord
+from bendlead_testing.crash_replay import CrashLoad, CrashOutcome, CrashReplay
+from parameterized import parameterized
+
+_NOW = 1_000_000.0
+_SEEDS = 10
+
+
+class DigestTest(unittest.TestCase):
+    """Two requests that are the same, and some that are not."""
+
+    def test_same(self):
+        one = digest_request('t', 'POST', 'A.example', '/x?y=1', b'body')
+        two = digest_request('t', 'POST', 'a.example', '/x?y=1', b'body')
+        self.assertEqual(one, two)
+
+    @parameterized.expand(
+        [
+            ('team', ('u', 'POST', 'a', '/x', b'body')),
+            ('method', ('t', 'PUT', 'a', '/x', b'body')),
+            ('host', ('t', 'POST', 'b', '/x', b'body')),
+            ('target', ('t', 'POST', 'a', '/x?', b'body')),
+            ('body', ('t', 'POST', 'a', '/x', b'bodies')),
+            ('split', ('tP', 'OST', 'a', '/x', b'body')),
+        ]
+    )
+    def test_other(self, _name, parts):
+        same = digest_request('t', 'POST', 'a', '/x', b'body')
+        self.assertNotEqual(same, digest_request(*parts))
+
+
+class EvidenceTest(unittest.TestCase):
+    """Ends, whole answers, and what processes tell one another."""
+
+    def setUp(self):
+        self.evidence = Evidence()
+
+    def end(self, count, begin=0):
+        """Let engines end under the request, one a second."""
+        for number in range(begin, begin + count):
+            self.evidence.hold('d', f'i-{number}@0', _NOW + number)
+
+    def left(self, after, first=REQUEST_SECONDS):
+        """Give what is left of its quarantine some seconds after the first."""
+        return self.evidence.quarantine_left('d', first, _NOW + after)
+
+    @parameterized.expand(
+        [
+            ('none', 0, 0),
+            ('one', 1, 0),
+            ('two', 2, 0),
+            ('three', 3, 3600),
+            ('four', 4, 7200),
+            ('five', 5, 14_400),
+            ('six', 6, LONGEST_SECONDS),
+            ('many', 40, LONGEST_SECONDS),
+        ]
+    )
+    def test_ends(self, _name, count, lasts):
+        self.end(count)
+        self.assertAlmostEqual(lasts, self.left(count - 1), 2)
+
+    def test_item_has_three_more_runs(self):
+        runs = 0
+        self.end(ENDS_UNTIL_QUARANTINE)
+        moment = 0
+        while moment < 3600:
+            moment += 0.5
+            if not self.left(moment, ITEM_SECONDS):
+                runs += 1
+                life = f'i-{moment}@0'
+                self.evidence.hold('d', life, _NOW + moment)
+        self.assertEqual(3, runs)
+
+    def test_one_end_seen_by_several_counts_once(self):
+        for seen in range(5):
+            self.evidence.hold('d', 'i-1@0', _NOW + seen / 10)
+        self.assertEqual(1, self.evidence.ends('d'))
+
+    def test_engine_that_started_again_under_its_id(self):
+        for born in range(3):
+            self.evidence.hold('d', f'i-1@{born}', _NOW + born)
+        self.assertTrue(self.left(2))
+
+    def test_whole_answer_clears(self):
+        self.end(2)
+        self.assertTrue(self.evidence.clear('d', _NOW + 1.5))
+        self.end(2, 2)
+        self.assertEqual(2, self.evidence.ends('d'))
+        self.assertFalse(self.left(3))
+
+    def test_nothing_to_clear(self):
+        self.assertFalse(self.evidence.clear('d', _NOW))
+        self.assertFalse(self.evidence.any_suspects)
+
+    def test_records_join_in_any_order(self):
+        records = [
+            SuspectRecord(digest='d', ends={'i-1@0': 1000, 'i-2@0': 2000}),
+            SuspectRecord(digest='d', ends={'i-3@0': 5000, 'i-1@0': 900}),
+            SuspectRecord(digest='d', cleared_ms=1500),
+        ]
+        joined = []
+        for order in ((0, 1, 2), (2, 1, 0), (1, 2, 0), (1, 0, 2, 1, 0)):
+            evidence = Evidence()
+            for number in order:
+                evidence.take(records[number], _NOW)
+            joined.append(evidence.record('d'))
+        ends = {'i-2@0': 2000, 'i-3@0': 5000}
+        wanted = SuspectRecord(digest='d', ends=ends, cleared_ms=1500)
+        self.assertEqual([wanted] * 4, joined)
+
+    def test_known_record_is_no_news(self):
+        self.end(2)
+        self.assertFalse(self.evidence.take(self.evidence.record('d'), _NOW))
+
+    def test_news_are_told_once_and_the_newest_first(self):
+        for name in ('a', 'b', 'c'):
+            self.evidence.hold(name, 'i-1@0', _NOW)
+        told = list(self.evidence.news(0, _NOW - 1))
+        self.assertEqual(['c', 'b', 'a'], [one.digest for _at, one in told])
+        self.assertEqual([], list(self.evidence.news(told[0][0], _NOW - 1)))
+
+    def test_forgotten_after_a_day(self):
+        self.end(3)
+        self.evidence.forget_old(_NOW + LONGEST_SECONDS + 5)
+        self.assertFalse(self.evidence.any_suspects)
+        self.assertFalse(self.evidence.any_quarantined)
+
+    def test_quarantined_ones_stay_where_suspects_are_many(self):
+        self.end(3)
+        for number in range(5000):
+            self.evidence.hold(f'd-{number}', 'i-1@0', _NOW)
+        self.assertTrue(self.left(3))
+        self.assertLess(len(self.evidence.summary()), 4100)
+
+
+class ReplayTest(unittest.TestCase):
+    """Requests that end engines and come again, beside good ones."""
+
+    def play(self, load, bound):
+        """Play some seeds; give means a minute and the share served."""
+        total = CrashOutcome()
+        for seed in range(_SEEDS):
+            found = CrashReplay(load, bound, seed).play()
+            for name in CrashOutcome.__struct_fields__:
+                summed = getattr(total, name) + getattr(found, name)
+                setattr(total, name, summed)
+        return total
+
+    @parameterized.expand(
+        [
+            # 0.91, 0.60, 0.74 and 0.33 served with nothing held against any.
+            ('two_of_them', CrashLoad(), 0.99),
+            ('four_of_them', CrashLoad(deadly=4), 0.96),
+            ('busy', CrashLoad(good_per_second=85), 0.96),
+            (
+                'long_runs',
+                CrashLoad(good_runs=5, good_per_second=10, deadly=4),
+                0.92,
+            ),
+        ]
+    )
+    def test_engines_are_spared(self, _name, load, served):
+        found = self.play(load, ENDS_UNTIL_QUARANTINE)
+        most = load.deadly * ENDS_UNTIL_QUARANTINE * _SEEDS
+        self.assertLessEqual(found.ends, most)
+        self.assertEqual(0, found.kept)
+        self.assertGreater(found.served / found.good, served)
+        without = self.play(load, None)
+        self.assertGreater(without.ends, 5 * most)
