--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -1,12 +1,11 @@
 """The entry: clients' requests to engines, calls about jobs to owners."""
 
 import socket
-import time
 from http import HTTPStatus
 
 import gevent
 from bendlead_schema.gateway import NodeReport
-from bendlead_store import FollowedStore
+from bendlead_store import FollowedStore, clock
 from msgspec.structs import replace
 
 from bendlead_gateway._http.messages import Request, Responder
@@ -73,7 +72,7 @@
             clients or settings.clients_address or '',
             self._answer_client,
             lambda: self.fleet.configuration.limits,
-            time.monotonic,
+            clock.uptime,
             _most_clients(settings.descriptors),
         )
         self._clients.on_trouble = self._log_trouble
@@ -82,7 +81,7 @@
             settings.ready_address or '',
             self._answer_ready,
             lambda: self.fleet.configuration.limits,
-            time.monotonic,
+            clock.uptime,
         )
 
     def start(self) -> None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 
 import gevent
-from bendlead_store import Change, Entry, Failure
+from bendlead_store import Change, Entry, Failure, clock
 from msgspec import Struct, field
 from result import Err
 
@@ -180,7 +180,7 @@
         if engine.born:
             return time.time() < engine.born / _MS + engine.warmup
         seen = self._since.get(engine.engine, 0)
-        return time.monotonic() < seen + engine.warmup
+        return clock.uptime() < seen + engine.warmup
 
     def reset(self, entries: Sequence[Entry], after_outage: bool) -> None:
         """Take the whole list; after an outage wait for the missing."""
@@ -291,7 +291,7 @@
 
         Its connections, failures and pace are those of a new one.
         """
-        self._since[engine.engine] = time.monotonic()
+        self._since[engine.engine] = clock.uptime()
         if known is not None:
             self._log.event(
                 'engine-born-again',
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
@@ -1,10 +1,8 @@
 """All that a process knows of the engines and may use to reach them."""
 
-import time
-
 import gevent
 from bendlead_schema.gateway import NodeReport
-from bendlead_store import FollowedStore
+from bendlead_store import FollowedStore, clock
 from gevent.lock import Semaphore
 
 from bendlead_gateway._fleet.balancer import Balancer
@@ -81,7 +79,7 @@
         for watch in self._watches():
             watch.notice(report.revisions.get(watch.prefix, 0))
         if 0 <= report.answered_ms < report.failed_ms:
-            self.doubt_watches(time.monotonic() - report.failed_ms / _MS)
+            self.doubt_watches(clock.uptime() - report.failed_ms / _MS)
 
     def doubt_watches(self, failed_at: float) -> None:
         """Doubt the calls that are held since before a failure."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/health.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/health.py
@@ -1,7 +1,6 @@
 """How engines did with real requests: pace, failures, pauses."""
 
-import time
-
+from bendlead_store import clock
 from msgspec import Struct
 
 from bendlead_gateway.types import EngineId
@@ -47,11 +46,11 @@
     def paused(self, engine: EngineId) -> bool:
         """Tell whether an engine is left alone for now."""
         record = self._records.get(engine)
-        return bool(record) and time.monotonic() < record.paused_until
+        return bool(record) and clock.uptime() < record.paused_until
 
     def heard(self, engine: EngineId) -> None:
         """Note that bytes of an answer came."""
-        self._record(engine).heard = time.monotonic()
+        self._record(engine).heard = clock.uptime()
 
     def silent(self, engine: EngineId, busy_since: float | None) -> bool:
         """Tell whether an engine at work for us has sent nothing lately."""
@@ -59,7 +58,7 @@
             return False
         record = self._records.get(engine)
         latest = max(busy_since, record.heard if record else 0)
-        return time.monotonic() - latest > _SILENT_SECONDS
+        return clock.uptime() - latest > _SILENT_SECONDS
 
     def observe_gap(self, engine: EngineId, seconds: float) -> None:
         """Take the time between two events of a stream."""
@@ -94,7 +93,7 @@
         record.failures += 1
         if record.failures < _FAILURES and not unreachable:
             return False
-        record.paused_until = time.monotonic() + record.pause
+        record.paused_until = clock.uptime() + record.pause
         record.pause = min(_LAST_PAUSE, record.pause * 2)
         return True
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
@@ -1,9 +1,9 @@
 """How many requests run on each engine, here and at the peers."""
 
-import time
 from collections import Counter
 from collections.abc import Iterator, Mapping
 
+from bendlead_store import clock
 from msgspec import Struct, field
 
 from bendlead_gateway._fleet.sums import FreshSums
@@ -60,7 +60,7 @@
     @property
     def age(self) -> float:
         """Give the seconds since the peer said so."""
-        return time.monotonic() - self.heard
+        return clock.uptime() - self.heard
 
     def next_pause(self, heard: float) -> float:
         """Give the pause between reports if the next is heard then."""
@@ -93,7 +93,7 @@
     def start_online(self, engine: EngineId) -> None:
         """Count a request that starts here now."""
         if not self.own.online[engine]:
-            self.own.busy_since[engine] = time.monotonic()
+            self.own.busy_since[engine] = clock.uptime()
         self.own.online[engine] += 1
 
     def own_busy_since(self, engine: EngineId) -> float | None:
@@ -112,7 +112,7 @@
         teams: TeamCounts = _NO_TEAMS,
     ) -> None:
         """Take what a peer told of its requests some seconds ago."""
-        heard = time.monotonic() - age
+        heard = clock.uptime() - age
         known = self.latest(node)
         if known and (known.version, known.heard) >= (version, heard):
             return
@@ -167,7 +167,7 @@
 
     def unstoppable(self, engine: EngineId) -> int:
         """Count the items that step aside for no online request."""
-        now = time.monotonic()
+        now = clock.uptime()
         if now >= self._look_again_at:
             self._look_again_at = now + _LOOK_SECONDS
             owners = self.item_owners().values()
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/news.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/news.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping, Sequence
 
 from bendlead_schema.gateway import NodeReport, ToldLoad
+from bendlead_store import clock
 from msgspec import Struct
 
 from bendlead_gateway._fleet.links import Link, Links
@@ -71,7 +72,7 @@
     def sign(self, report: NodeReport) -> None:
         """Give a report of this process the version of its counts."""
         last = self._own_version
-        now = time.monotonic()
+        now = clock.uptime()
         changed = (
             report.online != last.online
             or report.batch != last.batch
@@ -100,7 +101,7 @@
 
     def take(self, peer: Peer, told: Sequence[ToldLoad]) -> None:
         """Take what a peer tells of others; what is newer stays."""
-        now = time.monotonic()
+        now = clock.uptime()
         for one in told:
             node = NodeName(one.node)
             if node == self._own:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/passed_on.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/passed_on.py
@@ -5,12 +5,11 @@
 a key that was taken away opens nothing, wherever its holder calls.
 """
 
-import time
 from http import HTTPStatus
 
 import gevent
 import msgspec
-from bendlead_store import Failure, FailureKind
+from bendlead_store import Failure, FailureKind, clock
 from result import Err, Ok, Result
 
 from bendlead_gateway._fleet.catalog import ConfigurationHolder
@@ -46,7 +45,7 @@
         """Take the version that a peer has in force."""
         if version <= self._holder.version:
             return
-        now = time.monotonic()
+        now = clock.uptime()
         if not self._behind_since:
             self._behind_since = now
         late = now - self._behind_since > _BEHIND_SECONDS
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peer.py
@@ -1,10 +1,10 @@
 """What is known of one other process of ours."""
 
-import time
 from collections.abc import Sequence
 
 import gevent
 from bendlead_schema.gateway import NodeReport
+from bendlead_store import clock
 from msgspec import Struct, field
 
 from bendlead_gateway._fleet.links import Link
@@ -31,7 +31,7 @@
     task: gevent.Greenlet | None = None
     #: Nodes that the peer does not hear.
     missed: Sequence[str] = ()
-    listed: float = field(default_factory=time.monotonic)
+    listed: float = field(default_factory=clock.uptime)
     #: When its counts were heard last, from itself or from others.
     heard_of: float = 0
     #: How it is linked with this process, and seconds between two exchanges.
@@ -54,17 +54,17 @@
     def silent(self) -> bool:
         """Tell whether the peer is taken as stopped."""
         bound = max(_SILENT_SECONDS, _SILENT_EXCHANGES * self.pause)
-        return time.monotonic() - self.heard > bound
+        return clock.uptime() - self.heard > bound
 
     @property
     def quiet(self) -> bool:
         """Tell whether it is time to see if the peer's process has ended."""
         bound = max(QUIET_SECONDS, _QUIET_EXCHANGES * self.pause)
-        return time.monotonic() - self.heard > bound
+        return clock.uptime() - self.heard > bound
 
     @property
     def unheard(self) -> bool:
         """Tell whether the peer's loads should be heard and are not."""
         bound = max(_MISSED_SECONDS, _MISSED_EXCHANGES * self.pause)
-        late = time.monotonic() - self.heard > bound
+        late = clock.uptime() - self.heard > bound
         return late and self.link is Link.CLOSE
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -1,7 +1,6 @@
 """Find the other processes of ours and exchange reports with them."""
 
 import random
-import time
 from collections.abc import Callable, Collection, Sequence
 from http import HTTPStatus
 
@@ -14,6 +13,7 @@
     Entry,
     FailureKind,
     FollowedStore,
+    clock,
 )
 from msgspec import Struct
 from result import Err, Ok
@@ -135,7 +135,7 @@
             return Group(1, _ENTRIES_UNTIL_LISTED)
         heard = 1
         entries = 1
-        cut = time.monotonic() - _CUT_SECONDS
+        cut = clock.uptime() - _CUT_SECONDS
         for node, peer in self._peers.items():
             if peer.record.role is not NodeRole.ENTRY:
                 continue
@@ -148,7 +148,7 @@
 
     def summary(self) -> dict[str, float]:
         """Show how long ago each peer was heard, for the state dump."""
-        now = time.monotonic()
+        now = clock.uptime()
         return {
             node: round(now - peer.heard, 2) if peer.heard else -1
             for node, peer in self._peers.items()
@@ -285,7 +285,7 @@
         return msgspec.json.encode(report)
 
     def _current_survey(self) -> _Survey:
-        now = time.monotonic()
+        now = clock.uptime()
         if now - self._survey.made > _SURVEY_SECONDS:
             live = [
                 one.record.node
@@ -314,7 +314,7 @@
         if peer.silent:
             self._log.event('peer-heard', peer=node)
         peer.report = report
-        peer.heard = time.monotonic()
+        peer.heard = clock.uptime()
         peer.missed = report.missed
         self._news.take(peer, report.told)
         if self.suspects:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/pool.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/pool.py
@@ -1,7 +1,6 @@
 """Keep connections to engines for the next request."""
 
-import time
-
+from bendlead_store import clock
 from msgspec import Struct, field
 
 from bendlead_gateway._http.client import HttpConnection
@@ -32,7 +31,7 @@
 
     def take(self, engine: Engine) -> HttpConnection:
         """Lend a kept connection or open one, or raise OSError."""
-        now = time.monotonic()
+        now = clock.uptime()
         kept = self._kept.get(engine.engine, [])
         while kept:
             rested = kept.pop()
@@ -55,7 +54,7 @@
         rest = _IDLE_SECONDS
         if idle_seconds is not None:
             rest = min(rest, idle_seconds * _IDLE_SHARE)
-        kept.append(_Rested(connection, time.monotonic() + rest))
+        kept.append(_Rested(connection, clock.uptime() + rest))
 
     def forget(self, engine: EngineId) -> None:
         """Close the kept connections of an engine that is gone."""
@@ -69,7 +68,7 @@
 
     def close_expired(self) -> None:
         """Close the connections that have rested too long."""
-        now = time.monotonic()
+        now = clock.uptime()
         for engine, kept in list(self._kept.items()):
             for rested in kept:
                 if rested.until <= now:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/sums.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/sums.py
@@ -1,9 +1,9 @@
 """Sums of the peers' counts that are kept up instead of added up."""
 
 import math
-import time
 from collections.abc import Mapping
 
+from bendlead_store import clock
 from msgspec import Struct, field
 
 from bendlead_gateway.types import EngineId, NodeName
@@ -48,7 +48,7 @@
 
     def total(self, engine: EngineId) -> int:
         """Give the sum of the counts of an engine."""
-        now = time.monotonic()
+        now = clock.uptime()
         if now >= self._sweep_at:
             self._sweep(now)
         return self._totals.get(engine, 0)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/watcher.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/watcher.py
@@ -1,7 +1,6 @@
 """Follow one prefix of the object service for as long as the process runs."""
 
 import random
-import time
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -13,6 +12,7 @@
     FailureKind,
     FollowedStore,
     Version,
+    clock,
 )
 from gevent.lock import Semaphore
 from result import Err
@@ -98,7 +98,7 @@
 
     def notice(self, revision: int) -> None:
         """Take the newest revision that a peer has seen below the prefix."""
-        now = time.monotonic()
+        now = clock.uptime()
         if revision <= self._as_of or revision < self._told:
             return
         if revision > self._told:
@@ -112,7 +112,7 @@
 
         Its connection may be one that stays open and says nothing more.
         """
-        now = time.monotonic()
+        now = clock.uptime()
         rested = now - self._doubted_at > _DOUBT_SECONDS
         if rested and self._call is not None and self._called_at < failed_at:
             self._doubted_at = now
@@ -137,7 +137,7 @@
             self._fail(listed.err_value)
             return
         listing = listed.ok_value
-        away = time.monotonic() - self._lost_at if self._lost_at else 0
+        away = clock.uptime() - self._lost_at if self._lost_at else 0
         self._follower.reset(listing.entries, away > _OUTAGE_SECONDS)
         self._as_of = listing.as_of
         self._see([int(entry.version) for entry in listing.entries])
@@ -156,7 +156,7 @@
         self._pause = _FIRST_PAUSE
 
     def _follow(self) -> None:
-        self._called_at = time.monotonic()
+        self._called_at = clock.uptime()
         self._call = gevent.spawn(
             self._store.follow, self.prefix, self._as_of, _HELD_SECONDS
         )
@@ -191,7 +191,7 @@
             self._log.event('watch-history-gone', prefix=self.prefix)
             return
         if not self._lost_at:
-            self._lost_at = time.monotonic()
+            self._lost_at = clock.uptime()
             self._log.event('watch-lost', prefix=self.prefix, reason=failure)
         pause = self._pause * (0.5 + random.random())
         gevent.sleep(max(failure.retry_after, pause))
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/api.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/api.py
@@ -1,9 +1,8 @@
 """Answer clients' calls about jobs for the shards held here."""
 
-import time
 from http import HTTPStatus
 
-from bendlead_store import Failure, FailureKind
+from bendlead_store import Failure, FailureKind, clock
 from msgspec.structs import replace
 
 from bendlead_gateway._fleet.catalog import ConfigurationHolder
@@ -195,12 +194,12 @@
         board: Board,
         job: HeldJob,
     ) -> None:
-        until = time.monotonic() + call.wait
+        until = clock.uptime() + call.wait
         while len(job.state.results) <= call.after and job.state.open:
             if not board.held:
                 # Results come at another owner from now on.
                 break
-            left = until - time.monotonic()
+            left = until - clock.uptime()
             if left <= 0:
                 break
             job.changed.wait(left)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
@@ -28,7 +28,7 @@
     Record,
 )
 from bendlead_schema.settings import LedgerSettings
-from bendlead_store import Failure, FailureKind, ValueStore
+from bendlead_store import Failure, FailureKind, ValueStore, clock
 from gevent.event import Event
 from gevent.pool import Pool
 from result import Err, Ok, Result
@@ -157,12 +157,12 @@
 
     def sure(self, within: float) -> Result[None, Failure]:
         """Make sure that the shard was held within the last seconds."""
-        if time.monotonic() - self._log.confirmed_at < within:
+        if clock.uptime() - self._log.confirmed_at < within:
             return Ok(None)
         running = self._confirming
         if running is not None:
             running.wait(within)
-            if time.monotonic() - self._log.confirmed_at < within:
+            if clock.uptime() - self._log.confirmed_at < within:
                 return Ok(None)
             return Err(Failure(FailureKind.NOT_DONE, 'confirm', 'store'))
         self._confirming = Event()
@@ -269,8 +269,8 @@
 
     def _find_unclear(self, submission: Submission) -> None:
         """Hold a job whose commit took effect after its caller gave up."""
-        until = time.monotonic() + self._kept
-        while time.monotonic() < until and not self._committer.lost:
+        until = clock.uptime() + self._kept
+        while clock.uptime() < until and not self._committer.lost:
             if submission.job in self._state.direct:
                 self._hold(submission)
                 break
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable, Iterator
 
+from bendlead_store import clock
 from msgspec import Struct
 
 from bendlead_gateway._fleet.fleet import Fleet
@@ -89,7 +90,7 @@
 
     def _waiting(self) -> Iterator[_Waiting]:
         """List the items that wait for a place."""
-        now = time.monotonic()
+        now = clock.uptime()
         for board in list(self._keeper.boards.values()):
             for job in list(board.jobs.values()):
                 for progress in list(job.waiting(now)):
@@ -114,7 +115,7 @@
         """Keep an item from engines until it runs again or is given up."""
         self._metrics.quarantined += 1
         if route.retention:
-            progress.not_before = time.monotonic() + _QUARANTINED_PAUSE
+            progress.not_before = clock.uptime() + _QUARANTINED_PAUSE
         else:
             self._give_up(board, job, progress)
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/held.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/held.py
@@ -1,10 +1,10 @@
 """One job that is held here, and how far its items have come."""
 
-import time
 from collections.abc import Iterator, Sequence
 
 from bendlead_ledger import BEFORE_FIRST, DirectJobState, KeptProgress
 from bendlead_schema.records import DirectProgress, DirectResult
+from bendlead_store import clock
 from gevent.event import Event
 from msgspec import Struct, field
 
@@ -71,14 +71,14 @@
         """Give the seconds for which runs have held places so far."""
         if self._since is None:
             return self._spent
-        return self._spent + time.monotonic() - self._since
+        return self._spent + clock.uptime() - self._since
 
     @property
     def took(self) -> float | None:
         """Give the seconds since its first run began, if that was here."""
         if self._begun is None or self._restored:
             return None
-        return time.monotonic() - self._begun
+        return clock.uptime() - self._begun
 
     @property
     def not_kept(self) -> int:
@@ -87,7 +87,7 @@
 
     def begin(self) -> None:
         """Note that a run holds a place from now on."""
-        self._since = time.monotonic()
+        self._since = clock.uptime()
         if self._begun is None:
             self._begun = self._since
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -1,8 +1,8 @@
 """One run of an item of a batch job at one engine."""
 
-import time
 from http import HTTPStatus
 
+from bendlead_store import clock
 from msgspec import Struct
 
 from bendlead_gateway._fleet.fleet import Fleet
@@ -49,7 +49,7 @@
 
     def refused(self) -> None:
         """Run the item again, a little later."""
-        self.progress.not_before = time.monotonic() + _REFUSED_PAUSE
+        self.progress.not_before = clock.uptime() + _REFUSED_PAUSE
 
 
 class ItemAttempts:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
@@ -1,11 +1,10 @@
 """Hold the shards that fall to this process."""
 
-import time
 from collections.abc import Callable, Sequence
 
 import gevent
 from bendlead_ledger import Owner
-from bendlead_store import FollowedStore
+from bendlead_store import FollowedStore, clock
 from result import Err
 
 from bendlead_gateway._fleet.peers import PeerTable
@@ -65,8 +64,8 @@
         """Give all shards up once their commits are through."""
         self._leaving = True
         self._save(list(self.boards.values()))
-        until = time.monotonic() + within
-        while time.monotonic() < until:
+        until = clock.uptime() + within
+        while clock.uptime() < until:
             if not any(one.busy for one in self.boards.values()):
                 break
             gevent.sleep(_CHECK_SECONDS / 4)
@@ -104,7 +103,7 @@
             if claimed > held.epoch:
                 self._give_up(shard, f'held by another at epoch {claimed}')
             return
-        now = time.monotonic()
+        now = clock.uptime()
         calm = now - self._lost_at.get(shard, 0) > _CALM_SECONDS
         tried = now - self._tried_at.get(shard, 0) < _TRY_SECONDS
         if not sound or not calm or tried:
@@ -120,11 +119,11 @@
         """Tell whether the holder at an epoch can't write while we can."""
         if not self._peers.claims.holder_is_stuck(shard, epoch):
             return False
-        self._tried_at[shard] = time.monotonic()
+        self._tried_at[shard] = clock.uptime()
         return self._patience.is_over(shard)
 
     def _take(self, shard: int) -> None:
-        began = time.monotonic()
+        began = clock.uptime()
         owner = Owner(self._record.node, self._record.address)
         opened = open_board(
             self._store,
@@ -146,7 +145,7 @@
             epoch=board.epoch,
             jobs=len(board.jobs),
             items_begun=sum(job.items_begun for job in board.jobs.values()),
-            ms=round((time.monotonic() - began) * 1000),
+            ms=round((clock.uptime() - began) * 1000),
         )
         if self._leaving:
             # Told to leave meanwhile: nobody else would give it up.
@@ -154,7 +153,7 @@
 
     def _give_up(self, shard: int, reason: str) -> None:
         board = self.boards.pop(shard, None)
-        self._lost_at[shard] = time.monotonic()
+        self._lost_at[shard] = clock.uptime()
         if board is not None:
             self._log.event(
                 'shard-given-up',
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/patience.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/patience.py
@@ -1,9 +1,7 @@
 """How long a holder that can't write keeps its shard."""
 
-import time
-
 from bendlead_ledger import ShardId, head_key
-from bendlead_store import FollowedStore
+from bendlead_store import FollowedStore, clock
 from msgspec import Struct
 from result import Err
 
@@ -43,7 +41,7 @@
         if isinstance(read, Err):
             self._answers.pop(shard, None)
             return False
-        now = time.monotonic()
+        now = clock.uptime()
         answers = self._answers.get(shard)
         if answers is None or now - answers.last > _LINKED_SECONDS:
             answers = _Answers(now, now)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/progress.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/progress.py
@@ -1,6 +1,5 @@
 """Which progress of a shard's items goes into its log, and when."""
 
-import time
 from collections.abc import Callable, Iterator, Mapping
 
 import gevent
@@ -10,6 +9,7 @@
     DirectResultsRecorded,
     Record,
 )
+from bendlead_store import clock
 
 from bendlead_gateway._jobs.held import HeldJob, Progress
 from bendlead_gateway.types import JobId
@@ -43,7 +43,7 @@
     ) -> None:
         self._jobs = jobs
         self._write_seconds = write_seconds
-        self._taken_at = time.monotonic()
+        self._taken_at = clock.uptime()
 
     @property
     def due(self) -> bool:
@@ -64,7 +64,7 @@
 
     def take(self) -> list[Record]:
         """Give the events to write, of the items first that lack most."""
-        self._taken_at = time.monotonic()
+        self._taken_at = clock.uptime()
         left = _MOST_CHARACTERS
         taken: dict[JobId, list[DirectProgress]] = {}
         for job, progress in sorted(self._fresh(), key=_not_kept, reverse=True):
@@ -80,7 +80,7 @@
 
     def _rested(self, seconds: float) -> bool:
         apart = max(seconds, self._write_seconds() * _WRITES_APART)
-        rested = time.monotonic() - self._taken_at
+        rested = clock.uptime() - self._taken_at
         return rested > min(apart, _LONGEST_SECONDS)
 
     def _fresh(self) -> Iterator[_Fresh]:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
@@ -1,9 +1,9 @@
 """Pass clients' calls about jobs on to the process that holds them."""
 
-import time
 from http import HTTPStatus
 
 import gevent
+from bendlead_store import clock
 from msgspec.structs import replace
 
 from bendlead_gateway._fleet.claims import Claim
@@ -70,9 +70,9 @@
         self, request: Request, responder: Responder, *, forwarded: bool
     ) -> None:
         shard = shard_of(request.host)
-        until = time.monotonic() + _OWNER_SECONDS
+        until = clock.uptime() + _OWNER_SECONDS
         reason = ''
-        while reason is not None and time.monotonic() < until:
+        while reason is not None and clock.uptime() < until:
             if reason:
                 gevent.sleep(_RETRY_SECONDS)
             reason = self._try_once(shard, request, responder, forwarded)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/retirement.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/retirement.py
@@ -1,10 +1,9 @@
 """Empty this node when the operator asks for it, and say when it is."""
 
-import time
 from collections.abc import Callable, Sequence
 
 import gevent
-from bendlead_store import Change, Entry, FollowedStore
+from bendlead_store import Change, Entry, FollowedStore, clock
 from result import Err, Ok
 
 from bendlead_gateway._jobs.keeper import ShardKeeper
@@ -63,9 +62,9 @@
 
     def _obey(self, key: str, order: StopOrder) -> None:
         self._log.event('retiring', seconds=order.seconds)
-        until = time.monotonic() + order.seconds * _PATIENCE_SHARE
+        until = clock.uptime() + order.seconds * _PATIENCE_SHARE
         self._on_order()
-        while self._keeper.boards and time.monotonic() < until:
+        while self._keeper.boards and clock.uptime() < until:
             self._keeper.hand_over()
             gevent.sleep(_CHECK_SECONDS)
         self._keeper.leave(0)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -1,8 +1,7 @@
 """Run the items of held jobs in the places that online requests leave."""
 
-import time
-
 import gevent
+from bendlead_store import clock
 from gevent.event import Event
 
 from bendlead_gateway._fleet.balancer import pick_service
@@ -185,7 +184,7 @@
             if isinstance(error, OSError):
                 self._fleet.suspects.broke_off(run.engine, digest)
             self._fleet.health.failed(run.engine.engine)
-            run.progress.not_before = time.monotonic() + _FAILED_PAUSE
+            run.progress.not_before = clock.uptime() + _FAILED_PAUSE
 
     def _finish(
         self,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/work.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/work.py
@@ -1,8 +1,9 @@
 """Tell how much work is left beside the places that items hold."""
 
-import time
 from collections.abc import Iterator
 
+from bendlead_store import clock
+
 from bendlead_gateway._jobs.keeper import ShardKeeper
 from bendlead_gateway._scheduling.urgency import LOOK_SECONDS, ItemPace
 
@@ -17,7 +18,7 @@
 
     def look(self, running: int) -> None:
         """Tell the pace what is left if the last look is some time ago."""
-        now = time.monotonic()
+        now = clock.uptime()
         if now >= self._look_again_at:
             self._look_again_at = now + LOOK_SECONDS
             self._pace.look(self._spent(), running)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_log.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_log.py
@@ -9,6 +9,8 @@
 from collections import deque
 from typing import Any
 
+from bendlead_store import clock
+
 #: Lines a second beyond which lines are counted instead of written.
 _LINES_PER_SECOND = 300
 _BURST_LINES = 600
@@ -23,7 +25,7 @@
         self._node = node
         self._descriptor = descriptor
         self._left = float(_BURST_LINES)
-        self._refilled = time.monotonic()
+        self._refilled = clock.uptime()
         self._recent: deque[str] = deque(maxlen=_RECENT)
         self.written = 0
         self.dropped = 0
@@ -64,7 +66,7 @@
         self._unsaid += 1
 
     def _allowed(self) -> bool:
-        now = time.monotonic()
+        now = clock.uptime()
         gained = (now - self._refilled) * _LINES_PER_SECOND
         self._left = min(_BURST_LINES, self._left + gained)
         self._refilled = now
--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -1,13 +1,12 @@
 """What every process of the gateway has."""
 
 import signal
-import time
 from http import HTTPStatus
 
 import gevent
 import msgspec
 from bendlead_schema.gateway import NodeReport
-from bendlead_store import FollowedStore
+from bendlead_store import FollowedStore, clock
 from gevent import signal_handler
 from gevent.event import Event
 
@@ -22,6 +21,7 @@
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._reload import Reloader, SettingsSource
+from bendlead_gateway._suspension import SuspensionWatch
 from bendlead_gateway._teams.told import TeamCounts
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import (
@@ -92,7 +92,7 @@
             address,
             self._answer_internal,
             lambda: _PEER_LIMITS,
-            time.monotonic,
+            clock.uptime,
         )
 
     def run(self, source: SettingsSource) -> None:
@@ -209,13 +209,21 @@
             responder.answer(HTTPStatus.OK, _JSON, msgspec.json.encode(known))
 
     def _sweep(self) -> None:
+        suspension = SuspensionWatch()
         while True:
             gevent.sleep(_SWEEP_SECONDS)
+            self._wake_up(suspension.look())
             self._reload(asked=False)
             self.fleet.pool.close_expired()
             if self.store.contact.returned:
                 self.fleet.doubt_watches(self.store.contact.failed_at)
 
+    def _wake_up(self, slept: float) -> None:
+        """Trust no call to the object service held since before a sleep."""
+        if slept:
+            self.log.event('machine-suspended', seconds=round(slept, 3))
+            self.fleet.doubt_watches(clock.uptime())
+
     def _on_term(self) -> None:
         if self._told_to_stop:
             return
@@ -234,4 +242,4 @@
 
 def _age_ms(at: float) -> int:
     """Give the milliseconds since a moment, or -1 for one that never was."""
-    return round((time.monotonic() - at) * _MS) if at else -1
+    return round((clock.uptime() - at) * _MS) if at else -1
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -1,7 +1,6 @@
 """What is known of one client request while it is served."""
 
-import time
-
+from bendlead_store import clock
 from msgspec import Struct, field
 
 from bendlead_gateway._http.messages import Request, Responder
@@ -60,7 +59,7 @@
     @property
     def left(self) -> float:
         """Give the seconds left for the whole request."""
-        return self.deadline - time.monotonic()
+        return self.deadline - clock.uptime()
 
     @property
     def read_patience(self) -> float:
@@ -70,7 +69,7 @@
     @property
     def waited(self) -> float:
         """Give the seconds since the request was received."""
-        return time.monotonic() - self.request.received
+        return clock.uptime() - self.request.received
 
     @property
     def may_have_run(self) -> bool:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -1,9 +1,10 @@
 """Pass an engine's answer on to the client."""
 
-import time
 from collections.abc import Iterator
 from http import HTTPStatus
 
+from bendlead_store import clock
+
 from bendlead_gateway._fleet.health import EngineHealth
 from bendlead_gateway._http.client import (
     BrokenAnswerError,
@@ -78,7 +79,7 @@
         if head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             self._health.succeeded(self._engine.engine)
             if self._first_part:
-                held = time.monotonic() - self._first_part
+                held = clock.uptime() - self._first_part
                 self._health.observe_run(held)
 
     def _relay_bytes(self, head: ResponseHead) -> None:
@@ -137,7 +138,7 @@
             yield part
 
     def _observe(self) -> None:
-        now = time.monotonic()
+        now = clock.uptime()
         name = self._engine.engine
         self._health.heard(name)
         if not self._exchange.first_event:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
@@ -1,11 +1,9 @@
 """The owner: hold batch jobs and run their items."""
 
-import time
-
 import gevent
 from bendlead_ledger import ShardId, head_key
 from bendlead_schema.gateway import NodeReport
-from bendlead_store import FollowedStore
+from bendlead_store import FollowedStore, clock
 from msgspec.structs import replace
 
 from bendlead_gateway._fleet.claims import held_shards
@@ -103,8 +101,8 @@
 
     def finish_calls(self) -> None:
         """Let the calls about jobs that are under way be answered."""
-        until = time.monotonic() + _LEAVING_SECONDS
-        while self._calls and time.monotonic() < until:
+        until = clock.uptime() + _LEAVING_SECONDS
+        while self._calls and clock.uptime() < until:
             gevent.sleep(_CHECK_SECONDS)
 
     def _sound(self) -> bool:
@@ -119,7 +117,7 @@
         """Notice outages for all: held watches stay open and say nothing."""
         while True:
             gevent.sleep(_ASK_SECONDS / 2)
-            rested = time.monotonic() - self.store.contact.answered_at
+            rested = clock.uptime() - self.store.contact.answered_at
             if self._keeper.boards and rested > _ASK_SECONDS:
                 shard = next(iter(self._keeper.boards))
                 self.store.fetch(head_key(ShardId(shard)))
--- a/packages/bendlead-gateway/src/bendlead_gateway/_stopping.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_stopping.py
@@ -1,7 +1,6 @@
 """Until when a process that was told to stop takes work, and when it ends."""
 
-import time
-
+from bendlead_store import clock
 from msgspec import Struct
 
 #: After SIGTERM new work is taken for this long (s): the platform asks once a
@@ -30,7 +29,7 @@
     @classmethod
     def begin(cls, grace: float) -> 'StopSchedule':
         """Begin a stop now; the process is killed after grace seconds."""
-        began = time.monotonic()
+        began = clock.uptime()
         return cls(
             began,
             began + min(_NEW_WORK_SECONDS, grace * _NEW_WORK_SHARE),
@@ -40,14 +39,14 @@
     @property
     def age(self) -> float:
         """Give the seconds since the process was told to stop."""
-        return time.monotonic() - self.began
+        return clock.uptime() - self.began
 
     @property
     def closed(self) -> bool:
         """Tell whether no more work is taken."""
-        return time.monotonic() >= self.closes
+        return clock.uptime() >= self.closes
 
     @property
     def left(self) -> float:
         """Give the seconds until the process ends."""
-        return self.ends - time.monotonic()
+        return self.ends - clock.uptime()
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/ends.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/ends.py
@@ -5,10 +5,10 @@
 connections, or where it leaves the list without having said that it drains.
 """
 
-import time
 from collections.abc import Callable
 
 import gevent
+from bendlead_store import clock
 from gevent.event import Event
 from msgspec import Struct, field
 
@@ -70,7 +70,7 @@
             if not self._takes_requests(engine):
                 # Its end was planned, and cuts off what it did not finish.
                 return
-            broken = _Broken(engine, time.monotonic())
+            broken = _Broken(engine, clock.uptime())
             self._broken[_life(engine)] = broken
             gevent.spawn(self._probe, broken)
         if digest in broken.digests:
@@ -110,7 +110,7 @@
             engine=broken.engine.engine,
             born=broken.engine.born,
             reason=reason,
-            after_ms=round((time.monotonic() - broken.at) * 1000),
+            after_ms=round((clock.uptime() - broken.at) * 1000),
             digests=','.join(sorted(broken.digests)),
         )
         for digest in broken.digests:
@@ -118,7 +118,7 @@
 
     def _expire(self) -> None:
         """Forget the answers that broke off long ago."""
-        oldest = time.monotonic() - _NEWS_SECONDS
+        oldest = clock.uptime() - _NEWS_SECONDS
         for life, broken in list(self._broken.items()):
             if broken.at < oldest:
                 self._broken.pop(life)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_teams/limits.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_teams/limits.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable, Mapping
 
+from bendlead_store import clock
 from msgspec import Struct, field
 
 from bendlead_gateway._teams.quota import (
@@ -60,7 +61,7 @@
         window: LimitWindow,
         group: Callable[[], Group],
         team_named: Callable[[TeamName], Team | None],
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = clock.uptime,
         life: int = 0,
     ) -> None:
         """Start with no knowledge; ``life`` tells lives of a process apart."""
--- a/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_committer.py
@@ -1,11 +1,10 @@
 """Group commit: what arrives during one write goes out with the next."""
 
-import time
 from collections.abc import Callable, Sequence
 
 import gevent
 from bendlead_schema.records import Record
-from bendlead_store import Failure, FailureKind
+from bendlead_store import Failure, FailureKind, clock
 from gevent.event import AsyncResult, Event
 from msgspec import Struct, field
 from result import Err, Ok, Result
@@ -84,7 +83,7 @@
         """Tell for how long the write under way has been tried."""
         if not self._writing_since:
             return 0
-        return time.monotonic() - self._writing_since
+        return clock.uptime() - self._writing_since
 
     @property
     def last_write_seconds(self) -> float:
@@ -153,7 +152,7 @@
             self._wake.set()
         records = [record for ticket in batch for record in ticket.records]
         riders = self._riders()
-        self._writing_since = time.monotonic()
+        self._writing_since = clock.uptime()
         self._writing = batch
         committed = self._log.commit([*records, *riders])
         self._last_write_seconds = self.writing_seconds
@@ -173,7 +172,7 @@
             self._fold()
 
     def _fold(self) -> None:
-        if time.monotonic() < self._next_snapshot:
+        if clock.uptime() < self._next_snapshot:
             return
         folded = self._log.fold(self._state)
         self._snapshot_failure = None
@@ -184,7 +183,7 @@
             return
         # Nothing is lost with it: the log it would have replaced is whole.
         self._snapshot_failure = folded.err_value
-        self._next_snapshot = time.monotonic() + _SNAPSHOT_PAUSE
+        self._next_snapshot = clock.uptime() + _SNAPSHOT_PAUSE
 
     def _lose(
         self,
--- a/packages/bendlead-ledger/src/bendlead_ledger/_log.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_log.py
@@ -6,7 +6,6 @@
 """
 
 import random
-import time
 from collections.abc import Iterator, Sequence
 from functools import partial
 
@@ -27,6 +26,7 @@
     FailureKind,
     ValueStore,
     Version,
+    clock,
 )
 from gevent.pool import Pool
 from msgspec import Struct
@@ -124,7 +124,7 @@
 
     def confirm(self) -> Result[None, Failure]:
         """Prove by a read that no other owner has taken the shard."""
-        asked = time.monotonic()
+        asked = clock.uptime()
         found = self._read_head()
         if isinstance(found, Err):
             return found
@@ -207,7 +207,7 @@
         backoff = _FIRST_BACKOFF
         uncertain = False
         while True:
-            asked = time.monotonic()
+            asked = clock.uptime()
             written = self._store.put(head_key(self._shard), body, expected)
             if isinstance(written, Ok):
                 self._confirmed_at = asked
--- a/packages/bendlead-ledger/src/bendlead_ledger/_runs.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_runs.py
@@ -4,10 +4,10 @@
 endpoints renew them; an item run twice is recorded once.
 """
 
-import time
 from collections.abc import Iterable, Sequence
 
 from bendlead_schema.messages import RunLease
+from bendlead_store import clock
 from msgspec import Struct
 
 from bendlead_ledger._ids import unique
@@ -47,7 +47,7 @@
                 free = set(lease.positions) - self.held(lease.job)
                 self._add(lease.run, lease.job, endpoint, free)
             else:
-                run.expires = time.monotonic() + self._lease
+                run.expires = clock.uptime() + self._lease
 
     def release(self, run_id: str, positions: Iterable[int]) -> None:
         """Take items back from a run."""
@@ -69,7 +69,7 @@
 
     def expired(self) -> list[Run]:
         """Take back the runs whose lease lapsed."""
-        now = time.monotonic()
+        now = clock.uptime()
         lapsed = [run for run in self._runs.values() if run.expires < now]
         for run in lapsed:
             self._runs.pop(run.run)
@@ -83,7 +83,7 @@
         endpoint: str,
         positions: Iterable[int],
     ) -> Run:
-        expires = time.monotonic() + self._lease
+        expires = clock.uptime() + self._lease
         run = Run(run_id, job, endpoint, set(positions), expires)
         self._runs[run_id] = run
         self.held(job).update(run.positions)
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/admission.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/admission.py
@@ -1,10 +1,11 @@
 """Who may use the engine now: online always first, batch in what is left."""
 
-import time
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
 from typing import Protocol
 
+from bendlead_store import clock
+
 from bendlead_node._common.telemetry import Journal, Metrics
 from bendlead_node._common.web import LEAVING, CallError
 from bendlead_node._endpoint.controller import BatchLimit
@@ -108,7 +109,7 @@
             return
         # The latest started has the least to lose.
         victims = self._batch[-count:]
-        started = time.monotonic()
+        started = clock.uptime()
         for work in victims:
             self._batch.remove(work)
         self._cancel([work.request for work in victims])
@@ -120,7 +121,7 @@
             'preempted',
             items=len(victims),
             online=self._online,
-            milliseconds=round((time.monotonic() - started) * 1000, 2),
+            milliseconds=round((clock.uptime() - started) * 1000, 2),
         )
 
 
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/batch.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/batch.py
@@ -1,12 +1,12 @@
 """Pull batch work and run it in whatever capacity online leaves."""
 
 import random
-import time
 from collections import deque
 from collections.abc import Callable, Iterable
 
 import gevent
 from bendlead_schema.messages import GrantRun, NoWork, Reply, RunGrant
+from bendlead_store import clock
 from gevent.event import Event
 
 from bendlead_node._common.telemetry import Journal, Metrics
@@ -121,11 +121,11 @@
         self._wake.set()
 
     def _note_engine_away(self) -> None:
-        self._away_until = time.monotonic() + _AWAY_SECONDS
+        self._away_until = clock.uptime() + _AWAY_SECONDS
         self.hand_back()
 
     def _engine_away(self) -> bool:
-        return time.monotonic() < self._away_until
+        return clock.uptime() < self._away_until
 
     def _give_back(self, item: BatchItem) -> None:
         held = self._book.runs.get(item.run)
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/engine.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/engine.py
@@ -1,12 +1,11 @@
 """Speak to the engine or plain service of this endpoint."""
 
-import time
 from collections import deque
 from collections.abc import Mapping, Sequence
 
 import gevent
 import msgspec
-from bendlead_store import Failure
+from bendlead_store import Failure, clock
 from geventhttpclient.response import HTTPSocketPoolResponse
 from result import Result
 
@@ -49,12 +48,12 @@
 
     def cancel(self, requests: Sequence[str]) -> None:
         """Have the engine stop requests at its next step."""
-        gevent.spawn(self._cancel_now, list(requests), time.monotonic())
+        gevent.spawn(self._cancel_now, list(requests), clock.uptime())
 
     def _cancel_now(self, requests: list[str], started: float) -> None:
         body = msgspec.json.encode(_Cancel(requests))
         headers = {'Content-Type': JSON_TYPE}
         sent = self.send('POST', '/v1/cancel', body, headers)
         sent.map(read_body)
-        waited = time.monotonic() - started
+        waited = clock.uptime() - started
         self._yields.append(round(waited * _MILLISECONDS, 2))
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/online.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/online.py
@@ -1,11 +1,10 @@
 """Pass online requests straight to the engine."""
 
-import time
 from collections.abc import Iterator
 from http import HTTPStatus
 
 from bendlead_schema.messages import ErrorOutcome
-from bendlead_store import Failure
+from bendlead_store import Failure, clock
 from geventhttpclient.response import HTTPSocketPoolResponse
 from result import Err
 
@@ -46,7 +45,7 @@
         """Answer one online request."""
         self._gate.check(call)
         body = call.body(_BODY_BYTES)
-        started = time.monotonic()
+        started = clock.uptime()
         self._admission.enter_online()
         try:
             return self._relay(call, body, started)
@@ -80,7 +79,7 @@
         ended = False
         try:
             for event in events(response):
-                now = time.monotonic()
+                now = clock.uptime()
                 if previous:
                     self._note_gap(now - previous)
                 else:
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/runs.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/runs.py
@@ -1,7 +1,6 @@
 """Leased runs an endpoint process holds: report them and renew them."""
 
 import random
-import time
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
@@ -18,7 +17,7 @@
     RunGrant,
     RunLease,
 )
-from bendlead_store import Failure
+from bendlead_store import Failure, clock
 from result import Ok, Result
 
 from bendlead_node._common.upstream import PeerClient
@@ -106,7 +105,7 @@
         """Renew all leases; stop the runs whose job needs them no more."""
         while True:
             gevent.sleep(_RENEW_CHECK_SECONDS)
-            now = time.monotonic()
+            now = clock.uptime()
             if now < self._next_renewal or not self.runs:
                 continue
             leases = [held.grant.lease_seconds for held in self.runs.values()]
--- a/packages/bendlead-node/src/bendlead_node/_entry/dispatch.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/dispatch.py
@@ -1,12 +1,11 @@
 """Send an online request to an endpoint, and again only where that is safe."""
 
-import time
 from collections.abc import Generator, Iterator
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
 from bendlead_schema.messages import ErrorOutcome
-from bendlead_store import Failure, FailureKind
+from bendlead_store import Failure, FailureKind, clock
 from geventhttpclient.response import HTTPSocketPoolResponse
 from result import Err, Ok, Result
 
@@ -164,7 +163,7 @@
         raise self._given_up(request, refused)
 
     def _next_peer(self, request: OnlineRequest) -> EndpointPeer | None:
-        if time.monotonic() > request.deadline:
+        if clock.uptime() > request.deadline:
             return None
         return self._router.pick(request.service, request.model, request.avoid)
 
--- a/packages/bendlead-node/src/bendlead_node/_entry/members.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/members.py
@@ -1,10 +1,10 @@
 """Who is alive, as this entry last heard it."""
 
-import time
 from dataclasses import dataclass
 
 from bendlead_gateway.teams import Group
 from bendlead_schema.messages import EndpointHeartbeat, EntryHeartbeat
+from bendlead_store import clock
 
 #: An entry that falls silent may be cut off and serve on for this long (s).
 _CUT_SECONDS = 60.0
@@ -43,12 +43,12 @@
     def hear_entry(self, heartbeat: EntryHeartbeat) -> None:
         """Note the heartbeat of another entry."""
         if heartbeat.node != self._node:
-            peer = EntryPeer(heartbeat, time.monotonic())
+            peer = EntryPeer(heartbeat, clock.uptime())
             self._entries[heartbeat.node] = peer
 
     def hear_endpoint(self, heartbeat: EndpointHeartbeat) -> None:
         """Note the heartbeat of an endpoint process."""
-        now = time.monotonic()
+        now = clock.uptime()
         known = self._endpoints.get(heartbeat.endpoint)
         if known is None or known.heartbeat.address != heartbeat.address:
             known = EndpointPeer(heartbeat, now, now)
@@ -58,7 +58,7 @@
 
     def group(self) -> Group:
         """Count the entries that are alive, and those that may be."""
-        now = time.monotonic()
+        now = clock.uptime()
         ages = [now - peer.heard for peer in self._entries.values()]
         heard = sum(age < self._suspect_after for age in ages)
         known = sum(age < _CUT_SECONDS for age in ages)
@@ -66,7 +66,7 @@
 
     def entries(self) -> list[EntryHeartbeat]:
         """List the other entries that are alive."""
-        since = time.monotonic() - self._suspect_after
+        since = clock.uptime() - self._suspect_after
         return [
             peer.heartbeat
             for peer in self._entries.values()
@@ -75,7 +75,7 @@
 
     def endpoints(self) -> list[EndpointPeer]:
         """List the endpoints that are alive."""
-        since = time.monotonic() - self._suspect_after
+        since = clock.uptime() - self._suspect_after
         return [peer for peer in self._endpoints.values() if peer.heard > since]
 
     def forget_endpoint(self, endpoint: str) -> None:
--- a/packages/bendlead-node/src/bendlead_node/_entry/online.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/online.py
@@ -1,6 +1,5 @@
 """Callers' online requests: completions and plain services."""
 
-import time
 from functools import partial
 from http import HTTPStatus
 from urllib.parse import quote
@@ -8,6 +7,7 @@
 import msgspec
 from bendlead_schema.objects import Service, ServiceKind, Team
 from bendlead_schema.settings import LimitSettings
+from bendlead_store import clock
 
 from bendlead_node._common.config import ConfigTable
 from bendlead_node._common.web import (
@@ -142,7 +142,7 @@
         body: bytes,
     ) -> OnlineRequest:
         asked_once = call.header(_REPEATABLE_HEADER).lower() == 'no'
-        deadline = time.monotonic() + self._limits.request_seconds
+        deadline = clock.uptime() + self._limits.request_seconds
         return OnlineRequest(
             request=self._recorder.name(team.name, call.header(_KEY_HEADER)),
             team=team.name,
--- a/packages/bendlead-node/src/bendlead_node/_entry/ownership.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/ownership.py
@@ -1,6 +1,5 @@
 """Decide which shards this entry owns, and reach the owners of the others."""
 
-import time
 from functools import lru_cache
 
 import gevent
@@ -21,7 +20,7 @@
     ShardOwnership,
 )
 from bendlead_schema.settings import LedgerSettings
-from bendlead_store import Failure, FailureKind, ObjectStore
+from bendlead_store import Failure, FailureKind, ObjectStore, clock
 from result import Err, Ok, Result
 
 from bendlead_node._common.telemetry import Journal
@@ -116,10 +115,10 @@
         timeout: float = 10,
     ) -> Result[Reply, Failure]:
         """Have the owner of a shard answer, following it as it moves."""
-        until = time.monotonic() + timeout
+        until = clock.uptime() + timeout
         failure = self._failure(FailureKind.NOT_DONE, shard, 'no owner')
         uncertain = False
-        while time.monotonic() < until:
+        while clock.uptime() < until:
             reply = self._call_once(shard, command)
             if isinstance(reply, Ok):
                 return reply
@@ -171,12 +170,12 @@
             return
         if preferred_owner(shard, tuple(sorted(nodes))) != self._owner.node:
             return
-        if time.monotonic() - self._lost_at.get(shard, 0) < _CALM_SECONDS:
+        if clock.uptime() - self._lost_at.get(shard, 0) < _CALM_SECONDS:
             return
         self._take(shard)
 
     def _take(self, shard: ShardId) -> None:
-        started = time.monotonic()
+        started = clock.uptime()
         opened = open_shard(
             self._store,
             shard,
@@ -199,7 +198,7 @@
             'takeover',
             shard=shard,
             epoch=opened.ok_value.epoch,
-            milliseconds=round((time.monotonic() - started) * 1000),
+            milliseconds=round((clock.uptime() - started) * 1000),
         )
 
     def _commit_interval(self) -> float:
@@ -208,7 +207,7 @@
 
     def _lose(self, shard: ShardId) -> None:
         lost = self._owned.pop(shard, None)
-        self._lost_at[shard] = time.monotonic()
+        self._lost_at[shard] = clock.uptime()
         self._journal.decide('shard-lost', shard=shard, reason='fenced')
         if lost is not None:
             gevent.spawn(lost.close)
--- a/packages/bendlead-node/src/bendlead_node/_entry/policy.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/policy.py
@@ -6,6 +6,7 @@
 
 from bendlead_ledger import TeamPolicy
 from bendlead_schema.objects import Policy, Team
+from bendlead_store import clock
 
 from bendlead_node._common.config import ConfigTable
 
@@ -58,7 +59,7 @@
 
     def row(self, team: str) -> TeamPolicy:
         """Tell how the policies in force treat a team."""
-        now = time.monotonic()
+        now = clock.uptime()
         if now - self._made > _TABLE_SECONDS:
             self._made = now
             self._rows = self._evaluated()
--- a/packages/bendlead-node/src/bendlead_node/_entry/process.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/process.py
@@ -13,7 +13,7 @@
     LimitSettings,
     NodeSettings,
 )
-from bendlead_store import open_store
+from bendlead_store import clock, open_store
 
 from bendlead_node._common.config import ConfigTable
 from bendlead_node._common.peer_gate import PeerGate
@@ -120,7 +120,7 @@
         if self._leaving:
             return
         self._leaving = True
-        self._left_at = time.monotonic()
+        self._left_at = clock.uptime()
         self._shards.leave()
         self._journal.decide('leaving', reason='asked to stop')
 
@@ -128,7 +128,7 @@
         if not self._leaving:
             return False
         # The balancer and the peers need a moment to turn away.
-        if time.monotonic() - self._left_at < _LEAVE_SECONDS:
+        if clock.uptime() - self._left_at < _LEAVE_SECONDS:
             return False
         heirs = [one for one in self._members.entries() if not one.leaving]
         handed_over = not (heirs and self._shards.owned())
--- a/packages/bendlead-node/src/bendlead_node/_entry/recording.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/recording.py
@@ -1,6 +1,5 @@
 """Record keyed online requests, so that a resend gets the one result."""
 
-import time
 from collections import deque
 from collections.abc import Iterable, Iterator
 from http import HTTPStatus
@@ -19,7 +18,7 @@
     RequestPhase,
     RequestView,
 )
-from bendlead_store import Failure
+from bendlead_store import Failure, clock
 from result import Err, Ok, Result
 
 from bendlead_node._common.telemetry import Journal
@@ -235,7 +234,7 @@
 
     def _replay(self, request: OnlineRequest, found: RequestView) -> Answer:
         while found.phase is not RequestPhase.completed:
-            if time.monotonic() > request.deadline:
+            if clock.uptime() > request.deadline:
                 raise CallError(
                     HTTPStatus.CONFLICT,
                     'still_running',
--- a/packages/bendlead-node/src/bendlead_node/_entry/recovery.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/recovery.py
@@ -1,12 +1,12 @@
 """Finish recorded requests whose entry was lost."""
 
-import time
 from collections.abc import Callable, Iterator
 
 import gevent
 from bendlead_ledger import Shard
 from bendlead_schema.messages import RequestPhase, RequestView
 from bendlead_schema.records import RequestAccepted
+from bendlead_store import clock
 
 from bendlead_node._common.config import ConfigTable
 from bendlead_node._entry.dispatch import OnlineRequest
@@ -83,5 +83,5 @@
             body=accepted.body.encode(),
             stream=accepted.stream,
             repeatable=accepted.repeatable,
-            deadline=time.monotonic() + _DEADLINE_SECONDS,
+            deadline=clock.uptime() + _DEADLINE_SECONDS,
         )
--- a/packages/bendlead-node/src/bendlead_node/_entry/routing.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/routing.py
@@ -1,9 +1,10 @@
 """Choose an endpoint for a request."""
 
 import random
-import time
 from collections.abc import Collection
 
+from bendlead_store import clock
+
 from bendlead_node._entry.members import EndpointPeer, Members
 
 _SLOW_START_SECONDS = 5.0
@@ -26,7 +27,7 @@
         avoid: Collection[str],
     ) -> EndpointPeer | None:
         """Pick an endpoint that is not leaving, ejected or to be avoided."""
-        now = time.monotonic()
+        now = clock.uptime()
         able = [
             peer
             for peer in self._members.endpoints()
@@ -46,14 +47,14 @@
 
     def refused(self, peer: EndpointPeer) -> None:
         """Pass over an endpoint that is full until it is likely not to be."""
-        again = time.monotonic() + _FULL_SECONDS
+        again = clock.uptime() + _FULL_SECONDS
         peer.ejected_until = max(peer.ejected_until, again)
 
     def failed(self, peer: EndpointPeer) -> None:
         """Note a failure; eject an endpoint that fails again and again."""
         peer.failures += 1
         if peer.failures >= _EJECT_AFTER:
-            peer.ejected_until = time.monotonic() + _EJECT_SECONDS
+            peer.ejected_until = clock.uptime() + _EJECT_SECONDS
 
 
 def _serves(peer: EndpointPeer, service: str, model: str) -> bool:
@@ -67,6 +68,6 @@
     heartbeat = peer.heartbeat
     # The report lags; what this entry has out itself is exact.
     running = max(heartbeat.online, peer.sent) + heartbeat.waiting
-    age = time.monotonic() - peer.first_heard
+    age = clock.uptime() - peer.first_heard
     warmth = min(1.0, 0.1 + age / _SLOW_START_SECONDS)
     return (running + _FAR_PENALTY) / (heartbeat.capacity * warmth)
--- a/packages/bendlead-node/src/bendlead_node/_entry/shared_limits.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/shared_limits.py
@@ -1,6 +1,5 @@
 """Limits of teams that all entries count together, told by heartbeats."""
 
-import time
 from dataclasses import dataclass
 
 from bendlead_gateway.teams import (
@@ -13,6 +12,7 @@
 from bendlead_gateway.teams import Team as LimitedTeam
 from bendlead_schema.messages import EntryHeartbeat
 from bendlead_schema.objects import Team
+from bendlead_store import clock
 
 from bendlead_node._common.config import ConfigTable
 from bendlead_node._entry.members import Members
@@ -71,7 +71,7 @@
             NodeName(heartbeat.node),
             TeamCounts(heartbeat.life, teams),
             heartbeat.beat,
-            time.monotonic(),
+            clock.uptime(),
         )
 
     def _limit_named(self, name: TeamName) -> LimitedTeam | None:
--- a/packages/bendlead-store/src/bendlead_store/_embedded.py
+++ b/packages/bendlead-store/src/bendlead_store/_embedded.py
@@ -1,12 +1,12 @@
 """An object service in a SQLite file, for one machine."""
 
 import sqlite3
-import time
 from collections.abc import Sequence
 
 import gevent
 from result import Err, Ok, Result
 
+from bendlead_store import clock
 from bendlead_store._failure import Failure, FailureKind
 from bendlead_store._protocol import (
     ABSENT,
@@ -86,9 +86,9 @@
         timeout: float,
     ) -> Result[Sequence[Change], Failure]:
         """Wait up to timeout seconds for changes after a revision."""
-        until = time.monotonic() + timeout
+        until = clock.uptime() + timeout
         changes = self._changes(prefix, after)
-        while not changes and time.monotonic() < until:
+        while not changes and clock.uptime() < until:
             gevent.sleep(_POLL_SECONDS)
             changes = self._changes(prefix, after)
         return Ok(changes)
--- a/packages/bendlead-store/src/bendlead_store/_http.py
+++ b/packages/bendlead-store/src/bendlead_store/_http.py
@@ -1,6 +1,5 @@
 """The object service over HTTP."""
 
-import time
 from collections.abc import Mapping, Sequence
 from http import HTTPStatus
 from urllib.parse import quote, urlencode
@@ -10,6 +9,7 @@
 from geventhttpclient.response import HTTPSocketPoolResponse
 from result import Err, Ok, Result
 
+from bendlead_store import clock
 from bendlead_store._failure import Failure, FailureKind
 from bendlead_store._protocol import (
     ABSENT,
@@ -140,7 +140,7 @@
         client: HTTPClient | None = None,
     ) -> Result[_Answer, Failure]:
         step = f'{method} {path}'
-        started = time.monotonic()
+        started = clock.uptime()
         try:
             response = (client or self._client).request(
                 method,
@@ -152,7 +152,7 @@
         except ConnectionRefusedError as refused:
             return self._failed(FailureKind.NOT_DONE, step, str(refused))
         except Exception as error:  # the library raises many kinds
-            waited = time.monotonic() - started
+            waited = clock.uptime() - started
             detail = f'{type(error).__name__} after {waited:.3f} s: {error}'
             return self._failed(FailureKind.UNKNOWN, step, detail)
         return self._judge(step, answer)
--- a/tests/test_gateway_loads.py
+++ b/tests/test_gateway_loads.py
@@ -21,7 +21,7 @@
     )
     def test_silent_peer(self, _name, age, counted):
         """Items go on where their owner's machine has lost power."""
-        with mock.patch.object(loads.time, 'monotonic') as clock:
+        with mock.patch.object(loads.clock, 'uptime') as clock:
             clock.return_value = 100.0
             table = loads.LoadTable()
             table.report('owner-1', {'i-1': 2}, {'i-1': 3})
@@ -39,7 +39,7 @@
     )
     def test_unstoppable_items(self, _name, pause, age, counted):
         """Items of an owner that hears nothing step aside for nobody."""
-        with mock.patch.object(loads.time, 'monotonic') as clock:
+        with mock.patch.object(loads.clock, 'uptime') as clock:
             table = loads.LoadTable()
             for told_at in (100.0, 100.0 + pause):
                 clock.return_value = told_at
@@ -56,7 +56,7 @@
         ]
     )
     def test_owners_of_items(self, _name, age, items, expected):
-        with mock.patch.object(loads.time, 'monotonic') as clock:
+        with mock.patch.object(loads.clock, 'uptime') as clock:
             clock.return_value = 100.0
             table = loads.LoadTable()
             table.report('owner-1', {'i-1': 2}, items)
@@ -107,7 +107,7 @@
     def test_sums_are_those_of_the_fresh_reports(self, seed):
         chance = random.Random(seed)
         kept: dict[str, tuple[float, dict[str, int]]] = {}
-        with mock.patch.object(loads.time, 'monotonic') as clock:
+        with mock.patch.object(loads.clock, 'uptime') as clock:
             clock.return_value = 100.0
             table = loads.LoadTable()
             for _step in range(300):
--- a/tests/test_gateway_news.py
+++ b/tests/test_gateway_news.py
@@ -123,7 +123,7 @@
     )
     def test_change_is_known_everywhere(self, _name, entries, halls, seconds):
         fleet = SimulatedFleet(entries, halls, seed=1)
-        with mock.patch.object(loads.time, 'monotonic', lambda: fleet.now):
+        with mock.patch.object(loads.clock, 'uptime', lambda: fleet.now):
             for number, process in enumerate(fleet.processes):
                 process.loads.own.online[f'i-{number}'] = 1
             fleet.run_until(START + 0.6)
@@ -136,7 +136,7 @@
     def test_counts_that_stay_are_known_on_and_end(self):
         """What is told on counts for 1.5 s; it is told anew before."""
         fleet = SimulatedFleet(63, 5, seed=2)
-        with mock.patch.object(loads.time, 'monotonic', lambda: fleet.now):
+        with mock.patch.object(loads.clock, 'uptime', lambda: fleet.now):
             fleet.processes[0].loads.own.online['i-0'] = 2
             fleet.run_until(START + 1)
             for step in range(25):
@@ -151,6 +151,6 @@
     @parameterized.expand([(63, 5), (300, 3)])
     def test_exchanges_do_not_grow_with_the_fleet(self, entries, halls):
         fleet = SimulatedFleet(entries, halls, seed=3)
-        with mock.patch.object(loads.time, 'monotonic', lambda: fleet.now):
+        with mock.patch.object(loads.clock, 'uptime', lambda: fleet.now):
             fleet.run_until(START + 0.4)
         self.assertLessEqual(2 * fleet.exchanges / entries / 0.4, 110)
--- a/tests/test_gateway_patience.py
+++ b/tests/test_gateway_patience.py
@@ -36,7 +36,7 @@
         store = mock.Mock()
         waiting = patience.HolderPatience(store)
         over = None
-        with mock.patch.object(patience.time, 'monotonic') as clock:
+        with mock.patch.object(patience.clock, 'uptime') as clock:
             for at, answer in answers:
                 clock.return_value = 100 + at
                 store.fetch.return_value = answer
--- a/tests/test_gateway_progress.py
+++ b/tests/test_gateway_progress.py
@@ -253,13 +253,13 @@
     )
     def test_rate(self, _name, written_in, rested, along, due):
         job_held = held('i1')
-        with mock.patch('bendlead_gateway._jobs.progress.time') as clock:
-            clock.monotonic.return_value = 50
+        with mock.patch('bendlead_gateway._jobs.progress.clock') as clock:
+            clock.uptime.return_value = 50
             log = ProgressLog({JobId('j1'): job_held}, lambda: written_in)
             add(job_held.progress['i1'], 0)
             log.take()
             add(job_held.progress['i1'], 1)
-            clock.monotonic.return_value += rested
+            clock.uptime.return_value += rested
             self.assertEqual(due, log.due)
             self.assertEqual(along, len(log.along()))
             self.assertFalse(log.due)
