The OpenAI-compatible face keeps requests from engines that end under them

Cause, the same as on the other face: an endpoint process saw its engine go and told of one broken answer; no entry counted these over attempts, and a stream goes on at the next endpoint without a bound of its own. Change: endpoint processes ask their engine for a connection after a break and tell all entries at once which requests it ran; entries hold this with the same evidence as the gateway, refuse (503 request_quarantined), and keep records as objects of the configuration, which every entry gets and an operator can remove.

--- a/packages/bendlead-node/src/bendlead_node/_common/config.py
+++ b/packages/bendlead-node/src/bendlead_node/_common/config.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import xxhash
+from bendlead_schema.gateway import SuspectRecord
 from bendlead_schema.messages import VersionedKey
 from bendlead_schema.objects import PlannedStop, Policy, Service, Team
 
@@ -13,6 +14,7 @@
     'team': Team,
     'policy': Policy,
     'stop': PlannedStop,
+    'suspect': SuspectRecord,
 }
 
 
@@ -70,6 +72,10 @@
         """List the planned stops in force."""
         return self._by_kind['stop']  # type: ignore[return-value]
 
+    def suspects(self) -> dict[str, SuspectRecord]:
+        """List the requests under which engines ended."""
+        return self._by_kind['suspect']  # type: ignore[return-value]
+
     def _take(self, change: VersionedKey) -> bool:
         held = self._keys.get(change.key)
         if held and held.version >= change.version:
--- a/packages/bendlead-node/src/bendlead_node/_common/upstream.py
+++ b/packages/bendlead-node/src/bendlead_node/_common/upstream.py
@@ -11,6 +11,8 @@
 from result import Err, Ok, Result
 
 PEER_HEADER = 'X-Bendlead-Peer'
+#: Names a request to an endpoint process, whichever attempt it is.
+DIGEST_HEADER = 'X-Bendlead-Digest'
 _POOL = 1024
 _BLOCK = 16384
 _CONNECT_SECONDS = 1.0
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/process.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/process.py
@@ -31,6 +31,7 @@
     FixedLimit,
     LearntLimit,
 )
+from bendlead_node._endpoint.ends import EngineEnds
 from bendlead_node._endpoint.engine import Engine
 from bendlead_node._endpoint.online import OnlinePath
 
@@ -65,6 +66,12 @@
             self._metrics,
         )
         self._gate = PeerGate(settings.peer_key, self._metrics)
+        self._ends = EngineEnds(
+            settings.node,
+            self._stands_before.address,
+            self._beat_once,
+            self._journal,
+        )
         self._online = OnlinePath(
             self._stands_before.service,
             self._gate,
@@ -72,6 +79,7 @@
             self._engine,
             limit,
             self._metrics,
+            self._ends,
         )
         self._batch = BatchRunner(
             settings.node,
@@ -185,11 +193,14 @@
 
     def _beat(self) -> None:
         while True:
-            for address in self._entries():
-                gevent.spawn(self._beat_one, address)
+            self._beat_once()
             pause = self._settings.heartbeat * random.uniform(_JITTER, 1)
             gevent.sleep(pause)
 
+    def _beat_once(self) -> None:
+        for address in self._entries():
+            gevent.spawn(self._beat_one, address)
+
     def _beat_one(self, address: str) -> None:
         reply = self._peers.ask(
             address,
@@ -224,6 +235,7 @@
             leaving=self._admission.leaving,
             revision=self._config.revision,
             versions=self._config.versions,
+            ends=self._ends.latest,
         )
 
 
--- a/packages/bendlead-node/src/bendlead_node/_entry/dispatch.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/dispatch.py
@@ -3,6 +3,7 @@
 from collections.abc import Generator, Iterator
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from typing import Protocol
 
 from bendlead_schema.messages import ErrorOutcome
 from bendlead_store import Failure, FailureKind, clock
@@ -11,6 +12,7 @@
 
 from bendlead_node._common.telemetry import Journal, Metrics
 from bendlead_node._common.upstream import (
+    DIGEST_HEADER,
     PEER_HEADER,
     Clients,
     abandon,
@@ -56,6 +58,22 @@
     may_have_run: bool = False
 
 
+class Suspects(Protocol):
+    """Know the requests under which engines ended."""
+
+    def digest(self, request: OnlineRequest) -> str:
+        """Name a request, whichever attempt of its caller it is."""
+
+    def check(self, request: OnlineRequest) -> None:
+        """Refuse a request that must reach no engine."""
+
+    def await_news(self, request: OnlineRequest) -> None:
+        """Wait for news of an engine that broke off a request."""
+
+    def answered(self, request: OnlineRequest) -> None:
+        """Clear a request that an engine has answered whole."""
+
+
 @dataclass(slots=True)
 class _Sent:
     peer: EndpointPeer
@@ -73,8 +91,10 @@
         timeout: float,
         journal: Journal,
         metrics: Metrics,
+        suspects: Suspects,
     ) -> None:
         self._members = members
+        self._suspects = suspects
         self._router = router
         self._clients = Clients(timeout)
         self._peer_key = peer_key
@@ -97,10 +117,11 @@
             body = read_body(sent.response)
             sent.peer.sent -= 1
             if isinstance(body, Ok):
-                self._count(request, 'complete')
+                self._complete(request, status)
                 return Answer(status, body.ok_value, headers)
             self._note_cut(request, sent, body.err_value)
             self._require_repeatable(request)
+            self._suspects.await_news(request)
             sent = self._send(request, b'')
 
     def _stream(self, request: OnlineRequest, sent: _Sent) -> Iterator[bytes]:
@@ -111,6 +132,7 @@
                 if last.startswith(_DONE):
                     return
                 self._require_repeatable(request)
+                self._suspects.await_news(request)
                 sent = self._send(request, _event_id(last))
         except CallError as error:
             yield b'data: %b\n\n' % error.answer().body
@@ -127,7 +149,7 @@
                 last = event if event.startswith(_ID_FIELD) else last
                 yield event
                 if event.startswith(_DONE):
-                    self._count(request, 'complete')
+                    self._complete(request, sent.response.status_code)
                     return event
         except GeneratorExit:
             abandon(sent.response)
@@ -152,6 +174,7 @@
             if attempt and not budget.withdraw():
                 self._note_no_budget(request)
                 break
+            self._suspects.check(request)
             peer = self._next_peer(request)
             if peer is None:
                 break
@@ -178,6 +201,7 @@
         if not refused.had_no_effect:
             request.may_have_run = True
             self._require_repeatable(request)
+            self._suspects.await_news(request)
 
     def _note_no_budget(self, request: OnlineRequest) -> None:
         self._journal.decide(
@@ -197,6 +221,7 @@
             PEER_HEADER: self._peer_key,
             'X-Request-Id': request.request,
             'X-Bendlead-Team': request.team,
+            DIGEST_HEADER: self._suspects.digest(request),
         }
         if resume_after:
             headers['Last-Event-ID'] = resume_after.decode()
@@ -283,6 +308,11 @@
             retry_after=max(1, retry_after),
         )
 
+    def _complete(self, request: OnlineRequest, status: int) -> None:
+        self._count(request, 'complete')
+        if status < HTTPStatus.MULTIPLE_CHOICES:
+            self._suspects.answered(request)
+
     def _count(self, request: OnlineRequest, outcome: str) -> None:
         self._metrics.requests.labels(
             request.service,
--- a/packages/bendlead-node/src/bendlead_node/_entry/peer_api.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/peer_api.py
@@ -45,6 +45,7 @@
         config: ConfigTable,
         heartbeat: Callable[[], EntryHeartbeat],
         hear_entry: Callable[[EntryHeartbeat], None],
+        hear_ends: Callable[[EndpointHeartbeat], None],
     ) -> None:
         self._gate = gate
         self._members = members
@@ -53,6 +54,7 @@
         self._config = config
         self._heartbeat = heartbeat
         self._hear_entry = hear_entry
+        self._hear_ends = hear_ends
 
     def routes(self) -> list[Route]:
         """List the paths that peers use."""
@@ -75,6 +77,7 @@
         """Hear an endpoint process and tell it what it needs."""
         heartbeat = self._gate.read(call, EndpointHeartbeat)
         self._members.hear_endpoint(heartbeat)
+        self._hear_ends(heartbeat)
         mine = self._heartbeat()
         entries = [mine, *self._members.entries()]
         changes = [
--- a/packages/bendlead-node/src/bendlead_node/_entry/process.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/process.py
@@ -2,12 +2,14 @@
 
 import random
 import time
-from collections.abc import Iterable
 from http import HTTPStatus
 
 import gevent
 from bendlead_ledger import GrantOrder, Owner, unique
-from bendlead_schema.messages import EntryHeartbeat, EntryState
+from bendlead_schema.messages import (
+    EntryHeartbeat,
+    EntryState,
+)
 from bendlead_schema.settings import (
     LedgerSettings,
     LimitSettings,
@@ -44,6 +46,7 @@
 from bendlead_node._entry.relay import Relay
 from bendlead_node._entry.routing import Router
 from bendlead_node._entry.shared_limits import SharedLimits
+from bendlead_node._entry.suspects import SuspectTable
 
 _PEER_SECONDS = 10.0
 _MEND_SECONDS = 1.0
@@ -79,6 +82,9 @@
             self._journal,
         )
         self._limits = SharedLimits(settings.node, self._config, self._members)
+        self._suspects = SuspectTable(
+            self._store, self._config, self._relay, self._journal
+        )
         self._gate = Gate(self._config, self._limits)
         self._policy = PolicyTable(self._config)
         self._server: WebServer | None = None
@@ -155,6 +161,7 @@
             limits.request_seconds,
             self._journal,
             self._metrics,
+            self._suspects,
         )
         runner = f'{self._settings.node}/{self._incarnation}'
         recorder = Recorder(self._shards, dispatcher, runner, self._journal)
@@ -194,6 +201,7 @@
             self._config,
             self._heartbeat,
             self._hear_entry,
+            self._suspects.hear,
         )
 
     def _own_routes(self) -> list[Route]:
@@ -297,7 +305,7 @@
         )
 
 
-def _raise_failed(tasks: Iterable[gevent.Greenlet]) -> None:
+def _raise_failed(tasks: list[gevent.Greenlet]) -> None:
     for task in tasks:
         if task.dead:
             task.get()
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/messages.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/messages.py
@@ -351,28 +351,6 @@
     ) = field(default_factory=dict)
 
 
-class EndpointHeartbeat(Struct, kw_only=True):
-    """
-    What an endpoint process tells an entry.
-    """
-
-    endpoint: str
-    address: str
-    data_hall: str
-    service: str
-    models: list[str]
-    capacity: Annotated[int, Meta(ge=0)]
-    online: Annotated[int, Meta(ge=0)]
-    batch: Annotated[int, Meta(ge=0)]
-    waiting: Annotated[int, Meta(ge=0)] = 0
-    leaving: bool = False
-    prefill_tokens: Annotated[int, Meta(ge=0)] = 0
-    revision: Annotated[int, Meta(ge=0)] = 0
-    versions: Annotated[
-        dict[str, int], Meta(description='Configuration versions held.')
-    ] = field(default_factory=dict)
-
-
 class EndpointHeartbeatReply(Struct, kw_only=True):
     """
     What an entry tells an endpoint process.
@@ -452,21 +430,6 @@
     ]
 
 
-class EntryState(Struct, kw_only=True):
-    """
-    A dump of an entry.
-    """
-
-    node: str
-    leaving: bool
-    shards: list[ShardOwnership]
-    entries: list[str]
-    endpoints: list[EndpointHeartbeat]
-    revision: Annotated[int, Meta(ge=0)]
-    jobs: list[str]
-    decisions: list[str]
-
-
 class RunLease(Struct, kw_only=True):
     """
     A run an endpoint process still holds.
@@ -477,6 +440,19 @@
     positions: list[int]
 
 
+class EngineEnd(Struct, kw_only=True):
+    """
+    Tell that an engine ended while it ran a request.
+    """
+
+    digest: Annotated[
+        str,
+        Meta(description='Names the request, whichever attempt of its caller it is.'),
+    ]
+    life: Annotated[str, Meta(description='Names the life of the engine that ended.')]
+    at_ms: Annotated[int, Meta(description='Unix millisecond of the end.', ge=0)]
+
+
 class SubmitJob(Struct, kw_only=True, tag_field='kind', tag='submit-job'):
     """
     Ask a shard to accept a job.
@@ -544,3 +520,49 @@
     | Refusal,
     Meta(description='Everything a shard can answer.'),
 ]
+
+
+class EndpointHeartbeat(Struct, kw_only=True):
+    """
+    What an endpoint process tells an entry.
+    """
+
+    endpoint: str
+    address: str
+    data_hall: str
+    service: str
+    models: list[str]
+    capacity: Annotated[int, Meta(ge=0)]
+    online: Annotated[int, Meta(ge=0)]
+    batch: Annotated[int, Meta(ge=0)]
+    waiting: Annotated[int, Meta(ge=0)] = 0
+    leaving: bool = False
+    prefill_tokens: Annotated[int, Meta(ge=0)] = 0
+    revision: Annotated[int, Meta(ge=0)] = 0
+    versions: Annotated[
+        dict[str, int], Meta(description='Configuration versions held.')
+    ] = field(default_factory=dict)
+    ends: (
+        Annotated[
+            list[EngineEnd],
+            Meta(
+                description='Latest ends of its engine, one for each request that it ran.'
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=list)
+
+
+class EntryState(Struct, kw_only=True):
+    """
+    A dump of an entry.
+    """
+
+    node: str
+    leaving: bool
+    shards: list[ShardOwnership]
+    entries: list[str]
+    endpoints: list[EndpointHeartbeat]
+    revision: Annotated[int, Meta(ge=0)]
+    jobs: list[str]
+    decisions: list[str]
--- a/testing/src/bendlead_testing/engine.py
+++ b/testing/src/bendlead_testing/engine.py
@@ -7,6 +7,7 @@
 import bendlead_testing.patched  # noqa: F401, I001
 
 import argparse
+import os
 import time
 from collections import Counter
 from collections.abc import Iterator
@@ -34,6 +35,8 @@
 _BODY_BYTES = 64_000_000
 _DEFAULT_TOKENS = 16
 _POISON = 'poison'
+#: How long an engine runs a request under which it ends (s).
+_ENDS_AFTER = 0.05
 
 
 class Body(msgspec.Struct):
@@ -55,10 +58,12 @@
 class EngineApi:
     """Serve the stand-in over the protocol engines speak."""
 
-    def __init__(self, engine: StandInEngine, *, checks: bool) -> None:
+    def __init__(
+        self, engine: StandInEngine, *, checks: bool, ends_on: str = ''
+    ) -> None:
         self._engine = engine
         self._checks = checks
-        self._die_on_poison = True
+        self._ends_on = ends_on
 
     def routes(self) -> list[Route]:
         """List the paths of the engine."""
@@ -76,6 +81,8 @@
         """Answer a completion, whole or as a stream."""
         body = msgspec.json.decode(call.body(_BODY_BYTES), type=Body)
         prompt = body.text()
+        if self._ends_on and self._ends_on in prompt:
+            gevent.spawn_later(_ENDS_AFTER, os._exit, 1)
         if _POISON in prompt:
             raise CallError(500, 'engine_fault', 'the engine failed')
         sequence = Sequence(
@@ -225,6 +232,7 @@
     parser.add_argument('--prefill', type=float, default=0.00002)
     parser.add_argument('--plain', type=float, default=-1)
     parser.add_argument('--checks-fencing', action='store_true')
+    parser.add_argument('--ends-on', default='')
     asked = parser.parse_args()
     if asked.plain >= 0:
         routes = PlainApi(asked.plain).routes()
@@ -232,7 +240,9 @@
         speed = Speed(asked.base, asked.sequence, asked.prefill)
         engine = StandInEngine(asked.slots, asked.memory, speed)
         gevent.spawn(engine.run)
-        routes = EngineApi(engine, checks=asked.checks_fencing).routes()
+        routes = EngineApi(
+            engine, checks=asked.checks_fencing, ends_on=asked.ends_on
+        ).routes()
     server = WebServer('127.0.0.1', asked.port, WebApp(routes))
     server.start()
     gevent.get_hub().join()
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -54,6 +54,22 @@
 GOOD = Ok(FakeAnswer(200, b'{}', {'Content-Type': 'application/json'}))
 
 
+class Unsuspected:
+    """Hold nothing against any request."""
+
+    def digest(self, _request):
+        return 'd'
+
+    def check(self, _request):
+        """Let every request go on."""
+
+    def await_news(self, _request):
+        """Wait for nothing."""
+
+    def answered(self, _request):
+        """Clear nothing."""
+
+
 class DispatchTest(unittest.TestCase):
     def setUp(self) -> None:
         self.members = Members('entry', 10)
@@ -64,6 +80,7 @@
             1,
             Journal('entry'),
             Metrics(),
+            Unsuspected(),
         )
 
     def prepare(self, answers: dict) -> FakeClients:
