An item's failed runs count over owners

Ruled out: records without events among those of progress (an earlier version that takes over would add an empty line to the text).

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/held.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/held.py
@@ -3,7 +3,11 @@
 from collections.abc import Iterator, Sequence
 
 from bendlead_ledger import BEFORE_FIRST, DirectJobState, KeptProgress
-from bendlead_schema.records import DirectProgress, DirectResult
+from bendlead_schema.records import (
+    DirectProgress,
+    DirectResult,
+    ItemFailures,
+)
 from bendlead_store import clock
 from gevent.event import Event
 from msgspec import Struct, field
@@ -45,16 +49,22 @@
     #: How many texts, up to which event, have been handed to the log.
     _kept_texts: int = 0
     _kept_event: int = BEFORE_FIRST
+    #: How many failures have been handed to the log.
+    _kept_failures: int = 0
 
     @classmethod
-    def restored(cls, item: JobItem, kept: KeptProgress | None) -> 'Progress':
+    def restored(
+        cls, item: JobItem, kept: KeptProgress | None, failures: int = 0
+    ) -> 'Progress':
         """Go on behind what an earlier owner has kept, if it has."""
         if kept is None:
-            return cls(item)
+            return cls(item, failures=failures, _kept_failures=failures)
         return cls(
             item,
             [kept.text],
             kept.last_event,
+            failures,
+            _kept_failures=failures,
             _restored=True,
             _spent=kept.spent,
             _kept_texts=1,
@@ -85,6 +95,16 @@
         """Count the events that have not been handed to the log."""
         return len(self.texts) - self._kept_texts
 
+    @property
+    def failed_since(self) -> bool:
+        """Tell whether a failure has not been handed to the log."""
+        return self.failures > self._kept_failures
+
+    def take_failures(self) -> ItemFailures:
+        """Hand over how often the item has failed."""
+        self._kept_failures = self.failures
+        return ItemFailures(item=self.item.item, failures=self.failures)
+
     def begin(self) -> None:
         """Note that a run holds a place from now on."""
         self._since = clock.uptime()
@@ -128,7 +148,9 @@
         self.state = state
         self.changed = Event()
         self.progress = {
-            one.item: Progress.restored(one, state.kept.get(one.item))
+            one.item: Progress.restored(
+                one, state.kept.get(one.item), state.failures.get(one.item, 0)
+            )
             for one in items
             if not state.listed(one.item)
         }
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/progress.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/progress.py
@@ -5,7 +5,6 @@
 import gevent
 from bendlead_ledger import Committer
 from bendlead_schema.records import (
-    DirectProgress,
     DirectResultsRecorded,
     Record,
 )
@@ -63,20 +62,23 @@
         return self.take() if self._rested(_ALONG_SECONDS) else []
 
     def take(self) -> list[Record]:
-        """Give the events to write, of the items first that lack most."""
+        """Give what to write, of the items first that lack most."""
         self._taken_at = clock.uptime()
         left = _MOST_CHARACTERS
-        taken: dict[JobId, list[DirectProgress]] = {}
+        taken: dict[JobId, DirectResultsRecorded] = {}
         for job, progress in sorted(self._fresh(), key=_not_kept, reverse=True):
             if left <= 0:
                 break
-            one = progress.take(left)
-            left -= len(one.text)
-            taken.setdefault(job, []).append(one)
-        return [
-            DirectResultsRecorded(job=job, results=[], progress=progress)
-            for job, progress in taken.items()
-        ]
+            record = taken.setdefault(
+                job, DirectResultsRecorded(job=job, results=[])
+            )
+            if progress.failed_since:
+                record.failed.append(progress.take_failures())
+            if progress.not_kept:
+                one = progress.take(left)
+                left -= len(one.text)
+                record.progress.append(one)
+        return list(taken.values())
 
     def _rested(self, seconds: float) -> bool:
         apart = max(seconds, self._write_seconds() * _WRITES_APART)
@@ -84,12 +86,13 @@
         return rested > min(apart, _LONGEST_SECONDS)
 
     def _fresh(self) -> Iterator[_Fresh]:
-        """List the items with events that the log does not hold."""
+        """List the items with events or failures that the log lacks."""
         for name, job in self._jobs.items():
             if job.state.ended:
                 continue
             for progress in job.progress.values():
-                if progress.not_kept and not progress.finished:
+                news = progress.not_kept or progress.failed_since
+                if news and not progress.finished:
                     yield name, progress
 
 
--- a/packages/bendlead-ledger/src/bendlead_ledger/_direct.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_direct.py
@@ -15,6 +15,7 @@
     DirectJobSnapshot,
     DirectProgress,
     DirectResult,
+    ItemFailures,
 )
 from msgspec import Struct, field
 
@@ -57,6 +58,8 @@
     results: list[DirectResult] = field(default_factory=list)
     ended: bool = False
     kept: dict[str, KeptProgress] = field(default_factory=dict)
+    #: Runs of items without result that their engines failed.
+    failures: dict[str, int] = field(default_factory=dict)
     _done: set[str] = field(default_factory=set)
 
     @property
@@ -70,6 +73,7 @@
         job = cls(snapshot.accepted, ended=snapshot.ended)
         job.record(snapshot.results)
         job.keep(snapshot.progress)
+        job.count(snapshot.failed)
         return job
 
     def listed(self, item: str) -> bool:
@@ -84,6 +88,7 @@
                 self._done.add(one.item)
                 self.results.append(one)
                 self.kept.pop(one.item, None)
+                self.failures.pop(one.item, None)
                 fresh = True
         return fresh
 
@@ -99,12 +104,24 @@
                 fresh = True
         return fresh
 
+    def count(self, failed: Sequence[ItemFailures]) -> bool:
+        """Take how often items have failed; a lower count changes nothing."""
+        fresh = False
+        for one in failed:
+            if self.ended or one.item in self._done:
+                continue
+            if one.failures > self.failures.get(one.item, 0):
+                self.failures[one.item] = one.failures
+                fresh = True
+        return fresh
+
     def end(self) -> bool:
         """End the job, once."""
         if self.ended:
             return False
         self.ended = True
         self.kept.clear()
+        self.failures.clear()
         return True
 
     def snapshot(self) -> DirectJobSnapshot:
@@ -122,6 +139,10 @@
                 )
                 for item, one in self.kept.items()
             ],
+            failed=[
+                ItemFailures(item=item, failures=count)
+                for item, count in self.failures.items()
+            ],
         )
 
 
--- a/packages/bendlead-ledger/src/bendlead_ledger/_state.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_state.py
@@ -204,7 +204,8 @@
         if job is None:
             return False
         recorded = job.record(record.results)
-        return job.keep(record.progress) or recorded
+        counted = job.count(record.failed)
+        return job.keep(record.progress) or counted or recorded
 
     def end_direct(self, record: DirectJobEnded) -> bool:
         """End a direct job."""
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/records.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/records.py
@@ -315,6 +315,23 @@
     ) = 0
 
 
+class DirectJobEnded(Struct, kw_only=True, tag_field='kind', tag='direct-job-ended'):
+    """
+    End a direct job; nothing of it is run afterwards.
+    """
+
+    job: str
+
+
+class ItemFailures(Struct, kw_only=True):
+    """
+    Count the runs of an item that its engine failed.
+    """
+
+    item: str
+    failures: Annotated[int, Meta(ge=1)]
+
+
 class DirectResultsRecorded(
     Struct, kw_only=True, tag_field='kind', tag='direct-results-recorded'
 ):
@@ -331,14 +348,12 @@
         ]
         | UnsetType
     ) = field(default_factory=list)
-
-
-class DirectJobEnded(Struct, kw_only=True, tag_field='kind', tag='direct-job-ended'):
-    """
-    End a direct job; nothing of it is run afterwards.
-    """
-
-    job: str
+    failed: (
+        Annotated[
+            list[ItemFailures], Meta(description='Failed runs of items without result.')
+        ]
+        | UnsetType
+    ) = field(default_factory=list)
 
 
 class DirectJobSnapshot(Struct, kw_only=True):
@@ -350,6 +365,12 @@
     results: list[DirectResult]
     ended: bool
     progress: list[DirectProgress] | UnsetType = field(default_factory=list)
+    failed: (
+        Annotated[
+            list[ItemFailures], Meta(description='Failed runs of items without result.')
+        ]
+        | UnsetType
+    ) = field(default_factory=list)
 
 
 Record: TypeAlias = Annotated[
--- a/tests/test_gateway_progress.py
+++ b/tests/test_gateway_progress.py
@@ -17,7 +17,7 @@
 from parameterized import parameterized
 
 from tests.gateway_cases import OwnerCase, job, node_shard
-from tests.gateway_standins import chunked, event, eventually
+from tests.gateway_standins import ProcessLife, chunked, event, eventually
 
 _CUT = chunked(event(1, 'a'), event(2, 'b'), last=False)
 _TAIL = chunked(event(3, 'c'))
@@ -263,3 +263,27 @@
             self.assertEqual(due, log.due)
             self.assertEqual(along, len(log.along()))
             self.assertFalse(log.due)
+
+
+class FailuresTest(OwnerCase):
+    """An item that fails at each run, under owners that are lost.
+
+    Each owner counted the failures that it saw itself, so an item could fail
+    three times under every one of them.
+    """
+
+    def test_failures_count_over_owners(self):
+        failed = b'HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n'
+        self.configure([failed, failed])
+        life = ProcessLife()
+        first = life.start(self.holding)
+        self.submit(first)
+        eventually(lambda: len(self.engine.requests) == 3)
+        # The third run is under way; the log has the two before.
+        gevent.sleep(1.5)
+        life.end()
+        self.configure([failed] * 3)
+        second = self.holding('owner-2')
+        done = eventually(lambda: self.results(second), 8)
+        self.assertEqual(['dead_lettered'], [one['state'] for one in done])
+        self.assertEqual(1, len(self.engine.requests))
