A suspect removed while the watch was cut is released; a peer that starts again is told

Cause, by reading the mend: a record that an operator removed while the watch was away came back with nobody's word, and what was told to a process before its restart was not told to the next one. Ruled out: entries that lapse (nothing of ours runs out in the object service). Change: a record missing from a new listing is released; a peer that was silent hears all news of the last minute again.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -313,6 +313,8 @@
             return
         if peer.silent:
             self._log.event('peer-heard', peer=node)
+            # It may be a process that has just started and knows nothing.
+            peer.suspects_told = 0
         peer.report = report
         peer.heard = clock.uptime()
         peer.missed = report.missed
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/keeper.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/keeper.py
@@ -45,18 +45,20 @@
         self._wake = Event()
 
     def reset(self, entries: Sequence[Entry], after_outage: bool) -> None:
-        """Take all records."""
+        """Take all records; one that is missing now has been released."""
+        known = set(self._versions)
         self._versions.clear()
         for entry in entries:
             self._take(entry)
+        for digest in known.difference(self._versions):
+            self._release(digest)
 
     def change(self, change: Change) -> None:
         """Take one record, or its removal: somebody has released it."""
         digest = self._digest(change.key)
         if change.deleted:
             self._versions.pop(digest, None)
-            if self._evidence.clear(digest, time.time()):
-                self._log.event('suspect-released', digest=digest)
+            self._release(digest)
             return
         self._take(Entry(change.key, change.version, change.body))
 
@@ -103,6 +105,10 @@
         stored = _decode(found.ok_value)
         return stored == self._evidence.record(digest)
 
+    def _release(self, digest: RequestDigest) -> None:
+        if self._evidence.clear(digest, time.time()):
+            self._log.event('suspect-released', digest=digest)
+
     def _take(self, entry: Entry) -> None:
         record = _decode(entry)
         if record is None:
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -318,6 +318,34 @@
         self.ask(entry)
         self.assertEqual(_ENDS + 1, self.ended)
 
+    def test_released_while_the_watch_was_cut(self):
+        self.configure(route('streaming'))
+        entry = self.entry()
+        for _attempt in range(_ENDS):
+            self.ask(entry)
+            gevent.sleep(0.15)
+        eventually(lambda: self.store.list_names('bendlead-suspects'))
+        gevent.sleep(0.5)
+        name = self.store.list_names('bendlead-suspects')[0]
+        self.store.remove('bendlead-suspects', name, unseen=True)
+        self.store.forget_history()
+        eventually(lambda: 'suspect-released' in ' '.join(entry.log.recent))
+        self.ask(entry)
+        self.assertEqual(_ENDS + 1, self.ended)
+
+    def test_peer_that_started_again_is_told_of_single_ends(self):
+        """These are in no object; it hears them of its peers again."""
+        self.configure(route('streaming'))
+        first = self.entry(1)
+        life = ProcessLife()
+        life.start(partial(self.entry, 2))
+        self.ask(first)
+        gevent.sleep(0.3)
+        life.end()
+        gevent.sleep(1.2)
+        again = self.entry(2)
+        eventually(again.fleet.suspects.summary)
+
     def test_good_item_of_the_same_job(self):
         self.configure(route('batch', max_attempts=3))
         owner = self.owner()
