bendlead suspects, and bendlead explain of a digest

Cause: an operator had the state dump alone to see which requests are quarantined, and explain knew attempts only. Change: a command over the dumps of some processes; explain takes a digest and marks all attempts of a request and the ends under it.

--- a/packages/bendlead-cli/src/bendlead_cli/_explain.py
+++ b/packages/bendlead-cli/src/bendlead_cli/_explain.py
@@ -19,6 +19,7 @@
         _IN_FORCE,
         'config-not-passed-on',
         'engine-born-again',
+        'engine-ended',
         'engine-failed',
         'engine-gone',
         'engine-listed',
@@ -38,7 +39,9 @@
         'watch-regained',
     ),
 )
-_SUBJECTS = ('request', 'job', 'item', 'belongs_to')
+_SUBJECTS = ('request', 'job', 'item', 'belongs_to', 'digest')
+#: Names several digests, parted by commas.
+_DIGESTS = 'digests'
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +62,12 @@
         return self.fields.get('event', '')
 
     def concerns(self, name: str) -> bool:
-        """Tell whether the line is about a request, an item or a job."""
+        """Tell whether the line is about a request, an item or a job.
+
+        A digest names a request over all attempts of its caller.
+        """
+        if name in self.fields.get(_DIGESTS, '').split(','):
+            return True
         return any(self.fields.get(subject) == name for subject in _SUBJECTS)
 
     def shares(self, own: Iterable['LogLine']) -> bool:
--- a/packages/bendlead-cli/src/bendlead_cli/main.py
+++ b/packages/bendlead-cli/src/bendlead_cli/main.py
@@ -10,6 +10,7 @@
 from bendlead_cli._explain import explain
 from bendlead_cli._late import late
 from bendlead_cli._printing import Output, say, show
+from bendlead_cli._suspects import suspects
 from bendlead_cli._teams import teams
 
 _DATA_FIELD = b'data: '
@@ -85,6 +86,7 @@
             'delete': _fleet.delete,
             'status': _fleet.status,
             'state': _fleet.state,
+            'suspects': suspects,
             'teams': teams,
             'stop': {
                 'plan': _fleet.stop_plan,
