The soak has callers whose request ends each engine that runs it

Cause: nothing in the soak made an engine end under a request that comes again, so the incident's fault could not show there.

--- a/testing/src/bendlead_testing/gateway_soak/__main__.py
+++ b/testing/src/bendlead_testing/gateway_soak/__main__.py
@@ -24,6 +24,7 @@
     parser.add_argument('--engines', type=int, default=4)
     parser.add_argument('--online', type=int, default=12)
     parser.add_argument('--batch', type=int, default=2)
+    parser.add_argument('--deadly', type=int, default=0)
     parser.add_argument(
         '--steps',
         type=json.loads,
@@ -32,7 +33,12 @@
     asked = parser.parse_args()
     steps = asked.steps and [Step(*one) for one in asked.steps]
     size = Size(
-        asked.entries, asked.owners, asked.engines, asked.online, asked.batch
+        asked.entries,
+        asked.owners,
+        asked.engines,
+        asked.online,
+        asked.batch,
+        asked.deadly,
     )
     # Told to stop, the soak still ends every process that it started.
     gevent.signal_handler(signal.SIGTERM, sys.exit, 1)
--- a/testing/src/bendlead_testing/gateway_soak/answers.py
+++ b/testing/src/bendlead_testing/gateway_soak/answers.py
@@ -2,6 +2,9 @@
 
 import hashlib
 
+#: Ends the ids of requests under which engines end.
+DEADLY = '-deadly'
+
 
 def text_of(request: str, number: int) -> str:
     """Give the right data of one event of a request."""
--- a/testing/src/bendlead_testing/gateway_soak/clients.py
+++ b/testing/src/bendlead_testing/gateway_soak/clients.py
@@ -11,6 +11,7 @@
 import gevent
 from bendlead_gateway.http import HttpConnection
 
+from bendlead_testing.gateway_soak.answers import DEADLY
 from bendlead_testing.gateway_soak.deployment import Deployment, NodeSpot
 from bendlead_testing.gateway_soak.sightings import (
     Attempt,
@@ -41,6 +42,7 @@
 _POISON_SHARE = 0.06
 _ENDED_SHARE = 0.15
 _READ_PAUSE = 0.4
+_DEADLY_PAUSE = (0.2, 0.8)
 _SETTLED = 2.0
 
 
@@ -117,6 +119,23 @@
             self._jobs.append(gevent.spawn(self._batch))
         self._tasks.append(gevent.spawn(self._probe))
 
+    def start_deadly(self, count: int, seconds: float) -> None:
+        """Start clients of requests under which engines end."""
+        until = time.monotonic() + seconds
+        for number in range(count):
+            task = gevent.spawn(self._repeat_deadly, number, until)
+            self._tasks.append(task)
+
+    def _repeat_deadly(self, number: int, until: float) -> None:
+        """Send one request again and again, each time with a new id."""
+        path = f'{Kind.RESUMABLE.value}deadly-{number}'
+        while self._going and time.monotonic() < until:
+            gevent.sleep(self._chance.uniform(*_DEADLY_PAUSE))
+            name = self._name('x') + DEADLY
+            entry = self._entry()
+            self._note_unjudged(name, entry, path)
+            self._post(entry, path, name)
+
     def stop(self, within: float) -> int:
         """Let jobs be read to their end; tell how many tasks went on."""
         self._going = False
@@ -234,20 +253,19 @@
     def _probe_once(self, entry: NodeSpot, version: int) -> int:
         name = self._name('p')
         path = f'/version-{version}/{name}'
-        body = b''
-        self._seen.attempts.append(
-            Attempt(
-                name,
-                Kind.SAFE,
-                entry.name,
-                path,
-                hashlib.sha256(body).hexdigest(),
-                time.monotonic(),
-                1,
-                # Probes are judged by their status alone.
-                left=time.monotonic(),
-            )
-        )
+        # Probes are judged by their status alone.
+        self._note_unjudged(name, entry, path)
+        return self._post(entry, path, name)
+
+    def _note_unjudged(self, name: str, entry: NodeSpot, path: str) -> None:
+        """Let engines get a request whose answer is judged elsewhere."""
+        now = time.monotonic()
+        body = hashlib.sha256(b'').hexdigest()
+        one = Attempt(name, Kind.SAFE, entry.name, path, body, now, 1, left=now)
+        self._seen.attempts.append(one)
+
+    def _post(self, entry: NodeSpot, path: str, name: str) -> int:
+        """Send a request without a body on a new connection."""
         headers = [
             ('Host', HOST),
             ('X-Attempt-Id', name),
@@ -258,7 +276,7 @@
         if connection is None:
             return 0
         try:
-            answered = connection.request('POST', path, headers, body, 2)
+            answered = connection.request('POST', path, headers, b'', 2)
         except OSError:
             return 0
         finally:
--- a/testing/src/bendlead_testing/gateway_soak/deployment.py
+++ b/testing/src/bendlead_testing/gateway_soak/deployment.py
@@ -23,6 +23,8 @@
 _LAPSE_SECONDS = 1.5
 GRACE_SECONDS = 8
 STATUS_SECONDS = 120
+#: An engine that ended by itself is back within this time (s).
+_BACK_SECONDS = 2.0
 
 
 @dataclass
@@ -125,6 +127,7 @@
         for spot in self.spots.values():
             self._connect(spot)
         self._carrier: subprocess.Popen[str] | None = None
+        self._minder: gevent.Greenlet | None = None
 
     @property
     def entries(self) -> list[NodeSpot]:
@@ -160,9 +163,12 @@
         for node in self.nodes.values():
             node.start()
         gevent.spawn(self._lapse)
+        self._minder = gevent.spawn(self._mind_engines)
 
     def stop(self) -> None:
         """End every process that was started here."""
+        if self._minder is not None:
+            self._minder.kill()
         for process in self.all():
             process.end()
         if self._carrier is not None:
@@ -170,6 +176,15 @@
             self._carrier.wait()
         self.ports.free()
 
+    def _mind_engines(self) -> None:
+        """Start engines again that ended by themselves."""
+        while True:
+            gevent.sleep(_BACK_SECONDS)
+            for engine in self.engines:
+                process = engine.process
+                if not process.running and not process.told_to_end:
+                    process.start()
+
     def all(self) -> list[Process]:
         """List the nodes and the engines."""
         return [*self.nodes.values(), *(one.process for one in self.engines)]
--- a/testing/src/bendlead_testing/gateway_soak/engine_process.py
+++ b/testing/src/bendlead_testing/gateway_soak/engine_process.py
@@ -22,7 +22,7 @@
 from bendlead_gateway.types import ClientLimits
 from gevent.lock import BoundedSemaphore
 
-from bendlead_testing.gateway_soak.answers import seal_of, text_of
+from bendlead_testing.gateway_soak.answers import DEADLY, seal_of, text_of
 
 _LIMITS = ClientLimits(idle_seconds=20)
 _BEAT_SECONDS = 0.5
@@ -34,6 +34,8 @@
 _TELL_SECONDS = 8.0
 #: A draining engine serves on this long (s) once the store knows.
 _SERVES_ON = 3.5
+#: How an engine exits that ends under a request.
+_CRASHED = 9
 _RESETS = struct.pack('ii', 1, 0)
 #: Part of the requests that a troubled engine treats badly.
 _BAD_SHARE = 0.3
@@ -211,6 +213,10 @@
             )
             responder.abort()
             return 'reset'
+        if name.endswith(DEADLY):
+            gevent.sleep(_FIRST_SECONDS)
+            self._journal.note('crash', request=name)
+            os._exit(_CRASHED)
         total = int(headers.get('x-token-usage', '0,5').split(',')[1])
         gevent.sleep(_FIRST_SECONDS)
         responder.start(200, 'OK', self._marks(name), None)
--- a/testing/src/bendlead_testing/gateway_soak/promises.py
+++ b/testing/src/bendlead_testing/gateway_soak/promises.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from bendlead_testing.gateway_soak.answers import seal_of, text_of
+from bendlead_testing.gateway_soak.answers import DEADLY, seal_of, text_of
 from bendlead_testing.gateway_soak.sightings import (
+    ENGINE_ENDED,
     ROUTE_SECONDS,
     Attempt,
     Sightings,
@@ -30,6 +31,12 @@
 _PROMISES = frozenset((408, 421, 429, 503))
 _MOST_FAILED_RUNS = 9
 _MOST_IMPOSSIBLE_RUNS = 2
+#: A request under which this many engines have ended reaches others this often
+#: at most, once all may know it (s). Here links take connections for an engine
+#: that is gone, so its end is known when it leaves the list, 1.5 s later.
+_ENDS_UNTIL_KNOWN = 3
+_KNOWN_SECONDS = CONTACT_SECONDS + 2.0
+_LATE_RETRIES = 3
 #: Served in the calm at the end, as a share of what was asked.
 _RECOVERED_SHARE = 0.8
 _LEAST_AFTER = 10
@@ -51,6 +58,7 @@
     starts: dict[str, list[dict[str, Any]]] = field(default_factory=dict)
     ends: dict[str, list[dict[str, Any]]] = field(default_factory=dict)
     draining: dict[str, float] = field(default_factory=dict)
+    crashes: list[dict[str, Any]] = field(default_factory=list)
 
     def take(self, line: dict[str, Any]) -> None:
         """Index one line."""
@@ -61,6 +69,8 @@
             self.starts.setdefault(line['request'], []).append(line)
         elif kind == 'end':
             self.ends.setdefault(line['request'], []).append(line)
+        elif kind == 'crash':
+            self.crashes.append(line)
         elif kind == 'draining':
             self.draining[line['engine']] = line['at']
 
@@ -274,6 +284,22 @@
         yield f'{working} of {left} abandoned requests went on'
 
 
+def _crashed(seen: Sightings, journal: EngineJournal) -> Iterator[str]:
+    """Few engines get a request under which three have ended."""
+    ended = sorted(one['at'] for one in journal.crashes)
+    if len(ended) < _ENDS_UNTIL_KNOWN:
+        return
+    known = ended[_ENDS_UNTIL_KNOWN - 1] + _KNOWN_SECONDS
+    others = [one for one in seen.troubles if one.name != ENGINE_ENDED]
+    late = 0
+    for line in journal.arrivals:
+        at = line['at']
+        if line['request'].endswith(DEADLY) and at > known:
+            late += calm(others, at - CONTACT_SECONDS, at)
+    if late > _LATE_RETRIES:
+        yield f'sent {late} times more, {len(ended)} engines ended in all'
+
+
 def _recovered(seen: Sightings, _journal: EngineJournal) -> Iterator[str]:
     """After all is healed requests are served again."""
     # The end of a disruption holds the time it excuses already.
@@ -298,6 +324,7 @@
     'jobs': _jobs,
     'ended jobs': _ended_jobs,
     'gone': _gone,
+    'crashed': _crashed,
     'recovered': _recovered,
 }
 RULE_NAMES: Sequence[str] = tuple(_RULES)
--- a/testing/src/bendlead_testing/gateway_soak/run.py
+++ b/testing/src/bendlead_testing/gateway_soak/run.py
@@ -17,13 +17,16 @@
 from bendlead_testing.gateway_soak.promises import (
     CONTACT_SECONDS,
     Breach,
+    EngineJournal,
     check,
     read_journal,
 )
 from bendlead_testing.gateway_soak.sightings import (
+    ENGINE_ENDED,
     ROUTE_SECONDS,
     Kind,
     Sightings,
+    Trouble,
 )
 
 #: Calm at the end, in which everything must be served again (s).
@@ -41,6 +44,8 @@
     engines: int = 4
     online: int = 12
     batch: int = 2
+    #: Clients whose request ends each engine that runs it.
+    deadly: int = 0
 
 
 @dataclass(frozen=True)
@@ -70,6 +75,7 @@
         operator.change()
         fleet.start()
         clients.start(size.online, size.batch)
+        clients.start_deadly(size.deadly, WARM_SECONDS + seconds)
         _play(fleet, seen, operator, planned, chance)
         gevent.sleep(_CALM_SECONDS)
         clients.stop(_DRAIN_SECONDS)
@@ -77,11 +83,24 @@
     finally:
         fleet.stop()
     journal = read_journal(fleet.journal)
+    seen.troubles.extend(_engine_ends(journal))
     return Outcome(
         seed, check(seen, journal), _count(seen, planned), str(fleet.folder)
     )
 
 
+def _engine_ends(journal: EngineJournal) -> list[Trouble]:
+    return [
+        Trouble(
+            ENGINE_ENDED,
+            one['engine'],
+            one['at'],
+            one['at'] + CONTACT_SECONDS,
+        )
+        for one in journal.crashes
+    ]
+
+
 class _Operator:
     """Write configurations; each version brings a route and drops one."""
 
--- a/testing/src/bendlead_testing/gateway_soak/sightings.py
+++ b/testing/src/bendlead_testing/gateway_soak/sightings.py
@@ -9,6 +9,10 @@
 ROUTE_SECONDS = 3.5
 
 
+#: The name of the trouble that an engine's own end is.
+ENGINE_ENDED = 'engine ended'
+
+
 class Kind(enum.Enum):
     """Name a kind of request by the prefix of its route."""
 
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -49,6 +49,19 @@
         ]
     )
     def test_seed(self, _name, seed, steps):
+        outcome, told = self.play(seed, steps)
+        self.assertEqual([], outcome.get('breaches'), told)
+        self.assertGreater(outcome['served'], 100)
+        self.assertGreater(outcome['items'], 10)
+
+    def test_request_that_ends_engines(self):
+        """It comes every half second, beside planned work and faults."""
+        outcome, told = self.play(30000, None, '--deadly=1', '--engines=6')
+        self.assertEqual([], outcome.get('breaches'), told)
+        self.assertGreater(outcome['served'], 100)
+
+    def play(self, seed, steps, *options):
+        """Run a seed; give its outcome and the end of what it told."""
         ended = subprocess.run(
             [
                 sys.executable,
@@ -59,6 +72,7 @@
                 '--seconds',
                 str(_SECONDS),
                 *(['--steps', json.dumps(steps)] if steps else []),
+                *options,
             ],
             cwd=_ROOT,
             env=dict(os.environ),
@@ -67,7 +81,4 @@
             timeout=_LONGEST_SECONDS,
             check=False,
         )
-        outcome = json.loads(ended.stdout or '{}')
-        self.assertEqual([], outcome.get('breaches'), ended.stderr[-3000:])
-        self.assertGreater(outcome['served'], 100)
-        self.assertGreater(outcome['items'], 10)
+        return json.loads(ended.stdout or '{}'), ended.stderr[-3000:]
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -43,6 +43,18 @@
     return {**made, **changed}
 
 
+def _repeated(ends, late):
+    """Let engines end under a request, and others get it long after."""
+    names = [f'x{at}-deadly' for at in range(ends + late)]
+    lines = []
+    for at, name in enumerate(names):
+        sent = _START + at / 10 + (20 if at >= ends else 0)
+        lines.append(_line('arrival', name, sent, path=f'/safe/{name}'))
+        lines.append(_line('crash', name, sent + 0.05))
+    attempts = [_attempt(one, Kind.SAFE, left=_START) for one in names]
+    return {'attempts': attempts, 'lines': lines}
+
+
 def _job(item='i1', text=None, **changed):
     made = JobSeen('j1', {item: 2}, {item: _BODY})
     made.statuses = [202]
@@ -199,6 +211,24 @@
                 },
                 'gone',
             ),
+            (
+                'sent_on_after_three_engines_had_ended',
+                _repeated(ends=3, late=4),
+                'crashed',
+            ),
+            (
+                'sent_on_three_times_more',
+                _repeated(ends=3, late=3),
+                '',
+            ),
+            (
+                'sent_on_while_nobody_could_know',
+                {
+                    **_repeated(ends=3, late=9),
+                    'troubles': [Trouble('cut', 'x', 50.0, 300.0)],
+                },
+                '',
+            ),
             (
                 'never_recovered',
                 {'troubles': [Trouble('kill', 'x', 1.0, 600.0)]},
@@ -223,6 +253,7 @@
             'jobs',
             'ended jobs',
             'gone',
+            'crashed',
             'recovered',
         }
         self.assertEqual(cases, set(RULE_NAMES))
