An end is held against a request whose caller has just left, too

Cause, by reading the mend: where a client leaves 0.06 s after its request, nobody reads the answer that breaks off 0.04 s later, and the end counted against nobody. Change: a request that was left within 3 s before its engine is found to have ended is held to have run there; of one that is a suspect already the engine is asked at once.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -2,6 +2,8 @@
 
 from http import HTTPStatus
 
+import gevent
+
 from bendlead_gateway._fleet.fleet import Fleet
 from bendlead_gateway._http.client import (
     BrokenAnswerError,
@@ -9,11 +11,13 @@
     ResponseHead,
     SilentPeerError,
 )
+from bendlead_gateway._http.messages import ClientGoneError, ServerEndsError
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._online.exchange import Choice, Exchange
 from bendlead_gateway._online.outcomes import (
     BrokenStreamError,
+    DeadlineError,
     NotRunError,
     Step,
     UnknownOutcomeError,
@@ -25,6 +29,13 @@
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import Engine
 
+#: Raised into an attempt whose answer nobody waits for any more.
+_NOBODY_WAITS = (
+    ClientGoneError,
+    DeadlineError,
+    ServerEndsError,
+    gevent.GreenletExit,
+)
 #: The rest of a refusal is awaited this long (s) to keep the connection.
 _REFUSAL_SECONDS = 0.03
 
@@ -57,6 +68,9 @@
         try:
             connection = self._connect(engine)
             idle = self._converse(exchange, view, connection)
+        except _NOBODY_WAITS:
+            self._fleet.suspects.left(engine, exchange.digest)
+            raise
         finally:
             loads.own.online[name] -= 1
             if connection is not None:
@@ -66,6 +80,8 @@
         try:
             return self._fleet.pool.take(engine)
         except OSError as error:
+            if isinstance(error, ConnectionRefusedError):
+                self._fleet.suspects.ends.refused(engine)
             paused = self._health.failed(engine.engine, unreachable=True)
             self._note(engine, Step.CONNECT, error, paused)
             raise UnreachableError(f'connect: {error}') from error
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/ends.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/ends.py
@@ -28,6 +28,12 @@
 #: fell silent leaves the list after three heartbeats of 1.2 s and some more.
 _NEWS_SECONDS = 6.0
 
+#: A request whose caller left this long (s) before an engine ended may have
+#: run there still: streams take a second.
+_LEFT_SECONDS = 3.0
+
+_Life = tuple[str, int]
+
 #: Takes an engine that has ended and a request that it ran.
 OnEnd = Callable[[Engine, RequestDigest], None]
 
@@ -59,7 +65,8 @@
         self._takes_requests = takes_requests
         self._log = log
         self._metrics = metrics
-        self._broken: dict[tuple[str, int], _Broken] = {}
+        self._broken: dict[_Life, _Broken] = {}
+        self._left: dict[_Life, dict[RequestDigest, float]] = {}
         self.on_end: OnEnd = ignore_end
 
     def broke_off(self, engine: Engine, digest: RequestDigest) -> None:
@@ -79,11 +86,23 @@
         if broken.ended:
             self.on_end(engine, digest)
 
+    def left(self, engine: Engine, digest: RequestDigest) -> None:
+        """Note that nobody waits any more for an engine's answer.
+
+        The engine may run the request on, and end under it a moment later.
+        """
+        self._expire()
+        self._left.setdefault(_life(engine), {})[digest] = clock.uptime()
+
+    def refused(self, engine: Engine) -> None:
+        """Note that an engine's address refused a connection."""
+        if self._takes_requests(engine):
+            self._end_of(engine, 'refuses connections')
+
     def gone(self, engine: Engine) -> None:
         """Note that an engine left the list, or was started again."""
-        broken = self._broken.get(_life(engine))
-        if broken is not None and engine.state is EngineState.READY:
-            self._end(broken, 'left the list')
+        if engine.state is EngineState.READY:
+            self._end_of(engine, 'left the list')
 
     def await_probe(self, digest: RequestDigest) -> None:
         """Wait until the engines that broke off a request were asked."""
@@ -100,10 +119,21 @@
             if broken.ended:
                 return
 
+    def _end_of(self, engine: Engine, reason: str) -> None:
+        life = _life(engine)
+        if life not in self._broken and life in self._left:
+            self._broken[life] = _Broken(engine, clock.uptime())
+        if life in self._broken:
+            self._end(self._broken[life], reason)
+
     def _end(self, broken: _Broken, reason: str) -> None:
         if broken.ended:
             return
         broken.ended = True
+        since = broken.at - _LEFT_SECONDS
+        for digest, at in self._left.pop(_life(broken.engine), {}).items():
+            if at > since:
+                broken.digests.add(digest)
         self._metrics.engine_ends += 1
         self._log.event(
             'engine-ended',
@@ -122,8 +152,11 @@
         for life, broken in list(self._broken.items()):
             if broken.at < oldest:
                 self._broken.pop(life)
+        for life, left in list(self._left.items()):
+            if max(left.values()) < oldest:
+                self._left.pop(life)
 
 
-def _life(engine: Engine) -> tuple[str, int]:
+def _life(engine: Engine) -> _Life:
     """Name one life of an engine, which may keep its id."""
     return engine.engine, engine.born
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -58,6 +58,17 @@
         """Note that an engine's answer to a request broke off."""
         self.ends.broke_off(engine, digest)
 
+    def left(self, engine: Engine, digest: RequestDigest) -> None:
+        """Note that nobody waits any more for an engine's answer.
+
+        Only of a suspect is the engine asked at once whether it has ended: many
+        callers leave, and each question is a connection.
+        """
+        if self._evidence.ends(digest):
+            self.ends.broke_off(engine, digest)
+        else:
+            self.ends.left(engine, digest)
+
     def await_news(self, digest: RequestDigest) -> None:
         """Wait for news of an engine, where the next end is the last one.
 
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -243,6 +243,23 @@
             gevent.sleep(0.15)
         self.assertEqual(_ENDS, self.ended)
 
+    def test_caller_leaves_before_the_engine_ends(self):
+        """Nobody reads the answer that breaks off."""
+        self.configure(route('streaming'), runs_seconds=0.1)
+        entry = self.entry()
+        for _attempt in range(8):
+            connection = self.begin(entry)
+            gevent.sleep(0.06)
+            connection.close()
+            gevent.sleep(0.4)
+            # Some of these meet the engine that is gone.
+            beside = [
+                gevent.spawn(self.ask, entry, b'good %d' % number)
+                for number in range(2 * _ENGINES)
+            ]
+            gevent.joinall(beside)
+        self.assertEqual(_ENDS, self.ended)
+
     def test_refused_at_once_and_truly(self):
         """It is told when to come back, and has reached no engine."""
         self.configure(route('streaming'))
