Only ends are held against a request that it was there to see

Ruled out: taking a connection that closes at once for an end (an engine over its limit does so too); asking for a byte of an answer (an engine may end before the first). Change: what was sent after an engine's first broken answer counts only if some answer has come from it since; then the first one was no end, and counts no more.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
@@ -45,6 +45,7 @@
         self.engines = EngineList(dialect, log, self._forget)
         self.suspects = Suspects(
             self.engines.takes_requests,
+            self.health.heard_at,
             store,
             dialect.suspects_prefix,
             log,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/health.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/health.py
@@ -52,6 +52,11 @@
         """Note that bytes of an answer came."""
         self._record(engine).heard = clock.uptime()
 
+    def heard_at(self, engine: EngineId) -> float:
+        """Tell when bytes of an answer came last (s), 0 for never."""
+        record = self._records.get(engine)
+        return record.heard if record else 0
+
     def silent(self, engine: EngineId, busy_since: float | None) -> bool:
         """Tell whether an engine at work for us has sent nothing lately."""
         if busy_since is None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -35,6 +35,9 @@
     route: Route
     connection: HttpConnection | None = None
     stopped: bool = False
+    #: When its request was sent (s), and whether some of an answer has come.
+    began: float = 0
+    answered: bool = False
 
     @property
     def digest(self) -> RequestDigest:
@@ -89,6 +92,7 @@
             run.progress.last_event,
             run.job.team,
         )
+        run.began = clock.uptime()
         connection.send(
             ITEM_METHOD, item.path, headers, item.body, _SILENT_SECONDS
         )
@@ -96,6 +100,7 @@
             head = connection.read_head(_SILENT_SECONDS)
             answer = self._dialect.engine_answer(head.status, head.headers)
             if answer.request in {None, item.item}:
+                run.answered = True
                 return head
             connection.skip_answer(head, _SILENT_SECONDS)
             connection.keep_no_longer()
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -22,6 +22,7 @@
 from bendlead_gateway._scheduling.places import ItemPlaces
 from bendlead_gateway._scheduling.precedence import Precedence
 from bendlead_gateway._scheduling.urgency import ItemPace, Urgency
+from bendlead_gateway._suspects.ends import Break
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import (
     Engine,
@@ -182,7 +183,8 @@
         )
         if not run.stopped:
             if isinstance(error, OSError):
-                self._fleet.suspects.broke_off(run.engine, digest)
+                answer = Break(run.digest, run.began, run.answered)
+                self._fleet.suspects.broke_off(run.engine, answer)
             self._fleet.health.failed(run.engine.engine)
             run.progress.not_before = clock.uptime() + _FAILED_PAUSE
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -3,6 +3,7 @@
 from http import HTTPStatus
 
 import gevent
+from bendlead_store import clock
 
 from bendlead_gateway._fleet.fleet import Fleet
 from bendlead_gateway._http.client import (
@@ -26,6 +27,7 @@
 from bendlead_gateway._online.relay import AnswerRelay, passed_on
 from bendlead_gateway._scheduling.retry import SecondTries, any_free
 from bendlead_gateway._scheduling.view import EngineView
+from bendlead_gateway._suspects.ends import Break
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import Engine
 
@@ -69,7 +71,7 @@
             connection = self._connect(engine)
             idle = self._converse(exchange, view, connection)
         except _NOBODY_WAITS:
-            self._fleet.suspects.left(engine, exchange.digest)
+            self._fleet.suspects.left(engine, exchange.digest, exchange.began)
             raise
         finally:
             loads.own.online[name] -= 1
@@ -119,6 +121,7 @@
         kept = connection.used
         silent = False
         exchange.asked = True
+        exchange.began = clock.uptime()
         try:
             self._send(exchange, engine, connection)
             return self._own_head(exchange, connection, limit)
@@ -132,7 +135,7 @@
                 engine.engine, unreachable=silent and limit is None
             )
             self._note(engine, Step.HEAD, error, paused)
-            self._fleet.suspects.broke_off(engine, exchange.digest)
+            self._broke_off(exchange, engine, answered=False)
             raise UnknownOutcomeError(f'no answer: {error}') from error
         finally:
             if limit is not None and not silent:
@@ -214,9 +217,15 @@
             silent = isinstance(broken.__cause__, SilentPeerError)
             paused = self._health.failed(engine.engine, unreachable=silent)
             self._note(engine, Step.BODY, broken, paused)
-            self._fleet.suspects.broke_off(engine, exchange.digest)
+            self._broke_off(exchange, engine, answered=True)
             raise
 
+    def _broke_off(
+        self, exchange: Exchange, engine: Engine, *, answered: bool
+    ) -> None:
+        answer = Break(exchange.digest, exchange.began, answered)
+        self._fleet.suspects.broke_off(engine, answer)
+
     def _note(
         self, engine: Engine, step: Step, error: object, paused: bool
     ) -> None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -35,6 +35,8 @@
     #: Whether an engine may have the request now.
     asked: bool = False
     sends: int = 0
+    #: When the latest send began (s).
+    began: float = 0
     last_event: int | None = None
     first_event: float = 0
     status: int = 0
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/ends.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/ends.py
@@ -16,7 +16,7 @@
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._suspects.digest import RequestDigest
-from bendlead_gateway.types import Engine, EngineState
+from bendlead_gateway.types import Engine, EngineId, EngineState
 
 #: When an engine is asked for a connection after an answer broke off (s). Its
 #: listening socket may close some ms after its connections.
@@ -28,6 +28,8 @@
 #: fell silent leaves the list after three heartbeats of 1.2 s and some more.
 _NEWS_SECONDS = 6.0
 
+#: Bytes that came before an end may be read this much (s) after it is noticed.
+_READ_LATE_SECONDS = 0.1
 #: A request whose caller left this long (s) before an engine ended may have
 #: run there still: streams take a second.
 _LEFT_SECONDS = 3.0
@@ -42,6 +44,17 @@
     """Hold nothing against a request."""
 
 
+class Break(Struct, frozen=True):
+    """Say which answer broke off, and when its request was sent (s).
+
+    ``answered`` tells that some bytes of an answer had come.
+    """
+
+    digest: RequestDigest
+    began: float
+    answered: bool
+
+
 class _Broken(Struct):
     """Keep the requests whose answers from one engine broke off."""
 
@@ -59,32 +72,33 @@
     def __init__(
         self,
         takes_requests: Callable[[Engine], bool],
+        heard_at: Callable[[EngineId], float],
         log: Log,
         metrics: Metrics,
     ) -> None:
         self._takes_requests = takes_requests
+        self._heard_at = heard_at
         self._log = log
         self._metrics = metrics
         self._broken: dict[_Life, _Broken] = {}
         self._left: dict[_Life, dict[RequestDigest, float]] = {}
         self.on_end: OnEnd = ignore_end
 
-    def broke_off(self, engine: Engine, digest: RequestDigest) -> None:
+    def broke_off(self, engine: Engine, answer: Break) -> None:
         """Note that an engine's answer to a request broke off."""
         self._expire()
         broken = self._broken.get(_life(engine))
-        if broken is None:
-            if not self._takes_requests(engine):
-                # Its end was planned, and cuts off what it did not finish.
+        if broken is not None and answer.began > broken.at:
+            if not self._went_on(broken, answer):
+                # It was gone before it got this request: something before it
+                # takes connections in its place. Good items met several such
+                # engines in a row, and were taken for the cause.
                 return
-            broken = _Broken(engine, clock.uptime())
-            self._broken[_life(engine)] = broken
-            gevent.spawn(self._probe, broken)
-        if digest in broken.digests:
-            return
-        broken.digests.add(digest)
-        if broken.ended:
-            self.on_end(engine, digest)
+            broken = None
+        if broken is None:
+            broken = self._begin(engine)
+        if broken is not None:
+            self._add(broken, answer.digest)
 
     def left(self, engine: Engine, digest: RequestDigest) -> None:
         """Note that nobody waits any more for an engine's answer.
@@ -110,6 +124,29 @@
             if digest in broken.digests:
                 broken.probed.wait(_AWAITED_SECONDS)
 
+    def _went_on(self, broken: _Broken, answer: Break) -> bool:
+        """Tell whether an engine has answered since an answer broke off."""
+        if broken.ended:
+            return False
+        heard = self._heard_at(broken.engine.engine)
+        return answer.answered or heard > broken.at + _READ_LATE_SECONDS
+
+    def _begin(self, engine: Engine) -> _Broken | None:
+        if not self._takes_requests(engine):
+            # Its end was planned, and cuts off what it did not finish.
+            return None
+        broken = _Broken(engine, clock.uptime())
+        self._broken[_life(engine)] = broken
+        gevent.spawn(self._probe, broken)
+        return broken
+
+    def _add(self, broken: _Broken, digest: RequestDigest) -> None:
+        if digest in broken.digests:
+            return
+        broken.digests.add(digest)
+        if broken.ended:
+            self.on_end(broken.engine, digest)
+
     def _probe(self, broken: _Broken) -> None:
         for pause in _PROBE_PAUSES:
             gevent.sleep(pause)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -9,13 +9,13 @@
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._suspects.digest import RequestDigest
-from bendlead_gateway._suspects.ends import EngineEnds
+from bendlead_gateway._suspects.ends import Break, EngineEnds
 from bendlead_gateway._suspects.evidence import (
     ENDS_UNTIL_QUARANTINE,
     Evidence,
 )
 from bendlead_gateway._suspects.keeper import SuspectKeeper
-from bendlead_gateway.types import Engine
+from bendlead_gateway.types import Engine, EngineId
 
 #: News are told on for this long (s); what is older a process learns from the
 #: object service when it starts.
@@ -30,6 +30,7 @@
     def __init__(
         self,
         takes_requests: Callable[[Engine], bool],
+        heard_at: Callable[[EngineId], float],
         store: FollowedStore,
         prefix: str,
         log: Log,
@@ -38,7 +39,7 @@
         self._log = log
         self._metrics = metrics
         self._evidence = Evidence()
-        self.ends = EngineEnds(takes_requests, log, metrics)
+        self.ends = EngineEnds(takes_requests, heard_at, log, metrics)
         self.ends.on_end = self._hold
         self.keeper = SuspectKeeper(self._evidence, store, prefix, log)
 
@@ -54,18 +55,18 @@
             return 0
         return self._evidence.quarantine_left(digest_of(), first, time.time())
 
-    def broke_off(self, engine: Engine, digest: RequestDigest) -> None:
+    def broke_off(self, engine: Engine, answer: Break) -> None:
         """Note that an engine's answer to a request broke off."""
-        self.ends.broke_off(engine, digest)
+        self.ends.broke_off(engine, answer)
 
-    def left(self, engine: Engine, digest: RequestDigest) -> None:
+    def left(self, engine: Engine, digest: RequestDigest, began: float) -> None:
         """Note that nobody waits any more for an engine's answer.
 
         Only of a suspect is the engine asked at once whether it has ended: many
         callers leave, and each question is a connection.
         """
         if self._evidence.ends(digest):
-            self.ends.broke_off(engine, digest)
+            self.ends.broke_off(engine, Break(digest, began, answered=False))
         else:
             self.ends.left(engine, digest)
 
