What is turned away at once is held against nobody, unless the address refuses

Ruled out: ends as told by others (they notice at the same removal from the list). Change: a break within 0.03 s and without a byte counts only where the address then refuses connections, since then nothing stood for the engine and the request had met it.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/ends.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/ends.py
@@ -30,6 +30,9 @@
 
 #: Bytes that came before an end may be read this much (s) after it is noticed.
 _READ_LATE_SECONDS = 0.1
+#: What is turned away sooner than this (s) and without a byte may never have
+#: met the engine: an engine begins its answer after some 0.04 s.
+_TURNED_AWAY_SECONDS = 0.03
 #: A request whose caller left this long (s) before an engine ended may have
 #: run there still: streams take a second.
 _LEFT_SECONDS = 3.0
@@ -61,6 +64,9 @@
     engine: Engine
     at: float
     digests: set[RequestDigest] = field(default_factory=set)
+    #: Those that were turned away at once, perhaps by what stands for an engine
+    #: that was gone already.
+    turned_away: set[RequestDigest] = field(default_factory=set)
     ended: bool = False
     #: Set once it is known whether the engine refuses connections at once.
     probed: Event = field(default_factory=Event)
@@ -98,7 +104,7 @@
         if broken is None:
             broken = self._begin(engine)
         if broken is not None:
-            self._add(broken, answer.digest)
+            self._add(broken, answer)
 
     def left(self, engine: Engine, digest: RequestDigest) -> None:
         """Note that nobody waits any more for an engine's answer.
@@ -110,13 +116,15 @@
 
     def refused(self, engine: Engine) -> None:
         """Note that an engine's address refused a connection."""
-        if self._takes_requests(engine):
-            self._end_of(engine, 'refuses connections')
+        broken = self._broken_or_left(engine)
+        if broken is not None and self._takes_requests(engine):
+            self._refuses(broken)
 
     def gone(self, engine: Engine) -> None:
         """Note that an engine left the list, or was started again."""
-        if engine.state is EngineState.READY:
-            self._end_of(engine, 'left the list')
+        broken = self._broken_or_left(engine)
+        if broken is not None and engine.state is EngineState.READY:
+            self._end(broken, 'left the list')
 
     def await_probe(self, digest: RequestDigest) -> None:
         """Wait until the engines that broke off a request were asked."""
@@ -140,28 +148,40 @@
         gevent.spawn(self._probe, broken)
         return broken
 
-    def _add(self, broken: _Broken, digest: RequestDigest) -> None:
-        if digest in broken.digests:
+    def _add(self, broken: _Broken, answer: Break) -> None:
+        if answer.digest in broken.digests:
             return
-        broken.digests.add(digest)
+        held = clock.uptime() - answer.began
+        if not answer.answered and held < _TURNED_AWAY_SECONDS:
+            broken.turned_away.add(answer.digest)
+            return
+        broken.digests.add(answer.digest)
         if broken.ended:
-            self.on_end(broken.engine, digest)
+            self.on_end(broken.engine, answer.digest)
 
     def _probe(self, broken: _Broken) -> None:
         for pause in _PROBE_PAUSES:
             gevent.sleep(pause)
             if refuses_connections(broken.engine.address, _PROBE_SECONDS):
-                self._end(broken, 'refuses connections')
+                self._refuses(broken)
             broken.probed.set()
             if broken.ended:
                 return
 
-    def _end_of(self, engine: Engine, reason: str) -> None:
+    def _broken_or_left(self, engine: Engine) -> _Broken | None:
         life = _life(engine)
         if life not in self._broken and life in self._left:
             self._broken[life] = _Broken(engine, clock.uptime())
-        if life in self._broken:
-            self._end(self._broken[life], reason)
+        return self._broken.get(life)
+
+    def _refuses(self, broken: _Broken) -> None:
+        """End an engine in whose place nothing takes connections.
+
+        Whatever was sent there had met the engine itself.
+        """
+        if not broken.ended:
+            broken.digests |= broken.turned_away
+        self._end(broken, 'refuses connections')
 
     def _end(self, broken: _Broken, reason: str) -> None:
         if broken.ended:
--- a/tests/test_gateway_engine_ends.py
+++ b/tests/test_gateway_engine_ends.py
@@ -77,6 +77,26 @@
         self.leaves(103.0)
         self.assertEqual(held, sorted(self.held))
 
+    @parameterized.expand(
+        [
+            ('at_once', 0.003, False, []),
+            ('after_a_while', 0.05, False, ['a']),
+            ('with_a_part_of_its_answer', 0.003, True, ['a']),
+        ]
+    )
+    def test_turned_away(self, _name, held_for, answered, held):
+        """Whatever takes connections for it may have done so before."""
+        began = _FIRST_BREAK - held_for
+        self.breaks('a', began, _FIRST_BREAK, answered)
+        self.leaves(103.0)
+        self.assertEqual(held, self.held)
+
+    def test_turned_away_by_an_address_that_then_refuses(self):
+        """Nothing stands for it, so the request had met the engine."""
+        self.breaks('a', _FIRST_BREAK - 0.003, _FIRST_BREAK)
+        self.ends.refused(_ENGINE)
+        self.assertEqual(['a'], self.held)
+
     def test_break_after_the_known_end(self):
         self.breaks('a', 99.9, _FIRST_BREAK)
         self.leaves(101.0)
