The soak starts and ends each of its processes one at a time

Ruled out: the product (the engine's own folder and parent 1). Change: a lock around starts and ends; the task that brings engines back is awaited.

--- a/testing/src/bendlead_testing/gateway_soak/deployment.py
+++ b/testing/src/bendlead_testing/gateway_soak/deployment.py
@@ -11,6 +11,7 @@
 
 import gevent
 from bendlead_gateway.http import HttpConnection
+from gevent.lock import BoundedSemaphore
 
 from bendlead_testing.gateway_soak.links import LinkMode, LinkSpec
 from bendlead_testing.platform_store import Door, PlatformStandIn
@@ -39,6 +40,8 @@
     starts: int = 0
     unasked_ends: list[int] = field(default_factory=list)
     _popen: subprocess.Popen[bytes] | None = None
+    #: Held while it is started or ended: two starts at once would lose one.
+    _changing: BoundedSemaphore = field(default_factory=BoundedSemaphore)
 
     @property
     def running(self) -> bool:
@@ -55,17 +58,9 @@
 
     def start(self) -> None:
         """Start it unless it runs."""
-        if self.running:
-            return
-        self.told_to_end = False
-        self.starts += 1
-        with open(self.log, 'ab') as output:
-            self._popen = subprocess.Popen(
-                self.command,
-                stdout=output,
-                stderr=output,
-                env=self.environment,
-            )
+        with self._changing:
+            if not self.running:
+                self._start()
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to this process alone."""
@@ -76,11 +71,23 @@
 
     def end(self) -> None:
         """End it and wait until it is gone."""
-        self.signal(signal.SIGKILL)
-        self.signal(signal.SIGCONT)
-        if self._popen is not None:
-            self._popen.wait()
-        self._popen = None
+        with self._changing:
+            self.signal(signal.SIGKILL)
+            self.signal(signal.SIGCONT)
+            if self._popen is not None:
+                self._popen.wait()
+            self._popen = None
+
+    def _start(self) -> None:
+        self.told_to_end = False
+        self.starts += 1
+        with open(self.log, 'ab') as output:
+            self._popen = subprocess.Popen(
+                self.command,
+                stdout=output,
+                stderr=output,
+                env=self.environment,
+            )
 
 
 @dataclass
@@ -128,6 +135,7 @@
             self._connect(spot)
         self._carrier: subprocess.Popen[str] | None = None
         self._minder: gevent.Greenlet | None = None
+        self._stopping = False
 
     @property
     def entries(self) -> list[NodeSpot]:
@@ -167,8 +175,10 @@
 
     def stop(self) -> None:
         """End every process that was started here."""
+        self._stopping = True
         if self._minder is not None:
-            self._minder.kill()
+            # Ended in the middle of a start it would leave a process behind.
+            self._minder.join()
         for process in self.all():
             process.end()
         if self._carrier is not None:
@@ -178,10 +188,12 @@
 
     def _mind_engines(self) -> None:
         """Start engines again that ended by themselves."""
-        while True:
+        while not self._stopping:
             gevent.sleep(_BACK_SECONDS)
             for engine in self.engines:
                 process = engine.process
+                if self._stopping:
+                    return
                 if not process.running and not process.told_to_end:
                     process.start()
 
