--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -139,6 +139,12 @@
             return 0
         return head.status
 
+    def repeat(self, entry, times):
+        """Send the request again and again, each time as a new attempt."""
+        for _attempt in range(times):
+            self.ask(entry)
+            gevent.sleep(0.15)
+
     @property
     def reached(self):
         """Count the requests that reached engines."""
@@ -206,9 +212,7 @@
         for number in range(3):
             life = ProcessLife()
             entry = life.start(partial(self.entry, number))
-            for _attempt in range(4):
-                self.ask(entry)
-                gevent.sleep(0.15)
+            self.repeat(entry, 4)
             life.end()
         self.assertEqual(_ENDS, self.ended)
 
@@ -230,9 +234,7 @@
     def test_kinds_of_routes(self, _name, changed):
         self.configure(route(**changed))
         entry = self.entry()
-        for _attempt in range(8):
-            self.ask(entry)
-            gevent.sleep(0.15)
+        self.repeat(entry, 8)
         self.assertEqual(_ENDS, self.ended)
 
     def test_resumed_by_its_caller(self):
@@ -264,9 +266,7 @@
         """It is told when to come back, and has reached no engine."""
         self.configure(route('streaming'))
         entry = self.entry()
-        for _attempt in range(_ENDS):
-            self.ask(entry)
-            gevent.sleep(0.15)
+        self.repeat(entry, _ENDS)
         reached = self.reached
         head = self.begin(entry).read_head(3)
         self.assertEqual(503, head.status)
@@ -292,9 +292,7 @@
         alone = self.entry(2)
         for one in (entry, alone):
             one.peers.suspects = None
-        for _attempt in range(_ENDS):
-            self.ask(entry)
-            gevent.sleep(0.15)
+        self.repeat(entry, _ENDS)
         self.ask(alone)
         self.assertEqual(_ENDS, self.ended)
 
@@ -313,9 +311,7 @@
         self.configure(route('streaming'))
         entry = self.entry()
         self.store.trouble = Trouble.AWAY
-        for _attempt in range(_ENDS):
-            self.ask(entry)
-            gevent.sleep(0.15)
+        self.repeat(entry, _ENDS)
         self.store.trouble = Trouble.NONE
         self.assertTrue(
             eventually(lambda: self.store.list_names('bendlead-suspects'), 6)
@@ -324,9 +320,7 @@
     def test_released_by_the_operator(self):
         self.configure(route('streaming'))
         entry = self.entry()
-        for _attempt in range(_ENDS):
-            self.ask(entry)
-            gevent.sleep(0.15)
+        self.repeat(entry, _ENDS)
         eventually(lambda: self.store.list_names('bendlead-suspects'))
         gevent.sleep(0.5)
         name = self.store.list_names('bendlead-suspects')[0]
@@ -338,9 +332,7 @@
     def test_released_while_the_watch_was_cut(self):
         self.configure(route('streaming'))
         entry = self.entry()
-        for _attempt in range(_ENDS):
-            self.ask(entry)
-            gevent.sleep(0.15)
+        self.repeat(entry, _ENDS)
         eventually(lambda: self.store.list_names('bendlead-suspects'))
         gevent.sleep(0.5)
         name = self.store.list_names('bendlead-suspects')[0]
