The size of a suspect is a measured figure

Cause: the comment said 0.4 kB, which no run had given. Measured with tracemalloc over 4,000 suspects of one end: 540 bytes each. Only the comment changes.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/evidence.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/evidence.py
@@ -37,7 +37,7 @@
 #: The same for an item, which nobody sends again, and which is given up for
 #: good after its retention of a minute or more.
 ITEM_SECONDS = 15.0
-#: Suspects kept, at 0.4 kB each; the oldest news go first.
+#: Suspects kept, at 0.54 kB each (traced over 4,000); the oldest go first.
 _MOST_SUSPECTS = 4096
 #: Ends kept of one request, the newest ones.
 _MOST_ENDS = 16
