Items no longer wait for lasting places, which cost more items than they saved

Sizes, the pressure of stops, the overdue mark and an owner's turn hung on it alone and did nothing while it was off.

Ruled out: leaving it as a setting.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
@@ -13,7 +13,6 @@
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._scheduling.fair_order import FairOrder, ItemCost
 from bendlead_gateway._scheduling.refused import Wait, judge_wait
-from bendlead_gateway._scheduling.sizes import Size
 from bendlead_gateway._scheduling.urgency import ItemPace, Urgency
 from bendlead_gateway._suspects.evidence import ITEM_SECONDS
 from bendlead_gateway.types import Route
@@ -101,9 +100,9 @@
         """Note that an item starts, for the turns of its team."""
         self._turns.begin(candidate.turn, clock.uptime())
 
-    def left(self, progress: Progress, route: Route) -> float:
+    def left(self, progress: Progress) -> float:
         """Give the seconds for which an item will still run."""
-        return self._pace.left(progress.spent, size_of(progress, route))
+        return self._pace.left(progress.spent)
 
     def wait(self, job: HeldJob, progress: Progress, route: Route) -> Wait:
         """Tell what it would cost an item to wait."""
@@ -112,7 +111,6 @@
                 seconds_since(job),
                 progress.spent,
                 route.run_target,
-                size_of(progress, route),
             )
         )
 
@@ -126,7 +124,6 @@
             seconds_since(job),
             progress.spent,
             route.run_target,
-            size_of(progress, route),
         )
 
     def _waiting(self) -> Iterator[_Waiting]:
@@ -161,11 +158,6 @@
             self._give_up(board, job, progress)
 
 
-def size_of(progress: Progress, route: Route) -> Size:
-    """Say what an item states of its size."""
-    return Size(route.name, progress.item.tokens)
-
-
 def seconds_since(job: HeldJob) -> float:
     """Give the seconds since a job was accepted."""
     return time.time() - job.state.accepted.accepted_at
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/room.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/room.py
@@ -1,19 +1,10 @@
 """The places of engines, as an owner sees them."""
 
-from collections.abc import Container, Mapping, Sequence
-from typing import Protocol
+from collections.abc import Container, Sequence
 
-from bendlead_store import clock
-from msgspec import Struct, field
+from msgspec import Struct
 
 from bendlead_gateway._fleet.balancer import Balancer
-from bendlead_gateway._scheduling.lasting_places import (
-    LastingPlaces,
-    OwnStanding,
-    SettledRoom,
-    StopPressure,
-    rooms,
-)
 from bendlead_gateway._scheduling.places import (
     ItemPlaces,
     places_kept,
@@ -29,21 +20,9 @@
 from bendlead_gateway.types import Engine, EngineId, Features, ServiceName
 
 
-class Places(Protocol):
-    """Give out places for items."""
-
-    def take(self, age: float) -> EngineView | None:
-        """Take the place for an item of a job, of whose time a share is over.
-
-        Nothing is given where no place is left for it.
-        """
-
-
 class ServiceMemory(Struct):
     """Keep what was seen of a service over many rounds."""
 
-    room: SettledRoom = field(default_factory=SettledRoom)
-    pressure: StopPressure = field(default_factory=StopPressure)
     #: Whether items are held back for online requests that are refused.
     holding: bool = False
     #: How many items that can wait no longer run meanwhile.
@@ -55,7 +34,6 @@
 
     def __init__(self, features: Features) -> None:
         """Remember what a deployment's features need."""
-        self._lasting_places = features.lasting_places
         self.holds_back = features.holds_items_back
         self.services: dict[ServiceName, ServiceMemory] = {}
 
@@ -63,23 +41,10 @@
         """Give what is kept of a service."""
         return self.services.setdefault(service, ServiceMemory())
 
-    @property
-    def pressed(self) -> bool:
-        """Tell whether online load presses on any service."""
-        return any(self.waits(one) for one in self.services)
-
-    def waits(self, service: ServiceName) -> bool:
-        """Tell whether items wait for places that last."""
-        return self._lasting_places and self.of(service).pressure.pressed
-
     def summary(self) -> dict[str, object]:
         """Tell which services press."""
         return {
-            name: {
-                'stops_an_item': round(one.pressure.stops_an_item, 2),
-                'waits_for_lasting_places': self.waits(name),
-                'held_back': one.holding,
-            }
+            name: {'held_back': one.holding}
             for name, one in self.services.items()
         }
 
@@ -94,13 +59,9 @@
         self,
         balancer: Balancer,
         precedence: Precedence,
-        memory: RoomMemory,
-        runs: Mapping[EngineId, int],
     ) -> None:
         self._balancer = balancer
         self._precedence = precedence
-        self._memory = memory
-        self._runs = runs
         self._looked: dict[ServiceName, _ServiceView] = {}
 
     def surplus(self, engine: Engine, runs: int) -> int:
@@ -110,22 +71,9 @@
         # An engine that takes nothing new is none of those looked at.
         return surplus(self._balancer.view(engine), runs, kept, before)
 
-    def idle_places(self, service: ServiceName, *, overdue: bool) -> Places:
-        """Give the places that items may take.
-
-        Where they are overdue no place is left idle for long.
-        """
+    def idle_places(self, service: ServiceName) -> ItemPlaces:
+        """Give the places that items may take."""
         found = self._look(service)
-        memory = self._memory.of(service)
-        # A lone owner knows of all items at once, and would wait in vain.
-        if self._memory.waits(service) and self._precedence.shared:
-            return LastingPlaces(
-                found.engines,
-                memory.room,
-                self._standing(found.engines),
-                found.kept,
-                overdue,
-            )
         led = {
             one.name
             for one in found.engines
@@ -158,16 +106,6 @@
         slots = _slots(self._look(service).engines)
         return places_for_late(slots, self._precedence.owners)
 
-    def _standing(
-        self, engines: Sequence[EngineView]
-    ) -> dict[EngineId, OwnStanding]:
-        return {
-            one.name: OwnStanding(
-                self._runs.get(one.name, 0), self._precedence.turn(one.name)
-            )
-            for one in engines
-        }
-
     def _look(self, service: ServiceName) -> '_ServiceView':
         found = self._looked.get(service)
         if found is None:
@@ -175,9 +113,6 @@
             kept = places_kept(engines, self._balancer.traffic)
             found = _ServiceView(engines, kept)
             self._looked[service] = found
-            memory = self._memory.of(service)
-            if self._memory.waits(service):
-                memory.room.look(clock.uptime(), rooms(engines, self._runs))
         return found
 
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -11,7 +11,7 @@
 from bendlead_gateway._health.kinds import kind_of, kind_of_answer
 from bendlead_gateway._health.testimony import FailureKind
 from bendlead_gateway._jobs.board import Board
-from bendlead_gateway._jobs.candidates import Candidate, Candidates, size_of
+from bendlead_gateway._jobs.candidates import Candidate, Candidates
 from bendlead_gateway._jobs.held import HeldJob, Progress
 from bendlead_gateway._jobs.item_run import (
     ItemAttempts,
@@ -19,12 +19,13 @@
     RunFailedError,
 )
 from bendlead_gateway._jobs.keeper import ShardKeeper
-from bendlead_gateway._jobs.room import Places, Room, RoomMemory
+from bendlead_gateway._jobs.room import Room, RoomMemory
 from bendlead_gateway._jobs.stops import RunStops
 from bendlead_gateway._jobs.work import WorkWatch
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._scheduling.backlog import BacklogRates
+from bendlead_gateway._scheduling.places import ItemPlaces
 from bendlead_gateway._scheduling.precedence import Precedence
 from bendlead_gateway._scheduling.urgency import ItemPace
 from bendlead_gateway._suspects.ends import Break
@@ -93,21 +94,15 @@
         """Keep idle places busy and step aside, for ever."""
         while True:
             self._precedence.meet(self._loads.item_owners())
-            room = Room(
-                self._fleet.balancer,
-                self._precedence,
-                self._memory,
-                self._loads.own.batch,
-            )
+            room = Room(self._fleet.balancer, self._precedence)
             self._stops.look(self._runs, room)
-            self._pace.by_size = self._memory.pressed
             self._work.look(len(self._runs))
             self._start_runs(room)
             self._wake.wait(_ROUND_SECONDS)
             self._wake.clear()
 
     def _start_runs(self, room: Room) -> None:
-        places: dict[ServiceName, Places] = {}
+        places: dict[ServiceName, ItemPlaces] = {}
         running = Counter(one.engine.service for one in self._runs)
         full: set[str] = set()
         looked: set[ServiceName] = set()
@@ -128,12 +123,11 @@
         candidate: Candidate,
         service: ServiceName,
         room: Room,
-        places: dict[ServiceName, Places],
+        places: dict[ServiceName, ItemPlaces],
     ) -> bool:
         """Start an item in an idle place, if there is one for it."""
         if service not in places:
-            overdue = self._pace.overdue(candidate.route.run_target)
-            places[service] = room.idle_places(service, overdue=overdue)
+            places[service] = room.idle_places(service)
         view = places[service].take(candidate.age)
         if view is not None:
             self._start(candidate, view.engine)
@@ -199,10 +193,7 @@
 
     def _learn(self, run: ItemRun) -> None:
         """Take how long an item that is whole has held places."""
-        progress = run.progress
-        size = size_of(progress, run.route)
-        self._pace.observe(progress.spent, progress.took, size)
-        self._memory.of(run.engine.service).pressure.finished()
+        self._pace.observe(run.progress.spent, run.progress.took)
 
     def _conclude(self, run: ItemRun) -> None:
         self._runs.discard(run)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/stops.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/stops.py
@@ -140,7 +140,7 @@
     def _view(self, run: ItemRun) -> RunView:
         engine = run.engine
         return RunView(
-            self._candidates.left(run.progress, run.route),
+            self._candidates.left(run.progress),
             run.silent,
             leaving=not self._fleet.engines.takes_requests(engine),
             alone=self._fleet.balancer.view(engine).paused,
@@ -172,8 +172,6 @@
     def _stop(self, run: ItemRun, cause: StopCause) -> None:
         run.stop()
         self._metrics.load.item_stops[cause.value] += 1
-        if cause is StopCause.PLACE_WANTED:
-            self._memory.of(run.engine.service).pressure.stopped()
 
     def _urgency(self, run: ItemRun) -> Urgency:
         return self._candidates.urgency(run.job, run.progress, run.route)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/precedence.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/precedence.py
@@ -13,10 +13,6 @@
 
 from bendlead_gateway.types import EngineId, NodeName
 
-#: Looks in a row without items of others, 5 s at most, from which on an owner
-#: is alone: others rest between two jobs.
-_LOOKS_UNTIL_ALONE = 200
-
 
 class OwnerItems(Protocol):
     """Tell on which engines another owner runs items."""
@@ -41,11 +37,9 @@
         self._node = node
         self._others: Mapping[NodeName, OwnerItems] = {}
         self._first: dict[EngineId, list[NodeName]] = {}
-        self._alone = _LOOKS_UNTIL_ALONE
 
     def meet(self, others: Mapping[NodeName, OwnerItems]) -> None:
         """Take the other owners that have items on engines."""
-        self._alone = 0 if others else self._alone + 1
         if others.keys() != self._others.keys():
             self._first.clear()
         self._others = others
@@ -55,19 +49,10 @@
         """Count the owners that have items on engines, and this one."""
         return len(self._others) + 1
 
-    @property
-    def shared(self) -> bool:
-        """Tell whether other owners have had items on engines lately."""
-        return self._alone < _LOOKS_UNTIL_ALONE
-
     def leads(self, engine: EngineId) -> bool:
         """Tell whether items from here go before all others there."""
         return not self._before(engine)
 
-    def turn(self, engine: EngineId) -> int:
-        """Count the owners whose items go before those from here there."""
-        return len(self._before(engine))
-
     def items_before(self, engine: EngineId) -> int:
         """Count the items on an engine that those from here step aside for.
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/urgency.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/urgency.py
@@ -11,8 +11,6 @@
 
 from msgspec import Struct
 
-from bendlead_gateway._scheduling.sizes import Size, SizeTable
-
 #: Weight of the newest item in the smoothed times of whole items.
 _NEWEST = 0.1
 #: Until items have been timed, one is taken to hold its place this long (s).
@@ -32,9 +30,6 @@
 #: item is due to do all work that is left, new items yield. A lower number
 #: takes a load for hopeless that only a few items are too many for.
 _CROWDED = 2.0
-#: Where they would take longer than this part of it, what is left idle now may
-#: be missed later: a burst takes half of the places.
-_OVERDUE = 0.5
 
 
 class Prospect(IntEnum):
@@ -61,19 +56,12 @@
         self._stretch = 1.0
         self._held: float | None = None
         self._clear_seconds = 0.0
-        self._sizes = SizeTable()
-        #: Whether items are told apart by what they state of their size.
-        self.by_size = False
 
     @property
     def seconds(self) -> float:
         """Give the smoothed seconds for which a whole item held places."""
         return self._seconds
 
-    def overdue(self, target: float) -> bool:
-        """Tell whether the places held do too little for items due so."""
-        return self._clear_seconds > target * _OVERDUE
-
     def look(self, spent: Iterable[float], held: int) -> None:
         """Take the seconds spent on each unfinished item, and places held."""
         if self._held is None:
@@ -82,15 +70,8 @@
         work = sum(max(self._seconds - one, 0) for one in spent)
         self._clear_seconds = work / max(1, self._held)
 
-    def observe(
-        self,
-        seconds: float,
-        took: float | None = None,
-        size: Size | None = None,
-    ) -> None:
+    def observe(self, seconds: float, took: float | None = None) -> None:
         """Take the seconds that a whole item held places, and took in all."""
-        if size is not None:
-            self._sizes.observe(size, seconds)
         self._seconds += (seconds - self._seconds) * _NEWEST
         if took is not None and seconds > 0:
             stretch = min(max(took / seconds, 1), _MOST_STRETCH)
@@ -102,7 +83,6 @@
         age: float,
         spent: float,
         target: float,
-        size: Size | None = None,
     ) -> Urgency:
         """Rank an item of a job of an age, run for some seconds so far.
 
@@ -113,7 +93,7 @@
         """
         if not target:
             return Urgency(Prospect.LIKELY, accepted_at)
-        left = self.left(spent, size)
+        left = self.left(spent)
         spare = target - _SEEN_SECONDS - age
         if left > spare:
             prospect = Prospect.TOO_LATE
@@ -123,18 +103,11 @@
             prospect = Prospect.LIKELY
         return Urgency(prospect, accepted_at)
 
-    def left(self, spent: float, size: Size | None = None) -> float:
+    def left(self, spent: float) -> float:
         """Give the seconds for which an item will still hold places."""
-        whole = self._sizes.expected(size) if self.by_size and size else None
-        return max((whole or self._seconds) - spent, 0)
+        return max(self._seconds - spent, 0)
 
-    def spare(
-        self,
-        age: float,
-        spent: float,
-        target: float,
-        size: Size | None = None,
-    ) -> float:
+    def spare(self, age: float, spent: float, target: float) -> float:
         """Give how long (s) before it is due an item would be whole.
 
         It is below 0 for one that is too late, and endless for one that is
@@ -142,7 +115,7 @@
         """
         if not target:
             return math.inf
-        return target - _SEEN_SECONDS - age - self.left(spent, size)
+        return target - _SEEN_SECONDS - age - self.left(spent)
 
     def _likely_stretch(self, target: float) -> float:
         crowded = self._clear_seconds > target * _CROWDED
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/nodes.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/nodes.py
@@ -21,15 +21,12 @@
     ``shared_health`` is for engines that fail while their health checks are
     good. ``waiting_room``, ``holds_items_back`` and ``turns_clients_away`` are
     for callers who press when places, or an entry's own means, run out.
-    ``lasting_places`` has items wait for places that last: fewer runs are
-    stopped, and more items are late.
     """
 
     shared_health: bool = False
     waiting_room: bool = False
     holds_items_back: bool = False
     turns_clients_away: bool = False
-    lasting_places: bool = False
 
 
 class NodeSettings(Struct, frozen=True):
--- a/testing/src/bendlead_testing/replay/_load.py
+++ b/testing/src/bendlead_testing/replay/_load.py
@@ -44,8 +44,6 @@
     entries: int = 58
     #: Processes that run items, each those of its own jobs.
     owners: int = 1
-    #: Whether items wait for places that last where runs are often stopped.
-    lasting_places: bool = False
     #: Whether items give places back while requests are refused.
     holds_back: bool = False
     #: Requests a second on average, and jobs a second.
@@ -59,9 +57,8 @@
     item_run: float = 4.75
     aim: float = 0.3
     patience: float = 5.0
-    #: Share by which items differ in length, and statements from it.
+    #: Share by which items differ in length.
     item_spread: float = 0.4
-    stated_spread: float = 0.2
     item_due: float = 18.0
     age: float = 0.05
     #: When a share of the engines takes no more requests.
--- a/testing/src/bendlead_testing/replay/_owner.py
+++ b/testing/src/bendlead_testing/replay/_owner.py
@@ -1,16 +1,8 @@
 """A simulated owner: it runs the items of its jobs in idle places."""
 
-from collections import Counter
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from bendlead_gateway._scheduling.lasting_places import (
-    LastingPlaces,
-    OwnStanding,
-    SettledRoom,
-    StopPressure,
-    rooms,
-)
 from bendlead_gateway._scheduling.placement import Traffic
 from bendlead_gateway._scheduling.places import ItemPlaces, places_kept, surplus
 from bendlead_gateway._scheduling.precedence import Precedence
@@ -21,7 +13,6 @@
     places_for_late,
     refused_lately,
 )
-from bendlead_gateway._scheduling.sizes import Size
 from bendlead_gateway._scheduling.urgency import (
     LOOK_SECONDS,
     ItemPace,
@@ -52,13 +43,6 @@
     begun: float | None = None
     run: Run | None = None
     whole: float | None = None
-    #: What it states of its size, in tokens.
-    tokens: int = 0
-
-    @property
-    def size(self) -> Size:
-        """Say how large it is said to be."""
-        return Size('chat', self.tokens)
 
 
 @dataclass(frozen=True)
@@ -90,33 +74,19 @@
         self._pace = ItemPace()
         self.items: list[Item] = []
         self._look_again_at = 0.0
-        self._room = SettledRoom()
-        self._pressure = StopPressure()
         self._places_for_late: int | None = None
 
     def look(self) -> None:
         """Look for places, and again after each pause."""
         views = self._views()
         kept = places_kept(views, self._traffic)
-        if self._waits:
-            self._room.look(self._clock.now, rooms(views, self._runs()))
         self._meet()
         self._step_aside(views, kept)
         self._hold_back(views)
-        self._pace.by_size = self._waits
         self._look_at_work()
         self._start_items(self._views(), kept)
         self._clock.after(ROUND_SECONDS, self.look)
 
-    @property
-    def _waits(self) -> bool:
-        return self._load.lasting_places and self._pressure.pressed
-
-    def _runs(self) -> Counter[EngineId]:
-        return Counter(
-            one.run.engine.engine.engine for one in self.items if one.run
-        )
-
     def _look_at_work(self) -> None:
         if self._clock.now < self._look_again_at:
             return
@@ -173,7 +143,6 @@
             mine.sort(key=self._urgency)
             for item in mine[len(mine) - over :]:
                 self._stop(item)
-                self._pressure.stopped()
 
     def _hold_back(self, views: Sequence[EngineView]) -> None:
         """Give places back while online requests are refused."""
@@ -206,9 +175,7 @@
     def _wait(self, item: Item) -> Wait:
         age = self._clock.now - item.accepted
         return judge_wait(
-            self._pace.spare(
-                age, self._spent(item), self._load.item_due, item.size
-            )
+            self._pace.spare(age, self._spent(item), self._load.item_due)
         )
 
     def _stop(self, item: Item) -> None:
@@ -239,19 +206,7 @@
                 return
             self._start(item, view)
 
-    def _places(
-        self, views: Sequence[EngineView], kept: int
-    ) -> ItemPlaces | LastingPlaces:
-        if self._waits and self._precedence.shared:
-            runs = self._runs()
-            standing = {
-                one.name: OwnStanding(
-                    runs[one.name], self._precedence.turn(one.name)
-                )
-                for one in views
-            }
-            overdue = self._pace.overdue(self._load.item_due)
-            return LastingPlaces(views, self._room, standing, kept, overdue)
+    def _places(self, views: Sequence[EngineView], kept: int) -> ItemPlaces:
         led = {one.name for one in views if self._precedence.leads(one.name)}
         return ItemPlaces(views, kept, led)
 
@@ -275,8 +230,7 @@
         item.spent += self._held(item.run)
         item.run = None
         item.whole = ended
-        self._pressure.finished()
-        self._pace.observe(item.spent, ended - item.begun, item.size)
+        self._pace.observe(item.spent, ended - item.begun)
 
     def _urgency(self, item: Item) -> Urgency:
         age = self._clock.now - item.accepted
@@ -285,7 +239,6 @@
             age,
             self._spent(item),
             self._load.item_due,
-            item.size,
         )
 
 
--- a/testing/src/bendlead_testing/replay/_play.py
+++ b/testing/src/bendlead_testing/replay/_play.py
@@ -14,9 +14,6 @@
 )
 from bendlead_testing.replay._simulated import Clock
 
-#: Tokens that an item's engine makes in a second.
-_TOKENS_PER_SECOND = 100
-
 
 class Replay:
     """Play one load."""
@@ -25,7 +22,6 @@
         self._load = load
         # Whatever is decided, the same requests and jobs come.
         self._jobs = random.Random(f'jobs {seed}')
-        self._stated = random.Random(f'stated {seed}')
         chance = random.Random(seed)
         self._clock = Clock()
         self._fleet = SimulatedFleet(load, self._clock, chance, seed)
@@ -75,9 +71,7 @@
             seconds = self._load.item_run * _draw(
                 self._jobs, self._load.item_spread
             )
-            stated = seconds * _draw(self._stated, self._load.stated_spread)
-            tokens = round(stated * _TOKENS_PER_SECOND)
-            owner.items.append(Item(seconds, now, tokens=tokens))
+            owner.items.append(Item(seconds, now))
 
     def _count(self, item: Item) -> None:
         due = item.accepted + self._load.item_due
