The holder of a shard calls the object service by way of a peer

Cause: the service turned one process away (503, 429, resets or silence) and served all others.

Ruled out: a shorter patience of the successor. The holder is back within some hundred ms after a general outage, and each takeover costs the runs of all items and the results in memory.

Change: FailoverStore makes single reads and writes through a peer that the service answers, one of the same hall where there is one, and looks twice a second whether the service answers directly again. A write that got no answer stays unknown, wherever it was lost; the ledger settles it by its commit id as before. Nothing else is passed on: prefixes are listed and followed directly.

Shown by tests/test_gateway_store_failover.py: without the route 4 of 4 kinds of being turned away took the shards from their holder or refused its jobs; now 202 within 0.4 s each and all shards kept.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/passed_on.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/passed_on.py
@@ -5,16 +5,14 @@
 a key that was taken away opens nothing, wherever its holder calls.
 """
 
-from http import HTTPStatus
-
 import gevent
 import msgspec
 from bendlead_store import Failure, FailureKind, clock
 from result import Err, Ok, Result
 
 from bendlead_gateway._fleet.catalog import ConfigurationHolder
+from bendlead_gateway._fleet.peer_call import call_peer
 from bendlead_gateway._fleet.watcher import Watcher
-from bendlead_gateway._http.client import HttpConnection
 from bendlead_gateway._log import Log
 from bendlead_gateway.types import Configuration, PeerRecord
 
@@ -22,7 +20,6 @@
 #: A watch that is well tells of a change within its gathering time, 0.15 s.
 #: One that has not done so for this long (s) may have fallen silent.
 _BEHIND_SECONDS = 0.6
-_CONNECT_SECONDS = 0.2
 #: The largest value that the object service holds, 1 MB, takes a process of
 #: 15 Mbit/s half of this (s).
 _ANSWER_SECONDS = 1.2
@@ -73,7 +70,9 @@
 
 def _ask(peer: PeerRecord) -> Result[Configuration, Failure]:
     try:
-        body = _read(peer.address)
+        body = call_peer(
+            peer.address, 'GET', CONFIGURATION_PATH, b'', _ANSWER_SECONDS
+        )
     except OSError as error:
         return _failed(FailureKind.UNKNOWN, peer, str(error))
     try:
@@ -82,18 +81,5 @@
         return _failed(FailureKind.REFUSED, peer, str(error))
 
 
-def _read(address: str) -> bytes:
-    connection = HttpConnection(address, _CONNECT_SECONDS)
-    try:
-        response = connection.request(
-            'GET', CONFIGURATION_PATH, [('Host', address)], b'', _ANSWER_SECONDS
-        )
-    finally:
-        connection.close()
-    if response.head.status != HTTPStatus.OK:
-        raise OSError(f'status {response.head.status}')
-    return response.body
-
-
 def _failed(kind: FailureKind, peer: PeerRecord, detail: str) -> Err[Failure]:
     return Err(Failure(kind, 'fetch configuration', peer.node, detail))
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/processes.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/processes.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Mapping
 
+from bendlead_schema.gateway import NodeReport
+
 from bendlead_gateway._fleet.loads import LoadTable
 from bendlead_gateway._fleet.peer import Peer
 from bendlead_gateway._health.trial import Trier
@@ -33,8 +35,28 @@
                     found.append(Trier(node, items))
         return found
 
+    def reaching_store(self) -> list[PeerRecord]:
+        """List live peers that the object service answers.
+
+        Those of this hall alone where there are any: bytes stay within it.
+        """
+        found = [
+            peer.record
+            for peer in self._peers.values()
+            if not peer.silent and _reaches_store(peer.report)
+        ]
+        near = [one for one in found if one.hall == self._own.hall]
+        return near or found
+
     def halls(self) -> dict[NodeName, DataHall]:
         """Give the hall of each process that is listed."""
         halls = {node: one.record.hall for node, one in self._peers.items()}
         halls[self._own.node] = self._own.hall
         return halls
+
+
+def _reaches_store(report: NodeReport | None) -> bool:
+    """Tell whether the object service has answered since it last failed."""
+    if report is None or report.answered_ms < 0:
+        return False
+    return report.failed_ms < 0 or report.answered_ms < report.failed_ms
--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -2,6 +2,7 @@
 
 import signal
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 
 import gevent
@@ -18,6 +19,8 @@
     PassedOnConfiguration,
 )
 from bendlead_gateway._fleet.peers import PeerTable
+from bendlead_gateway._fleet.store_calls import STORE_PATH, answer_call
+from bendlead_gateway._fleet.store_failover import FailoverStore
 from bendlead_gateway._fleet.wire import CHANGES_PATH, REPORT_PATH
 from bendlead_gateway._health.judge import Seat
 from bendlead_gateway._http.messages import Request, Responder
@@ -59,12 +62,12 @@
         self, settings: NodeSettings, store: FollowedStore, dialect: Dialect
     ) -> None:
         self.settings = settings
-        self.store = store
         self.dialect = dialect
         self.log = Log(settings.node)
+        self.store = FailoverStore(store, self.log)
         self.metrics = Metrics()
         self.fleet = Fleet(
-            store,
+            self.store,
             dialect,
             self.log,
             self.metrics,
@@ -81,7 +84,7 @@
         )
         self.peers = PeerTable(
             self.record,
-            store,
+            self.store,
             dialect,
             self.fleet.loads,
             self.log,
@@ -90,6 +93,7 @@
             self.hear_teams,
             self.team_levels,
         )
+        self.store.route.peers = self.peers.processes.reaching_store
         self.peers.suspects = self.fleet.suspects
         self.peers.shared_health = self.fleet.shared_health
         self.fleet.shared_health.meet(
@@ -104,6 +108,7 @@
         self._exchanges: dict[str, Callable[[bytes], bytes]] = {
             REPORT_PATH: self.peers.exchange,
             CHANGES_PATH: self.peers.exchange_changes,
+            STORE_PATH: partial(answer_call, store),
         }
         self.internal = HttpServer(
             address,
@@ -222,7 +227,7 @@
     def _answer_report(self, request: Request, responder: Responder) -> None:
         try:
             told = self._exchanges[request.path](request.body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, ValueError) as error:
             self.log.event('report-unreadable', reason=error)
             responder.answer(HTTPStatus.BAD_REQUEST)
             return
--- a/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
@@ -34,7 +34,7 @@
         super().__init__(settings, store, dialect)
         self._calls = 0
         self._keeper = ShardKeeper(
-            store, self.record, self.peers, self.log, settings.status_kept
+            self.store, self.record, self.peers, self.log, settings.status_kept
         )
         self._runner = ItemRunner(
             settings.node,
@@ -46,7 +46,7 @@
         )
         retirement = Retirement(
             settings.node,
-            store,
+            self.store,
             dialect,
             self._keeper,
             self.log,
@@ -115,13 +115,14 @@
         A held watch may live on while new calls are turned away.
         """
         stuck = any(one.stuck for one in self._keeper.boards.values())
-        return self.peers_watch.current and not stuck
+        reached = self.peers_watch.current or self.store.by_peer
+        return reached and not stuck
 
     def _ask_store(self) -> None:
         """Notice outages for all: held watches stay open and say nothing."""
         while True:
             gevent.sleep(_ASK_SECONDS / 2)
-            rested = clock.uptime() - self.store.contact.answered_at
+            rested = clock.uptime() - self.store.reached_at
             if self._keeper.boards and rested > _ASK_SECONDS:
                 shard = next(iter(self._keeper.boards))
                 self.store.fetch(head_key(ShardId(shard)))
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import Annotated, Any, TypeAlias
 
 from msgspec import Meta, Struct, UnsetType, field
@@ -240,6 +241,49 @@
     ) = 0
 
 
+class StoreOperation(StrEnum):
+    """
+    Name a call of the object service.
+    """
+
+    fetch = 'fetch'
+    put = 'put'
+    put_status = 'put_status'
+    delete = 'delete'
+
+
+class StoreAnswer(Struct, kw_only=True):
+    """
+    Tell what the object service answered a peer.
+    """
+
+    version: (
+        Annotated[
+            int, Meta(description='The version of the value that was read or written.')
+        ]
+        | UnsetType
+    ) = 0
+    found: (
+        Annotated[bool, Meta(description='Whether the key that was read exists.')]
+        | UnsetType
+    ) = False
+    body: (
+        Annotated[str, Meta(description='The value that was read, in base64.')]
+        | UnsetType
+    ) = ''
+    failure: (
+        Annotated[
+            str, Meta(description='The kind of failure; empty where the call was done.')
+        ]
+        | UnsetType
+    ) = ''
+    detail: str | UnsetType = ''
+    retry_after: (
+        Annotated[float, Meta(description='Seconds after which to try again.')]
+        | UnsetType
+    ) = 0
+
+
 class NodeReport(Struct, kw_only=True):
     """
     Tell a peer what runs here and which shards are held.
@@ -422,3 +466,21 @@
         ]
         | UnsetType
     ) = field(default_factory=list)
+
+
+class StoreCall(Struct, kw_only=True):
+    """
+    Have a peer call the object service.
+    """
+
+    operation: StoreOperation
+    key: str
+    body: (
+        Annotated[str, Meta(description='The value to write, in base64.')] | UnsetType
+    ) = ''
+    expected: (
+        Annotated[
+            int, Meta(description='The version that the key must be at; 0 for none.')
+        ]
+        | UnsetType
+    ) = 0
