Owners that start again hold their shards after 0.2 s, not after 0.8

Cause: behind a stop of everything each owner waited 0.8 s before it took any shard, lest its holder live on unheard.

Ruled out: a shorter wait for all shards. A holder that is cut off for a moment would lose its runs.

Change: where the head names this node, or one whose new process is heard and holds nothing, the holder has surely ended, and the shard is taken at once. One read of the head for each shard that prefers this process.

Shown by test_owners_that_start_again_hold_their_shards_soon (0.8 s before, under 0.6 s now, twice) and by test_shards_of_an_owner_that_is_not_heard_wait, which holds the wait for all others.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/keeper.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 
 import gevent
-from bendlead_ledger import Owner
+from bendlead_ledger import Owner, ShardId, read_holder
 from bendlead_store import FollowedStore, clock
 from result import Err
 
@@ -12,11 +12,14 @@
 from bendlead_gateway._jobs.patience import HolderPatience
 from bendlead_gateway._jobs.shards import SHARDS, preferred_owner
 from bendlead_gateway._log import Log
-from bendlead_gateway.types import PeerRecord
+from bendlead_gateway.types import NodeName, PeerRecord
 
 _CHECK_SECONDS = 0.1
 #: Let peers be heard before taking anything after a start (s).
 _SETTLING_SECONDS = 0.8
+#: The same for shards whose last holder is known to have ended: callers of its
+#: jobs wait, and only the owners that prefer it less have to be heard.
+_FIRST_LOOK_SECONDS = 0.2
 #: Leave a shard that was just lost to its new owner (s).
 _CALM_SECONDS = 1.5
 #: Pause between two tries to take a shard (s); each costs a call or two.
@@ -43,6 +46,8 @@
         self._kept = kept
         self._lost_at: dict[int, float] = {}
         self._tried_at: dict[int, float] = {}
+        #: Who held each shard when this process started.
+        self._last_holders: dict[int, str] = {}
         self._leaving = False
         self._patience = HolderPatience(store)
         self.boards: dict[int, Board] = {}
@@ -53,10 +58,12 @@
 
     def run(self, sound: Callable[[], bool]) -> None:
         """Check who should hold each shard, for ever."""
-        gevent.sleep(_SETTLING_SECONDS)
+        settled_at = clock.uptime() + _SETTLING_SECONDS
+        gevent.sleep(_FIRST_LOOK_SECONDS)
         while not self._leaving:
+            settled = clock.uptime() >= settled_at
             for shard in range(SHARDS):
-                if not self._leaving:
+                if not self._leaving and (settled or self._is_free(shard)):
                     self._consider(shard, sound())
             gevent.sleep(_CHECK_SECONDS)
 
@@ -108,13 +115,34 @@
         tried = now - self._tried_at.get(shard, 0) < _TRY_SECONDS
         if not sound or not calm or tried:
             return
-        nodes = [*self._peers.claims.able_owners(), self._record.node]
-        if preferred_owner(shard, nodes) != self._record.node:
+        if not self._prefers(shard):
             return
         if not claimed or self._may_replace(shard, claimed):
             self._tried_at[shard] = now
             self._take(shard)
 
+    def _is_free(self, shard: int) -> bool:
+        """Tell whether the last holder of a shard has surely ended since.
+
+        It is a process of this node, or of one whose new process is heard and
+        holds nothing.
+        """
+        if not self._prefers(shard):
+            return False
+        if shard not in self._last_holders:
+            found = read_holder(self._store, ShardId(shard))
+            if isinstance(found, Err):
+                return False
+            self._last_holders[shard] = found.ok_value
+        holder = NodeName(self._last_holders[shard])
+        own = holder == self._record.node
+        return own or holder in self._peers.claims.able_owners()
+
+    def _prefers(self, shard: int) -> bool:
+        """Tell whether a shard prefers this process among those heard."""
+        nodes = [*self._peers.claims.able_owners(), self._record.node]
+        return preferred_owner(shard, nodes) == self._record.node
+
     def _may_replace(self, shard: int, epoch: int) -> bool:
         """Tell whether the holder at an epoch can't write while we can."""
         if not self._peers.claims.holder_is_stuck(shard, epoch):
--- a/packages/bendlead-ledger/src/bendlead_ledger/_log.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_log.py
@@ -306,6 +306,17 @@
     return f'ledger/{shard:04x}/head'
 
 
+def read_holder(store: ValueStore, shard: ShardId) -> Result[str, Failure]:
+    """Name the node that took a shard last; nothing if nobody has."""
+    found = store.fetch(head_key(shard))
+    if isinstance(found, Err):
+        return found
+    entry = found.ok_value
+    if entry is None:
+        return Ok('')
+    return Ok(_codec.decode(entry.body, Head, entry.key).owner)
+
+
 def write_once(
     store: ValueStore,
     key: str,
--- a/tests/test_gateway_takeover.py
+++ b/tests/test_gateway_takeover.py
@@ -7,13 +7,14 @@
 from bendlead_gateway.http import HttpConnection
 from bendlead_gateway.types import NodeRole
 from bendlead_platform import PlatformDialect, PlatformStore
-from bendlead_store import Failure, FailureKind
+from bendlead_store import Failure, FailureKind, clock
 from bendlead_testing.platform_store import Trouble
 from parameterized import parameterized
 from result import Err
 
 from tests.gateway_cases import OwnerCase, job, node_shard
 from tests.gateway_standins import (
+    Tasks,
     chunked,
     event,
     eventually,
@@ -85,6 +86,27 @@
         self.assertEqual(epochs, first._keeper.epochs())
         self.assertEqual({}, second._keeper.epochs())
 
+    @parameterized.expand([('the_same', 'owner-1'), ('of_two', 'owner-2')])
+    def test_owners_that_start_again_hold_their_shards_soon(self, _name, other):
+        """Callers of their jobs have no owner until then."""
+        self.configure()
+        self.hold_and_end()
+        began = clock.uptime()
+        again = [self.owner('owner-1')]
+        if other != 'owner-1':
+            again.append(self.owner(other))
+        eventually(lambda: sum(len(one._keeper.boards) for one in again) == 4)
+        self.assertLess(clock.uptime() - began, 0.6)
+
+    def test_shards_of_an_owner_that_is_not_heard_wait(self):
+        """It may live and be cut off for a moment."""
+        self.configure()
+        self.hold_and_end()
+        second = self.owner('owner-2')
+        gevent.sleep(0.5)
+        self.assertFalse(second._keeper.boards)
+        eventually(lambda: len(second._keeper.boards) == 4)
+
     def test_leaving_owner_hands_over_at_once(self):
         first, second = self.two_owners()
         first.leaving = True
@@ -93,6 +115,12 @@
         self.assertEqual(202, self.submit(second))
         self.assertIn('j1', second._keeper.boards[node_shard()].jobs)
 
+    def hold_and_end(self):
+        """Have an owner hold all shards, and end with all its tasks."""
+        tasks = Tasks()
+        self.holding('owner-1')
+        tasks.end()
+
     def _turn_away(self, owner):
         """Have the store refuse the writes of an owner."""
         refused = Err(Failure(FailureKind.NOT_DONE, 'put', 'store', 'busy'))
