Silence of one connection to the object service is told as before

Cause: FailoverStore ended a silent direct call by a time-out of its own, so nothing noted that the service had failed, held watches were never doubted, and a configuration stayed unseen (WatchSilenceTest, two cases, failed in the first whole run of the tests after the change; 12 s were not enough).

Ruled out: the wait alone. The next call went by a peer whose kept connections were as dead, and nobody looked at a fresh direct one.

Change: the time-out notes the failure, and a fresh direct connection is looked at at once, since it may have been one connection alone.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/store_failover.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/store_failover.py
@@ -176,9 +176,11 @@
             self._reached_at = clock.uptime()
             self._return()
             return made
-        failure = made.err_value
-        self._turn_away(failure)
-        unclear = failure.kind is FailureKind.UNKNOWN
+        unclear = made.err_value.kind is FailureKind.UNKNOWN
+        self._turn_away(made.err_value)
+        if unclear:
+            # It may have been one connection alone.
+            gevent.spawn(self._look, call.key)
         if unclear and call.operation is not StoreOperation.fetch:
             # It may still take effect: whoever wrote settles that.
             return made
@@ -197,6 +199,7 @@
             return perform(self.direct, call)
         with gevent.Timeout(_SILENT_SECONDS, exception=False):
             return perform(self.direct, call)
+        self.contact.failed_at = clock.uptime()
         return _failed(FailureKind.UNKNOWN, call, 'object service', 'silent')
 
     def _probe(self, key: str) -> None:
