Items use failing engines where a service has no others

Cause: an engine that is left alone got no item, and an item that has failed tries none; where all engines of a service are left alone its items waited without end.

Change: as for online requests, all of them failing counts as none of them. OnlyEngineTest replays it: not within 5 s before, done after two failures now.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/places.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/places.py
@@ -4,7 +4,7 @@
 some seconds between them that are shorter than an item's run.
 """
 
-from collections.abc import Container, Iterable, Sequence
+from collections.abc import Container, Sequence
 
 from msgspec.structs import replace
 
@@ -39,14 +39,16 @@
 
     def __init__(
         self,
-        views: Iterable[EngineView],
+        views: Sequence[EngineView],
         kept: int = 0,
         led: Container[EngineId] | None = None,
     ) -> None:
         self._kept = kept
         self._led = led
+        # All of them failing says more about us than about them.
+        able = [one for one in views if not one.paused] or views
         self._views: dict[EngineId, EngineView] = {
-            one.name: one for one in views if not one.paused
+            one.name: one for one in able
         }
 
     def take(self, age: float) -> EngineView | None:
--- a/tests/test_gateway_yielding_items.py
+++ b/tests/test_gateway_yielding_items.py
@@ -44,6 +44,8 @@
 
 _BEGUN = chunked(event(1, 'a'), headers='X-Response-Seal: s\r\n', last=False)
 _TAIL = chunked(event(2, 'b'), headers='X-Response-Seal: s\r\n')
+_WHOLE = chunked(event(1, 'a'), event(2, 'b'))
+_ERROR = b'HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n'
 _SEED = 1
 _SLOTS = 8
 _NODE = NodeName('entry-1')
@@ -126,6 +128,17 @@
         self.assertGreaterEqual(tally.items_in_time, 0.1)
 
 
+class OnlyEngineTest(OwnerCase):
+    """A service has one engine, and it fails now and then."""
+
+    def test_items_run_there_again(self):
+        self.configure(answers=[_ERROR, _ERROR, _WHOLE])
+        node = self.holding()
+        self.assertEqual(202, self.submit(node))
+        found = eventually(lambda: self.results(node), 5)
+        self.assertEqual('completed', found[0]['state'])
+
+
 class RefusedTest(unittest.TestCase):
     """Who yields while online requests are refused."""
 
