Commits of a shard go on while replaced segments are deleted

Change: deletes run beside commits, and the versions of segments written here are kept, which saves the read. Shown by test_commits_go_on_while_replaced_segments_are_deleted, which failed before.

--- a/packages/bendlead-ledger/src/bendlead_ledger/_log.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_log.py
@@ -74,6 +74,8 @@
         self._version = ABSENT
         self._fenced = False
         self._confirmed_at = 0.0
+        #: Versions of the segments that were written here.
+        self._versions: dict[str, Version] = {}
 
     @property
     def confirmed_at(self) -> float:
@@ -161,7 +163,8 @@
         )
         written = self._write_head(folded, self._version)
         if isinstance(written, Ok):
-            self._delete_replaced(head)
+            # Commits go on meanwhile: it takes a call or two for each object.
+            gevent.spawn(self._delete, _replaced(head))
         return written
 
     def _owned_head(self) -> Head:
@@ -273,18 +276,34 @@
         key = f'ledger/{self._shard:04x}/segment/{unique()}'
         body = _codec.compress(msgspec.json.encode(records))
         written = write_once(self._store, key, body)
-        return written.map(
-            lambda _done: SegmentRef(key=key, first=first, count=len(records))
-        )
+        if isinstance(written, Err):
+            return written
+        self._versions[key] = written.ok_value
+        return Ok(SegmentRef(key=key, first=first, count=len(records)))
 
-    def _delete_replaced(self, head: Head) -> None:
-        replaced = [segment.key for segment in head.segments]
-        if head.snapshot:
-            replaced.extend(head.snapshot.parts)
+    def _delete(self, replaced: Sequence[str]) -> None:
+        """Delete objects to which no head refers any more."""
         for key in replaced:
-            found = self._store.fetch(key)
-            if isinstance(found, Ok) and found.ok_value:
-                self._store.delete(key, found.ok_value.version)
+            known = self._versions.pop(key, ABSENT)
+            version = known or _read_version(self._store, key)
+            if version:
+                self._store.delete(key, version)
+
+
+def _read_version(store: ValueStore, key: str) -> Version:
+    """Read the version of a key; none if that can't be had."""
+    found = store.fetch(key)
+    if isinstance(found, Err) or found.ok_value is None:
+        return ABSENT
+    return found.ok_value.version
+
+
+def _replaced(head: Head) -> list[str]:
+    """Name the objects that a snapshot replaces."""
+    keys = [segment.key for segment in head.segments]
+    if head.snapshot:
+        keys.extend(head.snapshot.parts)
+    return keys
 
 
 def _runs_of(sizes: Sequence[int]) -> Iterator[int]:
@@ -321,16 +340,19 @@
     store: ValueStore,
     key: str,
     body: bytes,
-) -> Result[None, Failure]:
-    """Write an immutable object under a unique name until it is there."""
+) -> Result[Version, Failure]:
+    """Write an immutable object under a unique name until it is there.
+
+    Its version is not known where an answer was lost.
+    """
     backoff = _FIRST_BACKOFF
     while True:
         written = store.put(key, body, ABSENT)
         if isinstance(written, Ok):
-            return Ok(None)
+            return written
         if written.err_value.kind is FailureKind.CONFLICT:
             # The name is unique: what is there is our own earlier attempt.
-            return Ok(None)
+            return Ok(ABSENT)
         if written.err_value.kind is FailureKind.REFUSED:
             return written
         gevent.sleep(written.err_value.retry_after + backoff * random.random())
--- a/tests/bounded_store.py
+++ b/tests/bounded_store.py
@@ -14,11 +14,23 @@
     def __init__(self) -> None:
         self._entries: dict[str, Entry] = {}
         self._revision = 0
+        self.calls = []
+
+    @property
+    def keys(self):
+        """Give the keys that exist."""
+        return set(self._entries)
+
+    def made(self, operation):
+        """List the keys of the calls of one kind."""
+        return [key for name, key in self.calls if name == operation]
 
     def fetch(self, key):
+        self.calls.append(('fetch', key))
         return Ok(self._entries.get(key))
 
     def put(self, key, body, expected):
+        self.calls.append(('put', key))
         if len(base64.b64encode(body)) > _VALUE_BYTES:
             return Err(Failure(FailureKind.REFUSED, 'put', key, 'too large'))
         found = self._entries.get(key)
@@ -30,5 +42,6 @@
         return Ok(version)
 
     def delete(self, key, _expected):
+        self.calls.append(('delete', key))
         self._entries.pop(key, None)
         return Ok(Version(0))
--- a/tests/test_ledger_segments.py
+++ b/tests/test_ledger_segments.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+import gevent
 from bendlead_ledger import Owner, ShardId, ShardLog
 from bendlead_schema.records import (
     DirectJobAccepted,
@@ -61,6 +62,25 @@
         expected = [one.results[0] for one in records]
         self.assertEqual(expected, state.direct['j1'].results)
 
+    def test_commits_go_on_while_replaced_segments_are_deleted(self):
+        """Some hundred calls follow a snapshot, and jobs wait for commits."""
+        store = BoundedStore()
+        log = ShardLog(store, ShardId(1), Owner('n1', 'a'), _SETTINGS)
+        state = log.take_over().ok_value
+        while not log.needs_snapshot():
+            log.commit(_results(9, 30_000))
+        segments = {key for key in store.keys if 'segment' in key}
+        self.assertGreaterEqual(len(segments), 8)
+        store.calls.clear()
+        log.fold(state)
+        self.assertTrue(log.commit([_ACCEPTED]).is_ok())
+        self.assertFalse(store.made('delete'))
+        gevent.sleep(0.01)
+        self.assertEqual(len(segments), len(store.made('delete')))
+        # Their versions are known: no call goes into reading them.
+        self.assertFalse(store.made('fetch'))
+        self.assertFalse(segments & store.keys)
+
     def test_confirm_sees_another_owner(self):
         store = BoundedStore()
         log = ShardLog(store, ShardId(1), Owner('n1', 'a'), _SETTINGS)
