--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/board.py
@@ -56,10 +56,12 @@
 _STUCK_SECONDS = 2.0
 #: Kept beyond the time a job's status must be readable (s).
 _KEPT_SLACK = 60.0
-_TAIL_BYTES = 65_536
+#: Bytes of records that each write of the head repeats, until they are moved
+#: into a segment of their own, which takes two paid calls.
+_TAIL_BYTES = 32_768
 #: Segments that gather before a snapshot replaces them: that packs the whole
-#: shard and takes two paid calls a segment. Progress fills half of them.
-_SEGMENTS = 96
+#: shard and takes a paid call or two a segment. Progress fills half of them.
+_SEGMENTS = 128
 #: Jobs whose items are read side by side at a takeover.
 _READS_AT_ONCE = 4
 
