Exchanges between halls rest while there is nothing new

Cause: each pair of processes exchanged reports every 40 ms, also between bursts when counts stay as they are for tenths of a second; bytes between halls are paid for.

Ruled out: resting longer than 0.12 s. An owner that says nothing for 0.2 s is asked for a connection.

Change: a process tells a peer of another hall at once what changed here and otherwise every 0.12 s. Talking to peers is a module of its own (exchanges.py).

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/news.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/news.py
@@ -37,6 +37,21 @@
 _REFRESH_SECONDS = 0.5
 
 
+def urgent_part(report: NodeReport) -> object:
+    """Give what peers should hear of as soon as it changes."""
+    return (
+        report.online,
+        report.batch,
+        report.refused,
+        report.teams,
+        report.shards,
+        report.configuration,
+        report.sound,
+        report.leaving,
+        report.strained,
+    )
+
+
 class _OwnVersion(Struct):
     """Keep the version of this process's counts and since when it is so."""
 
@@ -99,6 +114,11 @@
             told.extend(self._news(peer))
         return told
 
+    def any_for(self, peer: Peer) -> bool:
+        """Tell whether there is anything new to tell a peer of others."""
+        arrived = self._loads.since(peer.told_until)
+        return any(self._wants(peer, node, known) for node, known in arrived)
+
     def take(self, peer: Peer, told: Sequence[ToldLoad]) -> None:
         """Take what a peer tells of others; what is newer stays."""
         now = clock.uptime()
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peer.py
@@ -38,6 +38,8 @@
     #: How it is linked with this process, and seconds between two exchanges.
     link: Link = Link.NONE
     pause: float = 0
+    #: The part of the last report to it that it should hear of at once.
+    told_state: object = None
     #: Versions of others' counts that the peer was told or told us.
     knows: dict[NodeName, int] = field(default_factory=dict)
     #: It was told of all counts that arrived here up to this one.
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -1,8 +1,6 @@
 """Find the other processes of ours and exchange reports with them."""
 
-import random
 from collections.abc import Callable, Sequence
-from http import HTTPStatus
 
 import gevent
 from bendlead_schema.gateway import NodeReport
@@ -15,6 +13,7 @@
 from result import Err
 
 from bendlead_gateway._fleet.claims import Claims
+from bendlead_gateway._fleet.exchanges import Exchanges
 from bendlead_gateway._fleet.links import Link, Links
 from bendlead_gateway._fleet.loads import LoadTable
 from bendlead_gateway._fleet.news import (
@@ -22,6 +21,7 @@
     OnTeams,
     counts_of_teams,
     ignore_teams,
+    urgent_part,
 )
 from bendlead_gateway._fleet.peer import QUIET_SECONDS, Peer
 from bendlead_gateway._fleet.probe import refuses_connections
@@ -30,17 +30,13 @@
 from bendlead_gateway._fleet.survey import CUT_SECONDS, Survey
 from bendlead_gateway._fleet.wire import ReportWire
 from bendlead_gateway._health.shared import SharedHealth
-from bendlead_gateway._http.client import HttpConnection
 from bendlead_gateway._log import Log
 from bendlead_gateway._suspects.suspects import Suspects
 from bendlead_gateway._teams.quota import Group
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import EngineId, NodeName, NodeRole, PeerRecord
 
-_ANSWER_SECONDS = 0.6
 _PROBE_SECONDS = 0.1
-_FIRST_PAUSE = 0.2
-_LAST_PAUSE = 2.0
 #: Until the peers are listed there may be as many entries as this; each lets
 #: its share of a team's limit through.
 _ENTRIES_UNTIL_LISTED = 300
@@ -80,6 +76,9 @@
         self.suspects: Suspects | None = None
         #: What is exchanged of engines that failed, if anything is.
         self.shared_health: SharedHealth | None = None
+        self.exchanges = Exchanges(
+            own.hall, self.wire, self._report_to, self._hear, self._has_news
+        )
         self.processes = Processes(own, loads, self._peers)
         self.claims = Claims(self._live)
 
@@ -115,15 +114,6 @@
             self._hear(report)
         return self.wire.write_change(peer, self._report_to(peer))
 
-    def ask(self, peer: Peer, connection: HttpConnection) -> None:
-        """Exchange reports with a peer, or raise OSError.
-
-        A peer that lacks the report that ours builds on is sent it whole.
-        """
-        self._exchange_once(peer, connection)
-        if peer.takes_changes and peer.change_link.writer.must_resend_whole:
-            self._exchange_once(peer, connection)
-
     def peer(self, node: NodeName) -> Peer | None:
         """Give what is known of a peer that is listed."""
         return self._peers.get(node)
@@ -212,56 +202,27 @@
             peer.pause = self._links.pause(peer.link)
             asks = self._own.node < node and peer.link is not Link.NONE
             if asks and (peer.task is None or peer.task.dead):
-                peer.task = gevent.spawn(self._talk, peer)
-
-    def _talk(self, peer: Peer) -> None:
-        """Exchange reports with one peer for as long as it is linked."""
-        connection: HttpConnection | None = None
-        pause = _FIRST_PAUSE
-        while peer.link is not Link.NONE:
-            known = connection is not None
-            try:
-                if connection is None:
-                    connection = HttpConnection(
-                        peer.record.address, _ANSWER_SECONDS
-                    )
-                self.ask(peer, connection)
-            except OSError:
-                # Logged once by the change of its liveness in _live.
-                if connection is not None:
-                    connection.close()
-                connection = None
-                peer.forget_told()
-                if not known:
-                    gevent.sleep(pause * (0.5 + random.random()))
-                    pause = min(_LAST_PAUSE, pause * 2)
-                # One that worked may only have fallen silent: the peer is
-                # asked again before it counts as stopped.
-                continue
-            pause = _FIRST_PAUSE
-            gevent.sleep(peer.pause)
-        if connection is not None:
-            connection.close()
+                peer.task = gevent.spawn(self.exchanges.talk, peer)
 
-    def _exchange_once(self, peer: Peer, connection: HttpConnection) -> None:
-        sent = self.wire.write(peer, self._report_to(peer))
-        response = connection.request(
-            'POST',
-            sent.path,
-            [('Host', connection.address)],
-            sent.body,
-            _ANSWER_SECONDS,
-        )
-        if response.head.status != HTTPStatus.OK:
-            raise OSError(f'status {response.head.status}')
-        report = self.wire.read_answer(peer, sent.path, response.body)
-        if report is not None:
-            self._hear(report)
+    def _has_news(self, peer: Peer) -> bool:
+        """Tell whether a peer should hear of something at once."""
+        if peer.told_state != urgent_part(self._report()):
+            return True
+        if self.suspects and self.suspects.news(peer.suspects_told)[1]:
+            return True
+        if peer.link is not Link.CLOSE:
+            return False
+        shared = self.shared_health
+        if shared and shared.news(peer.evidence_told)[1]:
+            return True
+        return self._news.any_for(peer)
 
     def _report_to(self, peer: Peer | None) -> NodeReport:
         """Make the report for one peer, with what it misses or may know."""
         report = self._report()
         report.takes_changes = True
+        if peer is not None:
+            peer.told_state = urgent_part(report)
         self._news.sign(report)
         if peer is not None:
             report.told = self._news.tell(peer)
--- a/tests/test_gateway_changes_told.py
+++ b/tests/test_gateway_changes_told.py
@@ -16,6 +16,7 @@
     ReportGapError,
     UnreadableChangeError,
 )
+from bendlead_gateway._fleet.exchanges import Exchanges
 from bendlead_gateway._fleet.loads import LoadTable
 from bendlead_gateway._fleet.peers import PeerTable
 from bendlead_gateway._fleet.wire import CHANGES_PATH, REPORT_PATH
@@ -212,7 +213,7 @@
             lambda _report: None,
         )
         # Neither of two asks by itself: the tests do.
-        with mock.patch.object(PeerTable, '_talk'):
+        with mock.patch.object(Exchanges, 'talk'):
             self.peers.reset(
                 [
                     Entry(
@@ -229,7 +230,7 @@
         """Exchange reports with another."""
         peer = self.peers.peer(other.record.node)
         try:
-            self.peers.ask(peer, Connection(other))
+            self.peers.exchanges.ask(peer, Connection(other))
         except OSError:
             peer.forget_told()
 
