Admission in the field's words: AdmissionRequest, TeamUsage, should_queue

Asked, Had, worth_holding, _FALL and "let on" were metaphors of our own. Names only; no bound, decision or assertion changes. The rows of one table of tests lost their fmt: skip, their numbers are as they were.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/admission_control.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/admission_control.py
@@ -8,7 +8,11 @@
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._online.exchange import Exchange
 from bendlead_gateway._online.waiting_room import Fairness, WaitingRoom
-from bendlead_gateway._scheduling.admission import Asked, Refusal, judge
+from bendlead_gateway._scheduling.admission import (
+    AdmissionRequest,
+    Refusal,
+    judge,
+)
 from bendlead_gateway.types import ServiceName
 
 
@@ -54,11 +58,13 @@
         """Learn that a request has ended, and left its place."""
         self._room.finished(service)
 
-    def _asked(self, exchange: Exchange, service: ServiceName) -> Asked:
+    def _asked(
+        self, exchange: Exchange, service: ServiceName
+    ) -> AdmissionRequest:
         team = self._configuration.team_named(exchange.team)
         exchange.turn = self._fairness.turn(team)
         behind = self._room.first_before(service, exchange.turn)
-        return Asked(
+        return AdmissionRequest(
             exchange.route.target,
             exchange.facts.patience,
             exchange.turn,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/waiting_room.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/waiting_room.py
@@ -16,7 +16,7 @@
     QueuedRequest,
     WaitingRules,
     last_moment,
-    worth_holding,
+    should_queue,
 )
 from bendlead_gateway.types import RouteKind, ServiceName, Team, TeamName
 
@@ -98,7 +98,7 @@
         if not patience.came_back(exchange.facts.patience, route.timeout):
             return None
         now = self._now()
-        if not worth_holding(until - now, route.target):
+        if not should_queue(until - now, route.target):
             return None
         team = self._team_named(exchange.team)
         return QueuedRequest(
--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/admission.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/admission.py
@@ -33,7 +33,7 @@
     retry_after: float
 
 
-class Asked(Struct, frozen=True):
+class AdmissionRequest(Struct, frozen=True):
     """Say what a client asked for: in seconds, its aim and its patience.
 
     ``turn`` says how its team stands to its share, and ``behind`` that others
@@ -55,7 +55,9 @@
         return self.target * share * self.turn.part
 
 
-def judge(asked: Asked, wait: float, chance: Chance) -> Refusal | None:
+def judge(
+    asked: AdmissionRequest, wait: float, chance: Chance
+) -> Refusal | None:
     """Refuse a request whose wait (s) is too long, with a time to come back.
 
     Nothing is given where it may go on.
@@ -70,7 +72,7 @@
     )
 
 
-def _return_time(asked: Asked, wait: float, chance: Chance) -> float:
+def _return_time(asked: AdmissionRequest, wait: float, chance: Chance) -> float:
     """Draw when a refused client should come back (s)."""
     first = max(_LEAST_RETRY, wait)
     last = first + _SPREAD_SECONDS
--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/turns.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/turns.py
@@ -23,13 +23,13 @@
 _CLASS_FLOOR = 0.1
 #: Exponent by which the wait that a team is allowed falls with its use over its
 #: share.
-_FALL = 2
+_WAIT_EXPONENT = 2
 #: The shortest wait of a team over its share, as a part of the longest: with
 #: less, engines run out of work between two looks at them.
 _LEAST_PART = 0.4
 
 
-class Had(Struct, frozen=True):
+class TeamUsage(Struct, frozen=True):
     """Say what a team had lately, in requests, and how it counts."""
 
     requests: float
@@ -50,22 +50,22 @@
 
     @property
     def part(self) -> float:
-        """Give the part of the longest wait up to which it is let on."""
+        """Give the part of the longest wait up to which it is admitted."""
         if not self.over:
             return 1
-        return max(_LEAST_PART, (self.share / self.had) ** _FALL)
+        return max(_LEAST_PART, (self.share / self.had) ** _WAIT_EXPONENT)
 
 
 #: Where nobody competes, or nothing is known.
 FREE = Turn()
 
 
-def shares(had: Sequence[Had]) -> Mapping[int, float]:
+def shares(usages: Sequence[TeamUsage]) -> Mapping[int, float]:
     """Give the share for each unit of weight, in requests, by priority."""
-    by_class: dict[int, list[Had]] = {}
-    for one in had:
+    by_class: dict[int, list[TeamUsage]] = {}
+    for one in usages:
         by_class.setdefault(one.priority, []).append(one)
-    total = sum(one.requests for one in had)
+    total = sum(one.requests for one in usages)
     urgent = 0.0
     found: dict[int, float] = {}
     for priority, members in sorted(by_class.items()):
--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/waiting.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/waiting.py
@@ -14,7 +14,7 @@
 
 from msgspec import Struct
 
-from bendlead_gateway._scheduling.admission import Asked
+from bendlead_gateway._scheduling.admission import AdmissionRequest
 from bendlead_gateway._scheduling.turns import FREE, Turn
 from bendlead_gateway.types import TeamName
 
@@ -26,7 +26,7 @@
 #: Where the time left is less than this many aims, nobody is held: the answer
 #: would hardly be later than that of a refused caller who returns.
 _LEAST_AIMS = 3
-#: Of a team that is let on up to less than this part of the wait nobody is
+#: Of a team that is admitted up to less than this part of the wait nobody is
 #: held: those of others who come later would go before it.
 _LEAST_TURN = 0.8
 #: Requests of one team, of all, and bytes of their bodies that an entry holds.
@@ -67,7 +67,7 @@
     @property
     def longest_wait(self) -> float:
         """Give the seconds that it may wait at an engine for a place."""
-        return Asked(self.target, None, self.turn).longest_wait
+        return AdmissionRequest(self.target, None, self.turn).longest_wait
 
 
 class Patience(Struct):
@@ -92,7 +92,7 @@
     return deadline - target
 
 
-def worth_holding(left: float, target: float) -> bool:
+def should_queue(left: float, target: float) -> bool:
     """Tell whether a caller's time (s) is far longer than the aim."""
     return left >= target * _LEAST_AIMS
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_teams/shares.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_teams/shares.py
@@ -7,7 +7,7 @@
 from bendlead_store import clock
 from msgspec import Struct
 
-from bendlead_gateway._scheduling.turns import FREE, Had, Turn, shares
+from bendlead_gateway._scheduling.turns import FREE, TeamUsage, Turn, shares
 from bendlead_gateway.types import Team, TeamName
 
 #: What a team had counts less by a factor of e after each of these (s): whoever
@@ -119,7 +119,10 @@
         known = self._beyond(_NOT_COUNTED)
         usual = _usual_weight(team for team, _had in known)
         found = shares(
-            [Had(had, team.rate or usual, team.priority) for team, had in known]
+            [
+                TeamUsage(had, team.rate or usual, team.priority)
+                for team, had in known
+            ]
         )
         had = {team.name: had + _NOT_COUNTED for team, had in known}
         return _Found(now, dict(found), usual, had)
--- a/testing/src/bendlead_testing/replay/_entries.py
+++ b/testing/src/bendlead_testing/replay/_entries.py
@@ -86,7 +86,9 @@
         assert chosen is not None
         left = load.patience - (self._clock.now - asked.first)
         refusal = admission.judge(
-            admission.Asked(load.aim, left), chosen.wait, self._chance.random
+            admission.AdmissionRequest(load.aim, left),
+            chosen.wait,
+            self._chance.random,
         )
         asked.tries += 1
         if refusal is not None:
--- a/testing/src/bendlead_testing/turn_replay.py
+++ b/testing/src/bendlead_testing/turn_replay.py
@@ -359,7 +359,7 @@
         turn = entry.shares.turn(team) if entry.shares else Turn()
         chosen = self._choose()
         behind = entry.rules.first_before(turn)
-        question = admission.Asked(load.aim, left, turn, behind)
+        question = admission.AdmissionRequest(load.aim, left, turn, behind)
         refusal = admission.judge(question, chosen.wait, self._chance.random)
         if refusal is None:
             self._send(asked, chosen.view, entry)
--- a/tests/test_gateway_turns.py
+++ b/tests/test_gateway_turns.py
@@ -3,8 +3,8 @@
 import unittest
 from dataclasses import replace
 
-from bendlead_gateway._scheduling.admission import Asked, judge
-from bendlead_gateway._scheduling.turns import FREE, Had, Turn, shares
+from bendlead_gateway._scheduling.admission import AdmissionRequest, judge
+from bendlead_gateway._scheduling.turns import FREE, TeamUsage, Turn, shares
 from bendlead_gateway._teams.limits import TeamLimits
 from bendlead_gateway._teams.quota import Group
 from bendlead_gateway._teams.shares import TeamShares
@@ -54,31 +54,35 @@
 
     @parameterized.expand(
         [
-            ('alike', [Had(10, 1), Had(10, 1), Had(10, 1)], [False] * 3),
-            ('by_weight', [Had(40, 4), Had(10, 1)], [False, False]),
-            ('one_hot', [Had(60, 1), Had(9, 1)], [True, False]),
-            ('hot_for_its_weight', [Had(40, 1), Had(40, 4)], [True, False]),
-            ('two_hot', [Had(30, 1), Had(28, 1), *[Had(2, 1)] * 20],
-             [True, True, *[False] * 20]),
-            ('urgent', [Had(30, 1), Had(30, 1, 1)], [False, True]),
+            ('alike', [(10, 1), (10, 1), (10, 1)], [False] * 3),
+            ('by_weight', [(40, 4), (10, 1)], [False, False]),
+            ('one_hot', [(60, 1), (9, 1)], [True, False]),
+            ('hot_for_its_weight', [(40, 1), (40, 4)], [True, False]),
+            (
+                'two_hot',
+                [(30, 1), (28, 1), *[(2, 1)] * 20],
+                [True, True, *[False] * 20],
+            ),
+            ('urgent', [(30, 1), (30, 1, 1)], [False, True]),
             ('nobody', [], []),
         ],
-    )  # fmt: skip
-    def test_over(self, _name, had, over):
-        of_class = shares(had)
+    )
+    def test_over(self, _name, teams, over):
+        usages = [TeamUsage(*one) for one in teams]
+        of_class = shares(usages)
         found = [
             one.requests > of_class[one.priority] * one.weight * 1.001
-            for one in had
+            for one in usages
         ]
         self.assertEqual(over, found)
 
     def test_a_class_keeps_a_floor(self):
         """All of the less urgent are over, and none is left with nothing."""
-        self.assertEqual(10, shares([Had(90, 1), Had(10, 1, 1)])[1])
-        self.assertEqual(10, shares([Had(60, 1), Had(40, 1, 1)])[1])
+        self.assertEqual(10, shares([TeamUsage(90, 1), TeamUsage(10, 1, 1)])[1])
+        self.assertEqual(10, shares([TeamUsage(60, 1), TeamUsage(40, 1, 1)])[1])
 
     def test_a_few_urgent_requests_cut_others_by_little(self):
-        self.assertEqual(80, shares([Had(10, 1), Had(90, 1, 1)])[1])
+        self.assertEqual(80, shares([TeamUsage(10, 1), TeamUsage(90, 1, 1)])[1])
 
     @given(
         st.lists(
@@ -92,14 +96,14 @@
     )
     @settings(max_examples=300, deadline=None)
     def test_who_is_below_its_share_is_refused_last(self, teams, wait):
-        had = [Had(*one) for one in teams]
+        had = [TeamUsage(*one) for one in teams]
         of_class = shares(had)
         turns = [
             Turn(one.requests, of_class[one.priority] * one.weight + 0.01)
             for one in had
         ]
         refused = [
-            judge(Asked(0.3, 5, turn), wait, lambda: 0.5) is not None
+            judge(AdmissionRequest(0.3, 5, turn), wait, lambda: 0.5) is not None
             for turn in turns
         ]
         below = [no for turn, no in zip(turns, refused, strict=True)
@@ -112,7 +116,7 @@
 
     @given(st.floats(0, 1e6), st.floats(0, 1e6), st.booleans())
     def test_nobody_is_refused_while_a_place_is_free(self, had, share, behind):
-        asked = Asked(0.3, 5, Turn(had, share), behind)
+        asked = AdmissionRequest(0.3, 5, Turn(had, share), behind)
         self.assertIsNone(judge(asked, 0, lambda: 0.5))
 
 
--- a/tests/test_gateway_waiting_room.py
+++ b/tests/test_gateway_waiting_room.py
@@ -3,14 +3,14 @@
 import unittest
 
 import gevent
-from bendlead_gateway._scheduling.admission import Asked, judge
+from bendlead_gateway._scheduling.admission import AdmissionRequest, judge
 from bendlead_gateway._scheduling.turns import Turn
 from bendlead_gateway._scheduling.waiting import (
     Patience,
     QueuedRequest,
     WaitingRules,
     last_moment,
-    worth_holding,
+    should_queue,
 )
 from bendlead_gateway.types import TeamName
 from hypothesis import given, settings
@@ -70,7 +70,7 @@
         [('far', 1.7, True), ('near', 0.8, False), ('over', -1, False)],
     )
     def test_only_where_the_deadline_is_far(self, _name, left, expected):
-        self.assertIs(expected, worth_holding(left, 0.3))
+        self.assertIs(expected, should_queue(left, 0.3))
 
     def test_a_stream_is_not_awaited_longer_than_its_reader_waits(self):
         self.assertAlmostEqual(101.7, last_moment(100, 105, 0.3, stream=True))
@@ -114,9 +114,9 @@
         self.assertFalse(self.rules.first_before(Turn()))
         self.hold(self.held())
         self.assertTrue(self.rules.first_before(Turn()))
-        behind = Asked(0.3, 5, Turn(), behind=True)
+        behind = AdmissionRequest(0.3, 5, Turn(), behind=True)
         self.assertIsNotNone(judge(behind, 0.15, lambda: 0.5))
-        self.assertIsNone(judge(Asked(0.3, 5), 0.15, lambda: 0.5))
+        self.assertIsNone(judge(AdmissionRequest(0.3, 5), 0.15, lambda: 0.5))
 
     def test_hopeless_once_places_stay_away(self):
         self.free_places(20)
