Objects of a shard are a module, and rules of a report are read in one place

A report to a peer asked twice in a row whether there is one.

No bound, decision or assertion changes.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -221,10 +221,9 @@
         """Make the report for one peer, with what it misses or may know."""
         report = self._report()
         report.takes_changes = True
-        if peer is not None:
-            peer.told_state = urgent_part(report)
         self._news.sign(report)
         if peer is not None:
+            peer.told_state = urgent_part(report)
             report.told = self._news.tell(peer)
             if self.suspects:
                 peer.suspects_told, report.suspects = self.suspects.news(
--- a/packages/bendlead-ledger/src/bendlead_ledger/__init__.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/__init__.py
@@ -32,10 +32,8 @@
     ShardLog,
     head_key,
     read_holder,
-    read_parts,
-    write_once,
-    write_parts,
 )
+from bendlead_ledger._objects import read_parts, write_once, write_parts
 from bendlead_ledger._shard import Shard, open_shard
 from bendlead_ledger._state import ShardState
 
--- a/packages/bendlead-ledger/src/bendlead_ledger/_input.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_input.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from bendlead_ledger import _codec
-from bendlead_ledger._log import write_once
+from bendlead_ledger._objects import write_once
 
 _CHUNK_BYTES = 1_000_000
 _MAX_ERRORS = 1000
--- a/packages/bendlead-ledger/src/bendlead_ledger/_log.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_log.py
@@ -7,7 +7,6 @@
 
 import random
 from collections.abc import Iterator, Sequence
-from functools import partial
 
 import gevent
 import msgspec
@@ -28,25 +27,24 @@
     Version,
     clock,
 )
-from gevent.pool import Pool
 from msgspec import Struct
 from result import Err, Ok, Result
 
 from bendlead_ledger import _codec
 from bendlead_ledger._ids import ShardId, unique
+from bendlead_ledger._objects import (
+    FIRST_BACKOFF,
+    LAST_BACKOFF,
+    read_each,
+    read_parts,
+    write_once,
+    write_parts,
+)
 from bendlead_ledger._state import ShardState
 
 _SEGMENT = msgspec.json.Decoder(list[Record])
-#: Bytes of one object: a value holds a megabyte, and base64 takes a third.
-_PART_BYTES = 700_000
 #: Records of one segment (bytes before they are compressed).
 _SEGMENT_BYTES = 600_000
-_FIRST_BACKOFF = 0.05
-#: Longest pause between tries (s): what waits is refused until one is through.
-_LAST_BACKOFF = 0.4
-#: Objects read side by side at a takeover: one is a way to another data hall,
-#: and a process keeps this many connections to the object service.
-_READS_AT_ONCE = 4
 
 
 class Owner(Struct, frozen=True):
@@ -207,7 +205,7 @@
         # The same bytes go out until the outcome is known, so a write that
         # lands late is either this commit or is refused by its version.
         body = _codec.encode(head)
-        backoff = _FIRST_BACKOFF
+        backoff = FIRST_BACKOFF
         uncertain = False
         while True:
             asked = clock.uptime()
@@ -224,7 +222,7 @@
             gevent.sleep(
                 written.err_value.retry_after + backoff * random.random(),
             )
-            backoff = min(_LAST_BACKOFF, backoff * 2)
+            backoff = min(LAST_BACKOFF, backoff * 2)
 
     def _settle(
         self,
@@ -336,46 +334,6 @@
     return Ok(_codec.decode(entry.body, Head, entry.key).owner)
 
 
-def write_once(
-    store: ValueStore,
-    key: str,
-    body: bytes,
-) -> Result[Version, Failure]:
-    """Write an immutable object under a unique name until it is there.
-
-    Its version is not known where an answer was lost.
-    """
-    backoff = _FIRST_BACKOFF
-    while True:
-        written = store.put(key, body, ABSENT)
-        if isinstance(written, Ok):
-            return written
-        if written.err_value.kind is FailureKind.CONFLICT:
-            # The name is unique: what is there is our own earlier attempt.
-            return Ok(ABSENT)
-        if written.err_value.kind is FailureKind.REFUSED:
-            return written
-        gevent.sleep(written.err_value.retry_after + backoff * random.random())
-        backoff = min(_LAST_BACKOFF, backoff * 2)
-
-
-def write_parts(
-    store: ValueStore,
-    shard: ShardId,
-    packed: bytes,
-) -> Result[list[str], Failure]:
-    """Write bulk bytes into immutable objects and name them."""
-    parts = []
-    for start in range(0, len(packed), _PART_BYTES):
-        key = f'ledger/{shard:04x}/part/{unique()}'
-        part = packed[start : start + _PART_BYTES]
-        written = write_once(store, key, part)
-        if isinstance(written, Err):
-            return written
-        parts.append(key)
-    return Ok(parts)
-
-
 def load_state(store: ValueStore, head: Head) -> Result[ShardState, Failure]:
     """Rebuild the state that a head refers to."""
     state = ShardState()
@@ -387,7 +345,7 @@
         key = head_key(ShardId(head.shard))
         state.restore(_codec.decode(plain, Snapshot, key))
     keys = [segment.key for segment in head.segments]
-    for read in _read_each(store, keys):
+    for read in read_each(store, keys):
         if isinstance(read, Err):
             return read
         state.replay(_SEGMENT.decode(_codec.decompress(read.ok_value)))
@@ -395,31 +353,3 @@
         gevent.sleep(0)
     state.replay(head.tail)
     return Ok(state)
-
-
-def read_parts(
-    store: ValueStore, keys: Sequence[str]
-) -> Result[bytes, Failure]:
-    """Read bulk bytes back from the objects that hold them."""
-    bodies = []
-    for read in _read_each(store, keys):
-        if isinstance(read, Err):
-            return read
-        bodies.append(read.ok_value)
-    return Ok(b''.join(bodies))
-
-
-def _read_each(
-    store: ValueStore, keys: Sequence[str]
-) -> Iterator[Result[bytes, Failure]]:
-    """Read objects side by side; yield them in the order of their keys."""
-    yield from Pool(_READS_AT_ONCE).imap(partial(_read_one, store), keys)
-
-
-def _read_one(store: ValueStore, key: str) -> Result[bytes, Failure]:
-    found = store.fetch(key)
-    if isinstance(found, Err):
-        return found
-    if found.ok_value is None:
-        return Err(Failure(FailureKind.NOT_DONE, 'replay', key, 'missing'))
-    return Ok(found.ok_value.body)
--- a/packages/bendlead-ledger/src/bendlead_ledger/_results.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_results.py
@@ -14,7 +14,7 @@
 from bendlead_ledger import _codec
 from bendlead_ledger._committer import Committer
 from bendlead_ledger._ids import ShardId, unique
-from bendlead_ledger._log import write_once
+from bendlead_ledger._objects import write_once
 
 _FAILED_STATUS = 400
 _PACK_BYTES = 4_000_000
--- a/testing/src/bendlead_testing/compare.py
+++ b/testing/src/bendlead_testing/compare.py
@@ -16,6 +16,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
+from bendlead_testing.days import broken_rules
+
 _RUN_SECONDS = 1200
 #: What a day is compared by, and how each is read from a report.
 _FIGURES = ('worth', 'served', 'in time', 'windows', 'worst class', 'prices')
@@ -60,10 +62,7 @@
         'worst class': parts.get('worst class', 1.0),
         'prices': sum(price[-1] for price in report['prices']),
     }
-    rules = [f'{name} {count}' for name, count in report['breaks'].items()]
-    if report['fault']:
-        rules.append(f'fault: {report["fault"]}')
-    return DayFigures(values, rules)
+    return DayFigures(values, broken_rules(report))
 
 
 def play(bench: pathlib.Path, case: Case, why: str) -> DayFigures | None:
--- a/testing/src/bendlead_testing/days.py
+++ b/testing/src/bendlead_testing/days.py
@@ -6,9 +6,10 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
+from typing import Any
 
 _ROW = '{day:16} {site:18} {rules:28} {worth:>6} {served:>6}  {weakest}'
 #: A day of a grown site takes two minutes beside others (s).
@@ -50,12 +51,18 @@
         )
 
 
+def broken_rules(report: Mapping[str, Any]) -> list[str]:
+    """Name the rules that a report of the bench tells broken."""
+    rules = [f'{name} {count}' for name, count in report['breaks'].items()]
+    if report['fault']:
+        rules.append(f'fault: {report["fault"]}')
+    return rules
+
+
 def read_report(day: str, site: str, text: str) -> DayReport:
     """Read the report that the bench wrote of one day."""
     found = json.loads(text)
-    rules = [f'{name} {count}' for name, count in found['breaks'].items()]
-    if found['fault']:
-        rules.append(f'fault: {found["fault"]}')
+    rules = broken_rules(found)
     name, _weight, value = min(found['parts'], key=_value_of_part)
     return DayReport(
         day, site, rules, found['G'], found['served'], f'{name} {value:.3f}'
