Log who is asked for missing load reports, and what the asked peer holds

Until now neither side logged a request for missing reports.

`relay-requested` names the peers asked, their data halls and the age of each missing report; `relay-answered` the ages of those the asked peer holds, once for each list of nodes. The report replay keeps both with simulated times.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/load_relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/load_relay.py
@@ -8,8 +8,13 @@
 from msgspec import Struct
 
 from bendlead_gateway._fleet.links import Link, Links
-from bendlead_gateway._fleet.loads import LoadTable, PeerLoad
+from bendlead_gateway._fleet.loads import (
+    LoadTable,
+    PeerLoad,
+    format_ages,
+)
 from bendlead_gateway._fleet.peer import Peer
+from bendlead_gateway._log import Log
 from bendlead_gateway._teams.reported_counts import TeamCounts
 from bendlead_gateway.types import EngineId, NodeName, TeamName
 
@@ -76,12 +81,14 @@
         own: NodeName,
         loads: LoadTable,
         links: Links,
+        log: Log,
         on_teams: OnTeamCounts = ignore_team_counts,
     ) -> None:
         self._own = own
         self._on_teams = on_teams
         self._loads = loads
         self._links = links
+        self._log = log
         self._own_counts = _OwnCounts()
 
     def set_version(self, report: NodeReport) -> None:
@@ -106,6 +113,7 @@
     def reports_for(self, peer: Peer) -> list[ToldLoad]:
         """Return the reports that a peer asked for and those new to it."""
         relayed: list[ToldLoad] = []
+        self._log_answer(peer)
         for name in peer.missing_nodes[:_MAX_REQUESTED_NODES]:
             peer_load = self._loads.latest(NodeName(name))
             if (
@@ -145,6 +153,22 @@
             )
             self._on_teams(node, teams, load.version, now - age)
 
+    def _log_answer(self, peer: Peer) -> None:
+        """Log the ages of the reports that a peer newly asks for."""
+        requested = peer.missing_nodes[:_MAX_REQUESTED_NODES]
+        if requested == peer.answered_nodes:
+            return
+        peer.answered_nodes = requested
+        if not requested:
+            return
+        held = {node: self._loads.latest(NodeName(node)) for node in requested}
+        ages = {node: load.age if load else None for node, load in held.items()}
+        self._log.event(
+            'relay-answered',
+            peer=peer.record.node,
+            held=format_ages(ages),
+        )
+
     def _new_reports(self, peer: Peer) -> list[ToldLoad]:
         relayed: list[ToldLoad] = []
         for node, peer_load in self._loads.reported_after(peer.relayed_until):
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
@@ -76,6 +76,14 @@
     busy_since: dict[EngineId, float] = field(default_factory=dict)
 
 
+def format_ages(ages: Mapping[NodeName, float | None]) -> str:
+    """Format the ages of reports for the log; ``-`` for missing reports."""
+    return ','.join(
+        f'{node}:-' if age is None else f'{node}:{age:.2f}'
+        for node, age in ages.items()
+    )
+
+
 class LoadTable:
     """Sums of the requests on each engine over all processes."""
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peer.py
@@ -32,6 +32,8 @@
     task: gevent.Greenlet | None = None
     #: Nodes whose reports the peer does not receive.
     missing_nodes: Sequence[str] = ()
+    #: The missing nodes for which the held reports were last logged.
+    answered_nodes: Sequence[str] = ()
     listed_at: float = field(default_factory=clock.uptime)
     #: When its counts were last received, directly or relayed.
     counts_received_at: float = 0
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -71,9 +71,9 @@
         self._levels = levels
         self.codec = ReportCodec(own.hall, log)
         self._links = Links()
-        self._relay = LoadRelay(own.node, loads, self._links, on_teams)
+        self._relay = LoadRelay(own.node, loads, self._links, log, on_teams)
         self._peers: dict[NodeName, Peer] = {}
-        self._relay_requests = RelayRequests(own.hall, self._peers, loads)
+        self._relay_requests = RelayRequests(own.hall, self._peers, loads, log)
         self._listed = False
         #: Source and sink of updates on suspects, if they are exchanged.
         self.suspects: Suspects | None = None
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/relay_requests.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/relay_requests.py
@@ -11,8 +11,9 @@
 from msgspec import Struct
 
 from bendlead_gateway._fleet.links import Link
-from bendlead_gateway._fleet.loads import LoadTable
+from bendlead_gateway._fleet.loads import LoadTable, format_ages
 from bendlead_gateway._fleet.peer import Peer
+from bendlead_gateway._log import Log
 from bendlead_gateway.types import DataHall, NodeName
 
 #: A peer without reports for longer counts as stopped, not as cut off.
@@ -42,10 +43,12 @@
         hall: DataHall,
         peers: Mapping[NodeName, Peer],
         loads: LoadTable,
+        log: Log,
     ) -> None:
         self._hall = hall
         self._peers = peers
         self._loads = loads
+        self._log = log
         self._selection = _Selection()
 
     def missing_for(self, node: NodeName) -> list[str]:
@@ -69,6 +72,8 @@
         missing = list(self._missing_nodes(now))
         if len(missing) > _MAX_MISSING:
             missing = random.sample(missing, _MAX_MISSING)
+        if missing:
+            self._log_requests(missing, chosen)
         return _Selection(now, missing, frozenset(chosen))
 
     def _missing_nodes(self, now: float) -> Iterable[str]:
@@ -84,6 +89,18 @@
             ):
                 yield node
 
+    def _log_requests(
+        self, missing: Sequence[str], chosen: Sequence[NodeName]
+    ) -> None:
+        ages = {node: self._loads.age_of(NodeName(node)) for node in missing}
+        halls = {self._peers[node].record.hall for node in chosen}
+        self._log.event(
+            'relay-requested',
+            peers=','.join(chosen),
+            halls=','.join(sorted(halls)),
+            missing=format_ages(ages),
+        )
+
     def _is_overdue(self, peer: Peer) -> bool:
         """Return whether load reports of a peer in another hall are overdue."""
         if peer.record.hall == self._hall:
--- a/testing/src/bendlead_testing/report_replay.py
+++ b/testing/src/bendlead_testing/report_replay.py
@@ -7,7 +7,9 @@
 import heapq
 import random
 import time
+from collections import deque
 from collections.abc import Iterator, Sequence
+from typing import Any
 from unittest import mock
 
 import msgspec
@@ -17,6 +19,7 @@
 from bendlead_gateway._fleet.load_relay import LoadRelay, team_counts
 from bendlead_gateway._fleet.peer import Peer
 from bendlead_gateway._fleet.relay_requests import RelayRequests
+from bendlead_gateway._log import Log
 from bendlead_gateway.types import DataHall, NodeName, NodeRole, PeerRecord
 from bendlead_schema.gateway import NodeReport
 from msgspec import Struct, field
@@ -29,6 +32,7 @@
 _CHANGES_PER_SECOND = 7.0
 #: Bytes of HTTP headers in one exchange.
 _HEADER_BYTES = 150
+_RECORDED_EVENTS = 20_000
 
 
 class ReplayResults(Struct):
@@ -50,15 +54,41 @@
     return sorted(ages)[int(len(ages) * share)]
 
 
+class Event(Struct, frozen=True):
+    """An event that a simulated process logged."""
+
+    at: float
+    node: str
+    kind: str
+    fields: dict[str, Any]
+
+
+class _EventRecorder(Log):
+    """Keeps the events of a process together with their simulated time."""
+
+    def __init__(self, node: str, events: deque[Event]) -> None:
+        self._node = node
+        self._events = events
+
+    def event(self, kind: str, **fields: Any) -> None:
+        now = loads.clock.uptime()
+        self._events.append(Event(now, self._node, kind, fields))
+
+
 class _Process:
     """One process of the fleet and the loads that it knows."""
 
-    def __init__(self, record: PeerRecord, links: Links) -> None:
+    def __init__(
+        self, record: PeerRecord, links: Links, events: deque[Event]
+    ) -> None:
         self.record = record
         self.loads = loads.LoadTable()
-        self.relay = LoadRelay(record.node, self.loads, links)
+        log = _EventRecorder(record.node, events)
+        self.relay = LoadRelay(record.node, self.loads, links, log)
         self.peers: dict[NodeName, Peer] = {}
-        self.relay_requests = RelayRequests(record.hall, self.peers, self.loads)
+        self.relay_requests = RelayRequests(
+            record.hall, self.peers, self.loads, log
+        )
         #: Times at which its counts changed.
         self.change_times: list[float] = []
 
@@ -108,7 +138,11 @@
         self._links = Links()
         records = [_record(number, halls) for number in range(processes)]
         self._links.rebuild(records)
-        self._processes = [_Process(record, self._links) for record in records]
+        #: The latest events that the processes logged.
+        self.events: deque[Event] = deque(maxlen=_RECORDED_EVENTS)
+        self._processes = [
+            _Process(record, self._links, self.events) for record in records
+        ]
         self._due: list[tuple[float, int, int]] = []
         self._cut_halls: set[str] = set()
         #: Processes that take part in no exchange, as if suspended.
