Ask peers in other halls for load reports of a hall that is cut off

What callers saw: no report; test_halls_cut_from_one_another shows it in one run of twenty. While two halls were cut from one another, all processes of one lost the counts of a process in the other for 0.1 s or longer; where the third hall is small, for the whole cut. By reading: their requests then queue at engines that are full.

Cause: RelayRequests asked two close peers, chosen at random, for all overdue nodes. In a fleet of 36 six of seven close peers are in the asker's own hall, behind the same cut, and hold the same outdated report.

Why it works: reports of a hall are missing in the whole hall behind the cut, so nodes of another hall are requested from live peers in other halls, where their reports arrive over links of their own; nodes of the own hall as before from peers there. The other group is asked only if there is no such peer.

Bound, cut and sizes are as they were.

The tests of the fleet seed the random module, and the replay simulates the wall clock of report versions, so that their verdicts are the same each time.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/relay_requests.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/relay_requests.py
@@ -1,14 +1,16 @@
 """Choice of peers to ask for relayed reports of nodes that are missing.
 
 Reports cross between data halls over few links. While these links are down,
-other peers are asked for the reports that should have come over them.
+other peers are asked for the reports that should have come over them. Peers in
+the own hall miss the reports of a hall that is cut off just the same, so peers
+in other halls are asked for these.
 """
 
 import random
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from bendlead_store import clock
-from msgspec import Struct
+from msgspec import Struct, field
 
 from bendlead_gateway._fleet.links import Link
 from bendlead_gateway._fleet.loads import LoadTable, format_ages
@@ -23,16 +25,16 @@
 _REFRESH_SECONDS = 0.25
 #: Load reports of another hall are due every 0.5 s and expire after 1.5 s.
 _OVERDUE_SECONDS = 1.0
-#: A report requests at most this many nodes, chosen at random.
+#: A report requests at most this many nodes, chosen at random so that the
+#: requests of several processes cover all.
 _MAX_MISSING = 16
 
 
 class _Selection(Struct, frozen=True):
-    """The missing nodes and the peers that are asked for them."""
+    """The missing nodes that each chosen peer is asked for."""
 
     made_at: float = 0
-    missing: Sequence[str] = ()
-    asked: Collection[NodeName] = ()
+    requests: Mapping[NodeName, list[str]] = field(default_factory=dict)
 
 
 class RelayRequests:
@@ -56,27 +58,35 @@
         now = clock.uptime()
         if now - self._selection.made_at > _REFRESH_SECONDS:
             self._selection = self._select(now)
-        return (
-            list(self._selection.missing)
-            if node in self._selection.asked
-            else []
-        )
+        return list(self._selection.requests.get(node, ()))
 
     def _select(self, now: float) -> _Selection:
-        close = [
-            node
-            for node, peer in self._peers.items()
-            if peer.link is Link.CLOSE and not peer.is_down
-        ]
-        chosen = random.sample(close, min(_PEERS_TO_ASK, len(close)))
+        requests: dict[NodeName, list[str]] = {}
         missing = list(self._missing_nodes(now))
-        if len(missing) > _MAX_MISSING:
-            missing = random.sample(missing, _MAX_MISSING)
         if missing:
-            self._log_requests(missing, chosen)
-        return _Selection(now, missing, frozenset(chosen))
+            own_hall, other_halls = self._choose_peers()
+            for node in missing:
+                is_own = self._peers[node].record.hall == self._hall
+                preferred = own_hall if is_own else other_halls
+                for peer in preferred or own_hall or other_halls:
+                    requests.setdefault(peer, []).append(node)
+        for peer, nodes in requests.items():
+            if len(nodes) > _MAX_MISSING:
+                requests[peer] = random.sample(nodes, _MAX_MISSING)
+            self._log_request(peer, requests[peer])
+        return _Selection(now, requests)
+
+    def _choose_peers(self) -> tuple[list[NodeName], list[NodeName]]:
+        """Choose peers to ask in the own hall, and in other halls."""
+        own_hall: list[NodeName] = []
+        other_halls: list[NodeName] = []
+        for node, peer in self._peers.items():
+            if peer.link is Link.CLOSE and not peer.loads_overdue:
+                is_own = peer.record.hall == self._hall
+                (own_hall if is_own else other_halls).append(node)
+        return _choose_some(own_hall), _choose_some(other_halls)
 
-    def _missing_nodes(self, now: float) -> Iterable[str]:
+    def _missing_nodes(self, now: float) -> Iterable[NodeName]:
         """Yield the peers that may run requests but send no reports."""
         oldest = now - MAX_SILENCE_SECONDS
         for node, peer in self._peers.items():
@@ -89,15 +99,12 @@
             ):
                 yield node
 
-    def _log_requests(
-        self, missing: Sequence[str], chosen: Sequence[NodeName]
-    ) -> None:
+    def _log_request(self, peer: NodeName, missing: Sequence[str]) -> None:
         ages = {node: self._loads.age_of(NodeName(node)) for node in missing}
-        halls = {self._peers[node].record.hall for node in chosen}
         self._log.event(
             'relay-requested',
-            peers=','.join(chosen),
-            halls=','.join(sorted(halls)),
+            peer=peer,
+            hall=self._peers[peer].record.hall,
             missing=format_ages(ages),
         )
 
@@ -107,3 +114,7 @@
             return False
         age = self._loads.age_of(peer.record.node)
         return age is not None and _OVERDUE_SECONDS < age < MAX_SILENCE_SECONDS
+
+
+def _choose_some(peers: Sequence[NodeName]) -> list[NodeName]:
+    return random.sample(peers, min(_PEERS_TO_ASK, len(peers)))
--- a/testing/src/bendlead_testing/report_replay.py
+++ b/testing/src/bendlead_testing/report_replay.py
@@ -4,16 +4,18 @@
 the bytes between halls result from the gateway's own links, relays and changes.
 """
 
+import contextlib
 import heapq
 import random
 import time
+import types
 from collections import deque
 from collections.abc import Iterator, Sequence
 from typing import Any
 from unittest import mock
 
 import msgspec
-from bendlead_gateway._fleet import loads
+from bendlead_gateway._fleet import load_relay, loads
 from bendlead_gateway._fleet.changes import ChangeCodec
 from bendlead_gateway._fleet.links import Link, Links
 from bendlead_gateway._fleet.load_relay import LoadRelay, team_counts
@@ -89,6 +91,7 @@
         self.relay_requests = RelayRequests(
             record.hall, self.peers, self.loads, log
         )
+        self.life = 1
         #: Times at which its counts changed.
         self.change_times: list[float] = []
 
@@ -99,7 +102,7 @@
             sound=True,
             leaving=False,
             online=dict(+own.online),
-            life=1,
+            life=self.life,
             teams={_TEAM: len(self.change_times)},
         )
         self.relay.set_version(report)
@@ -130,13 +133,27 @@
     """Simulated exchanges of a fleet, and their measurements."""
 
     def __init__(
-        self, processes: int, halls: int, seed: int, *, changes: bool
+        self,
+        processes: int,
+        halls: int,
+        seed: int,
+        *,
+        changes: bool,
+        sizes: Sequence[int] = (),
     ) -> None:
+        """Set up a fleet in halls of equal size, or of the given sizes."""
         self._rng = random.Random(seed)
         self._now = _START
         self._changes = changes
         self._links = Links()
-        records = [_record(number, halls) for number in range(processes)]
+        hall_numbers = [number % halls for number in range(processes)]
+        if sizes:
+            hall_numbers = [
+                hall for hall, size in enumerate(sizes) for _ in range(size)
+            ]
+        records = [
+            _record(number, hall) for number, hall in enumerate(hall_numbers)
+        ]
         self._links.rebuild(records)
         #: The latest events that the processes logged.
         self.events: deque[Event] = deque(maxlen=_RECORDED_EVENTS)
@@ -155,7 +172,7 @@
 
     def run(self, seconds: float, warm: float = 1) -> ReplayResults:
         """Simulate some seconds; measure only after the warm-up."""
-        with mock.patch.object(loads.clock, 'uptime', lambda: self._now):
+        with self._simulated_clocks():
             until = self._now + warm
             self._run_until(until)
             self.results = ReplayResults()
@@ -170,15 +187,31 @@
         """Drop all exchanges between two halls from now on."""
         self._cut_halls = {one, other}
 
+    def restart(self, hall: str) -> None:
+        """Restart all processes of a hall with empty state."""
+        with self._simulated_clocks():
+            for number, old in enumerate(self._processes):
+                if old.record.hall == hall:
+                    self._restart_one(number, old)
+
     def known(self) -> int:
         """Count the pairs in which one knows the counts of the other."""
-        with mock.patch.object(loads.clock, 'uptime', lambda: self._now):
+        with self._simulated_clocks():
             return sum(
                 one.loads.latest(other.record.node) is not None
                 for one in self._processes
                 for other in self._processes
             )
 
+    @contextlib.contextmanager
+    def _simulated_clocks(self) -> Iterator[None]:
+        wall_clock = types.SimpleNamespace(time=lambda: self._now)
+        with (
+            mock.patch.object(loads.clock, 'uptime', lambda: self._now),
+            mock.patch.object(load_relay, 'time', wall_clock),
+        ):
+            yield
+
     def _draw_changes(self, processes: int) -> Iterator[tuple[float, int]]:
         for number in range(processes):
             moment = _START
@@ -189,13 +222,33 @@
     def _link(self, first: int, second: int) -> None:
         one, other = self._processes[first], self._processes[second]
         link = self._links.between(one.record.node, other.record.node)
-        one.peers[other.record.node] = Peer(other.record, link=link)
-        other.peers[one.record.node] = Peer(one.record, link=link)
+        one.peers[other.record.node] = self._peer(other.record, link)
+        other.peers[one.record.node] = self._peer(one.record, link)
         if link is Link.NONE:
             return
         start = _START + self._rng.random() * self._links.interval(link)
         heapq.heappush(self._due, (start, first, second))
 
+    def _peer(self, record: PeerRecord, link: Link) -> Peer:
+        return Peer(
+            record,
+            listed_at=self._now,
+            link=link,
+            interval=self._links.interval(link),
+        )
+
+    def _restart_one(self, number: int, old: _Process) -> None:
+        new = _Process(old.record, self._links, self.events)
+        new.change_times = old.change_times
+        new.life = old.life + 1
+        new.loads.own.online.update(old.loads.own.online)
+        self._processes[number] = new
+        for node, peer in old.peers.items():
+            new.peers[node] = self._peer(peer.record, peer.link)
+        for other in self._processes[:number]:
+            # The clients of a restarted process lose their connections.
+            other.peers[old.record.node].reset_exchange()
+
     def _run_until(self, moment: float) -> None:
         while self._due[0][0] <= moment:
             self._now, first, second = heapq.heappop(self._due)
@@ -271,10 +324,10 @@
                 self.results.other_hall_ages.append(age)
 
 
-def _record(number: int, halls: int) -> PeerRecord:
+def _record(number: int, hall: int) -> PeerRecord:
     return PeerRecord(
         NodeName(f'entry-{number:03d}'),
         NodeRole.ENTRY,
-        DataHall(f'hall-{number % halls}'),
+        DataHall(f'hall-{hall}'),
         '',
     )
--- a/tests/test_gateway_changes_told.py
+++ b/tests/test_gateway_changes_told.py
@@ -4,12 +4,13 @@
 """
 
 import os
+import random
 import time
 import unittest
 from unittest import mock
 
 import msgspec
-from bendlead_gateway._fleet import changes, links, loads
+from bendlead_gateway._fleet import changes, links, loads, relay_requests
 from bendlead_gateway._fleet.changes import (
     ChangeReader,
     ChangeWriter,
@@ -339,6 +340,9 @@
 class FleetTest(unittest.TestCase):
     """A simulated fleet with steady load."""
 
+    def setUp(self):
+        random.seed(1)
+
     @parameterized.expand(
         [('grown', 22, 4, 2), ('large', 63, 5, 2), ('more', 120, 3, 8)]
     )
@@ -363,6 +367,28 @@
         ages = replay.run(3, warm=3).other_hall_ages
         self.assertLess(max(ages), loads._EXPIRY_SECONDS)
 
+    @parameterized.expand(
+        [('shared_112', 112, None), ('shared_137', 137, None), ('own', 7, 43)]
+    )
+    def test_halls_cut_with_recorded_seeds(self, _name, number, choice):
+        """Requests for a node must not all go to peers that miss it too."""
+        numbers = random.Random(number)
+        choices = numbers if choice is None else random.Random(choice)
+        with (
+            mock.patch.object(changes, 'random', numbers),
+            mock.patch.object(relay_requests, 'random', choices),
+        ):
+            self.test_halls_cut_from_one_another()
+
+    def test_large_halls_cut_from_one_another(self):
+        """The few processes linked with a small third hall must ask there."""
+        sizes = (12, 12, 2)
+        replay = ReportReplay(sum(sizes), 3, 1, changes=True, sizes=sizes)
+        replay.run(0.2)
+        replay.disconnect('hall-0', 'hall-1')
+        ages = replay.run(3, warm=3).other_hall_ages
+        self.assertLess(max(ages), loads._EXPIRY_SECONDS)
+
     def test_half_suspended_and_resumed(self):
         """Suspended processes expire and are known again after resuming."""
         replay = ReportReplay(30, 3, 1, changes=True)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -1,14 +1,19 @@
 """What a node knows of its peers from their reports."""
 
 import os
+import random
 import socket
 import time
 import unittest
 
 import gevent
 import msgspec
+from bendlead_gateway._fleet import loads
+from bendlead_gateway._fleet.links import Link
 from bendlead_gateway._fleet.loads import LoadTable
+from bendlead_gateway._fleet.peer import Peer
 from bendlead_gateway._fleet.peers import PeerTable
+from bendlead_gateway._fleet.relay_requests import RelayRequests
 from bendlead_gateway._log import Log
 from bendlead_gateway.types import DataHall, NodeName, NodeRole, PeerRecord
 from bendlead_platform import PlatformDialect
@@ -156,6 +161,48 @@
         self.assertEqual(['a'], list(self.exchange('e').missed))
 
 
+class RelayRequestsTest(unittest.TestCase):
+    """Choice of the peers that are asked for overdue reports."""
+
+    @parameterized.expand(
+        [
+            ('other_hall', 'hall-2', {'hall-3'}),
+            ('own_hall', 'hall-1', {'hall-1'}),
+            ('third_hall_is_overdue', 'hall-2', {'hall-1'}, ('hall-3',)),
+        ]
+    )
+    def test_halls_asked(self, _name, missing_hall, asked, overdue=()):
+        """Peers in the own hall miss the reports of a hall that is cut off."""
+        now = loads.clock.uptime()
+        peers = {
+            NodeName(f'{hall}-{number}'): Peer(
+                PeerRecord(f'{hall}-{number}', NodeRole.ENTRY, hall, ''),
+                last_report_at=0 if hall in overdue else now,
+                listed_at=0,
+                link=Link.CLOSE,
+            )
+            for hall in ('hall-1', 'hall-3')
+            for number in range(9)
+        }
+        missing = PeerRecord('missing', NodeRole.ENTRY, missing_hall, '')
+        peers['missing'] = Peer(
+            missing, last_report_at=now - 2, link=Link.CLOSE
+        )
+        sink = os.open(os.devnull, os.O_WRONLY)
+        self.addCleanup(os.close, sink)
+        for seed in range(20):
+            random.seed(seed)
+            requests = RelayRequests(
+                'hall-1', peers, LoadTable(), Log('z', sink)
+            )
+            halls = {
+                peer.record.hall
+                for node, peer in peers.items()
+                if 'missing' in requests.missing_for(node)
+            }
+            self.assertEqual(asked, halls)
+
+
 class LargeFleetTest(PeerCase):
     """Loads are relayed between nodes that don't exchange reports."""
 
