Ask for the load reports of nodes that have not reported since the start

When a hall was restarted while it was cut from another, 120 of 650 pairs (halls of 12, 12 and 2) or 32 of 1,560 (five halls of 8) stayed unknown for as long as the cut lasted. By reading: its entries then send requests to engines that are full.

Cause: a node was overdue by the age of its last report only; a restarted process has none, and asked never.

Why it works: without a report the age of the listing counts, so the node is asked for after the same 1 s, and for at most the same 60 s.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
@@ -169,6 +169,10 @@
             return None
         return load
 
+    def has_report(self, node: NodeName) -> bool:
+        """Return whether a peer has ever reported its counts."""
+        return node in self._reports
+
     def age_of(self, node: NodeName) -> float | None:
         """Return the age of a peer's last report if more are expected."""
         load = self._reports.get(node)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/relay_requests.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/relay_requests.py
@@ -90,15 +90,26 @@
         """Yield the peers that may run requests but send no reports."""
         oldest = now - MAX_SILENCE_SECONDS
         for node, peer in self._peers.items():
-            if peer.link is not Link.CLOSE:
-                if self._is_overdue(peer):
-                    yield node
-            elif (
-                peer.loads_overdue
-                and max(peer.last_report_at, peer.listed_at) > oldest
-            ):
+            heard_at = self._overdue_since(peer, now)
+            if heard_at is not None and heard_at > oldest:
                 yield node
 
+    def _overdue_since(self, peer: Peer, now: float) -> float | None:
+        """Return when an overdue peer last reported, or else was listed."""
+        if peer.link is Link.CLOSE:
+            if peer.loads_overdue:
+                return max(peer.last_report_at, peer.listed_at)
+            return None
+        if peer.record.hall == self._hall:
+            return None
+        node = peer.record.node
+        age = self._loads.age_of(node)
+        if not self._loads.has_report(node):
+            age = now - peer.listed_at
+        if age is None or age <= _OVERDUE_SECONDS:
+            return None
+        return now - age
+
     def _log_request(self, peer: NodeName, missing: Sequence[str]) -> None:
         ages = {node: self._loads.age_of(NodeName(node)) for node in missing}
         self._log.event(
@@ -108,13 +119,6 @@
             missing=format_ages(ages),
         )
 
-    def _is_overdue(self, peer: Peer) -> bool:
-        """Return whether load reports of a peer in another hall are overdue."""
-        if peer.record.hall == self._hall:
-            return False
-        age = self._loads.age_of(peer.record.node)
-        return age is not None and _OVERDUE_SECONDS < age < MAX_SILENCE_SECONDS
-
 
 def _choose_some(peers: Sequence[NodeName]) -> list[NodeName]:
     return random.sample(peers, min(_PEERS_TO_ASK, len(peers)))
--- a/tests/test_gateway_changes_told.py
+++ b/tests/test_gateway_changes_told.py
@@ -389,6 +389,25 @@
         ages = replay.run(3, warm=3).other_hall_ages
         self.assertLess(max(ages), loads._EXPIRY_SECONDS)
 
+    @parameterized.expand(
+        [
+            ('equal', (12, 12, 12)),
+            ('third_hall_small', (12, 12, 2)),
+            ('five_halls', (8, 8, 8, 8, 8)),
+        ]
+    )
+    def test_hall_restarted_behind_a_cut(self, _name, sizes):
+        """Restarted processes must ask for nodes that never reported."""
+        processes = sum(sizes)
+        replay = ReportReplay(processes, 3, 1, changes=True, sizes=sizes)
+        replay.run(0.2)
+        replay.disconnect('hall-0', 'hall-1')
+        replay.run(0.2)
+        replay.restart('hall-0')
+        ages = replay.run(1, warm=2 * loads._EXPIRY_SECONDS).other_hall_ages
+        self.assertLess(max(ages), loads._EXPIRY_SECONDS)
+        self.assertEqual(processes * (processes - 1), replay.known())
+
     def test_half_suspended_and_resumed(self):
         """Suspended processes expire and are known again after resuming."""
         replay = ReportReplay(30, 3, 1, changes=True)
