Keep asking for load reports of a hall that is silent as a whole

What callers saw: no report; the test shows it. A hall that had been cut from all others for over 60 s and then heard one of them again stayed unknown to the other one, and that one to it, for the rest of the cut. By reading: both send requests to engines that the other has filled.

Cause: a node silent for MAX_SILENCE_SECONDS counts as stopped and is never asked for again, though the third hall holds its reports.

Suspension of the third hall and of half of the fleet: known again in time, before and after.

Why it works: a hall without any known load is taken for cut off. Each process asks for one random node of it, which notices the return within a refresh; from then on its other nodes count as missing for 60 s. A single node that stopped is given up after 60 s as before, so records of stopped processes cost nothing.

Test: test_isolated_hall_returns_behind_a_cut, all three rows failing before.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/relay_requests.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/relay_requests.py
@@ -6,6 +6,7 @@
 in other halls are asked for these.
 """
 
+import math
 import random
 from collections.abc import Iterable, Mapping, Sequence
 
@@ -52,6 +53,8 @@
         self._loads = loads
         self._log = log
         self._selection = _Selection()
+        #: When each hall was last silent as a whole.
+        self._silent_at: dict[DataHall, float] = {}
 
     def missing_for(self, node: NodeName) -> list[str]:
         """List the missing nodes whose reports are requested from a peer."""
@@ -62,6 +65,7 @@
 
     def _select(self, now: float) -> _Selection:
         requests: dict[NodeName, list[str]] = {}
+        self._observe_silent_halls(now)
         missing = list(self._missing_nodes(now))
         if missing:
             own_hall, other_halls = self._choose_peers()
@@ -86,13 +90,35 @@
                 (own_hall if is_own else other_halls).append(node)
         return _choose_some(own_hall), _choose_some(other_halls)
 
+    def _observe_silent_halls(self, now: float) -> None:
+        halls = {peer.record.hall for peer in self._peers.values()}
+        heard = {
+            peer.record.hall
+            for node, peer in self._peers.items()
+            if self._loads.latest(node)
+        }
+        self._silent_at.update(dict.fromkeys(halls - heard, now))
+
     def _missing_nodes(self, now: float) -> Iterable[NodeName]:
-        """Yield the peers that may run requests but send no reports."""
+        """Yield the peers that may run requests but send no reports.
+
+        A hall that is silent as a whole is cut off rather than stopped, so its
+        nodes still count as missing for a while when one of them returns. In
+        the meantime one of them is enough to notice that.
+        """
         oldest = now - MAX_SILENCE_SECONDS
+        silent_halls: dict[DataHall, list[NodeName]] = {}
         for node, peer in self._peers.items():
+            hall = peer.record.hall
             heard_at = self._overdue_since(peer, now)
-            if heard_at is not None and heard_at > oldest:
+            if heard_at is None:
+                continue
+            silent_at = self._silent_at.get(hall, -math.inf)
+            if heard_at > oldest or oldest < silent_at < now:
                 yield node
+            elif silent_at == now:
+                silent_halls.setdefault(hall, []).append(node)
+        yield from map(random.choice, silent_halls.values())
 
     def _overdue_since(self, peer: Peer, now: float) -> float | None:
         """Return when an overdue peer last reported, or else was listed."""
--- a/testing/src/bendlead_testing/report_replay.py
+++ b/testing/src/bendlead_testing/report_replay.py
@@ -161,7 +161,7 @@
             _Process(record, self._links, self.events) for record in records
         ]
         self._due: list[tuple[float, int, int]] = []
-        self._cut_halls: set[str] = set()
+        self._cuts: list[set[str]] = []
         #: Processes that take part in no exchange, as if suspended.
         self.silent: set[str] = set()
         self.results = ReplayResults()
@@ -185,7 +185,11 @@
 
     def disconnect(self, one: str, other: str) -> None:
         """Drop all exchanges between two halls from now on."""
-        self._cut_halls = {one, other}
+        self._cuts.append({one, other})
+
+    def reconnect(self, one: str, other: str) -> None:
+        """Carry exchanges between two halls again from now on."""
+        self._cuts.remove({one, other})
 
     def restart(self, hall: str) -> None:
         """Restart all processes of a hall with empty state."""
@@ -274,7 +278,7 @@
 
     def _exchange(self, one: _Process, other: _Process) -> None:
         between_halls = one.record.hall != other.record.hall
-        if {one.record.hall, other.record.hall} == self._cut_halls:
+        if {one.record.hall, other.record.hall} in self._cuts:
             return
         if not self.silent.isdisjoint((one.record.node, other.record.node)):
             return
--- a/tests/test_gateway_changes_told.py
+++ b/tests/test_gateway_changes_told.py
@@ -408,6 +408,34 @@
         self.assertLess(max(ages), loads._EXPIRY_SECONDS)
         self.assertEqual(processes * (processes - 1), replay.known())
 
+    @parameterized.expand(
+        [('full_mesh', (5, 5, 5)), ('large', (9, 9, 9)), ('uneven', (9, 9, 2))]
+    )
+    def test_isolated_hall_returns_behind_a_cut(self, _name, sizes):
+        """After a long isolation the nodes behind a cut are asked for."""
+        with mock.patch.object(relay_requests, 'MAX_SILENCE_SECONDS', 3):
+            processes = sum(sizes)
+            replay = ReportReplay(processes, 3, 1, changes=True, sizes=sizes)
+            replay.run(0.1)
+            replay.disconnect('hall-0', 'hall-1')
+            replay.disconnect('hall-0', 'hall-2')
+            replay.run(0.1, warm=4)
+            replay.reconnect('hall-0', 'hall-2')
+            ages = replay.run(1, warm=loads._EXPIRY_SECONDS).other_hall_ages
+        self.assertLess(max(ages), loads._EXPIRY_SECONDS)
+        self.assertEqual(processes * (processes - 1), replay.known())
+
+    def test_third_hall_suspended_behind_a_cut(self):
+        """Loads arrive again once the hall that relays them resumes."""
+        replay = ReportReplay(36, 3, 1, changes=True)
+        replay.run(0.2)
+        replay.disconnect('hall-0', 'hall-1')
+        replay.silent = {f'entry-{number:03d}' for number in range(2, 36, 3)}
+        replay.run(0.1, warm=2)
+        replay.silent = set()
+        replay.run(0.1, warm=loads._EXPIRY_SECONDS)
+        self.assertEqual(36 * 35, replay.known())
+
     def test_half_suspended_and_resumed(self):
         """Suspended processes expire and are known again after resuming."""
         replay = ReportReplay(30, 3, 1, changes=True)
