Keep the ports of a killed run locked while its processes live

Cause: a run locks its block of ports in its own process only. When that process is killed (the soak test kills a run after 240 s, a time limit of a shell kills any), its nodes and engines go on calling the ports, and the next run gets the block: foreign engines and nodes register with its object service. The failing waits all ask for an exact number of engines, shards or entries.

Evidence: a soak killed after 9 s left ten processes on block 14500. In it ItemTest of test_gateway_engine_health, RepeatedRequestTest.test_after_all_ entries_were_restarted and FailuresTest failed with that message, each with the soak's engines in its log. A loop of whole files run beside it failed once, in ItemTest, in the run that got the block. Ruled out as far as run: load. The classes side by side beside 8 busy processes, 44 runs each, and beside 16, 36 runs each, at load averages up to 19: 0 failed; suspended for 0.3 or 0.7 s about once a second, 104 runs: 0 failed. Not shown: that a killed soak preceded the first failures; no logs were kept.

Why it works: a lock belongs to the open file, so it is held until the last process that inherited its descriptor has ended.

Test: test_ports_of_a_killed_run_stay_taken_while_its_processes_run; on the code before, the same steps found the block free while the child ran.

--- a/testing/src/bendlead_testing/daemons.py
+++ b/testing/src/bendlead_testing/daemons.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from bendlead_testing.ports import free_port
+from bendlead_testing.ports import free_port, own_locks
 
 READY_STATUS = 200
 _READY_SECONDS = 30.0
@@ -75,6 +75,7 @@
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
+                pass_fds=own_locks(),
             )
 
     def kill(self) -> None:
--- a/testing/src/bendlead_testing/gateway_soak/deployment.py
+++ b/testing/src/bendlead_testing/gateway_soak/deployment.py
@@ -38,6 +38,7 @@
     name: str
     command: list[str]
     log: pathlib.Path
+    ports: Ports
     environment: dict[str, str] | None = None
     told_to_end: bool = False
     starts: int = 0
@@ -103,6 +104,7 @@
                 stdout=output,
                 stderr=output,
                 env=self.environment,
+                pass_fds=self.ports.locks,
             )
 
 
@@ -185,6 +187,7 @@
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
             text=True,
+            pass_fds=self.ports.locks,
         )
         assert self._carrier.stdout is not None
         self._carrier.stdout.readline()
@@ -259,7 +262,8 @@
             command.append(f'--pace={_PACES[number % len(_PACES)]}')
         name = f'engine-{number}'
         log = self.folder / f'{name}.log'
-        return EngineSpot(name, hall, address, Process(name, command, log))
+        process = Process(name, command, log, self.ports)
+        return EngineSpot(name, hall, address, process)
 
     def _spot(self, name: str, number: int, *, entry: bool) -> None:
         spot = NodeSpot(
@@ -296,6 +300,7 @@
                 str(_PROGRAM),
             ],
             self.folder / f'{spot.name}.log',
+            self.ports,
             {'BENDLEAD_CONFIG': str(settings), 'PYTHONHASHSEED': '0'},
         )
 
--- a/testing/src/bendlead_testing/ports.py
+++ b/testing/src/bendlead_testing/ports.py
@@ -19,12 +19,19 @@
 
     A port that is only probed may be taken by another run before it is bound,
     and one of the outgoing ones by any connection ("Address already in use").
+    Processes that inherit the descriptors of ``locks`` keep the ports from
+    other runs even if this process is killed and they go on calling them.
     """
 
     def __init__(self) -> None:
         self._locks: list[TextIO] = []
         self._ports = itertools.chain.from_iterable(self._blocks())
 
+    @property
+    def locks(self) -> Sequence[int]:
+        """Descriptors that child processes inherit (``pass_fds``)."""
+        return [lock.fileno() for lock in self._locks]
+
     def take(self) -> int:
         """Give a port that nothing listens on."""
         for port in self._ports:
@@ -40,16 +47,11 @@
 
     def _blocks(self) -> Iterator[Sequence[int]]:
         """Give the blocks that this run can lock, one after the other."""
-        folder = pathlib.Path(tempfile.gettempdir())
         for start in range(0, len(_PORTS), _BLOCK):
-            lock = open(folder / f'bendlead-ports-{start}', 'w')
-            try:
-                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            except BlockingIOError:
-                lock.close()
-                continue
-            self._locks.append(lock)
-            yield _PORTS[start : start + _BLOCK]
+            lock = lock_block(_PORTS[start])
+            if lock is not None:
+                self._locks.append(lock)
+                yield _PORTS[start : start + _BLOCK]
 
     def address(self) -> str:
         """Give an address on loopback."""
@@ -61,6 +63,24 @@
             self._locks.pop().close()
 
 
+def lock_block(port: int) -> TextIO | None:
+    """Lock the block of a port, or return None if another run has it."""
+    start = (port - _PORTS.start) // _BLOCK * _BLOCK
+    folder = pathlib.Path(tempfile.gettempdir())
+    lock = open(folder / f'bendlead-ports-{start}', 'w')
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        lock.close()
+        return None
+    return lock
+
+
+def own_locks() -> Sequence[int]:
+    """Return the descriptors that keep the ports of ``free_port``."""
+    return _own.locks
+
+
 def free_port() -> int:
     """Give a port that nothing listens on, kept for this process."""
     return _own.take()
--- a/tests/test_soak_ports.py
+++ b/tests/test_soak_ports.py
@@ -1,16 +1,36 @@
 """Ports of tests and of the soak, which many runs take on one machine."""
 
+import os
 import pathlib
 import random
+import signal
+import subprocess
+import sys
+import tempfile
 import unittest
 from types import SimpleNamespace
 
 import gevent
 from bendlead_testing.gateway_soak.clients import Clients
 from bendlead_testing.gateway_soak.sightings import Sightings
-from bendlead_testing.ports import Ports, free_port
+from bendlead_testing.ports import Ports, free_port, lock_block
 from gevent.server import StreamServer
 
+from tests.gateway_standins import eventually
+
+#: A run of the soak with one process, which outlives it when it is killed.
+_RUN = """
+import pathlib, sys, time
+from bendlead_testing.gateway_soak.deployment import Process
+from bendlead_testing.ports import Ports
+
+ports = Ports()
+port = ports.take()
+child = Process('child', ['sleep', '60'], pathlib.Path(sys.argv[1]), ports)
+child.start()
+print(port, child._popen.pid, flush=True)
+time.sleep(60)
+"""
 _OUTGOING = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
 
 
@@ -32,6 +52,23 @@
         # A lower one may have become free elsewhere meanwhile.
         self.assertLessEqual(last.take(), taken)
 
+    def test_ports_of_a_killed_run_stay_taken_while_its_processes_run(self):
+        """Otherwise they register with the object service of a later run."""
+        with tempfile.NamedTemporaryFile() as log:
+            run = subprocess.Popen(
+                [sys.executable, '-c', _RUN, log.name],
+                stdout=subprocess.PIPE,
+                text=True,
+            )
+            port, child = map(int, run.stdout.readline().split())
+            run.kill()
+            run.wait()
+            run.stdout.close()
+            self.assertIsNone(lock_block(port))
+            os.kill(child, signal.SIGKILL)
+            lock = eventually(lambda: lock_block(port))
+            lock.close()
+
     def test_entries_of_an_ended_run_are_asked_no_more(self):
         """An engine of a later run may have the port by then.
 
