End the processes of a harness with the process that started them

What was seen: after a soak was killed, its ten nodes and engines ran on until they were ended by hand, and kept their ports and part of a core.

Cause: they were told to end by the soak only, which a kill gives no time for.

Failed try: asking for the signal in the programs themselves. Those that were still loading when the soak was killed saw no change of their parent and stayed.

Why it works: the system kills a child when its parent ends; the child asks for that before its program is loaded, and compares the parent with the one that started it.

The test of the locks now has a grandchild, which the signal does not reach; without the inherited locks it fails.

--- a/testing/src/bendlead_testing/daemons.py
+++ b/testing/src/bendlead_testing/daemons.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -13,8 +14,10 @@
 import urllib.request
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
+from bendlead_testing.lifetime import end_with_parent
 from bendlead_testing.ports import free_port, own_locks
 
 READY_STATUS = 200
@@ -76,6 +79,7 @@
                 stderr=log,
                 stdin=subprocess.DEVNULL,
                 pass_fds=own_locks(),
+                preexec_fn=partial(end_with_parent, os.getpid()),
             )
 
     def kill(self) -> None:
--- a/testing/src/bendlead_testing/gateway_soak/deployment.py
+++ b/testing/src/bendlead_testing/gateway_soak/deployment.py
@@ -1,12 +1,14 @@
 """Start and stop the processes of a fleet, each reached through links."""
 
 import json
+import os
 import pathlib
 import signal
 import subprocess
 import sys
 import tempfile
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import gevent
@@ -14,6 +16,7 @@
 from gevent.lock import BoundedSemaphore
 
 from bendlead_testing.gateway_soak.links import LinkMode, LinkSpec
+from bendlead_testing.lifetime import end_with_parent
 from bendlead_testing.platform_store import Door, PlatformStandIn
 from bendlead_testing.ports import Ports
 
@@ -105,6 +108,7 @@
                 stderr=output,
                 env=self.environment,
                 pass_fds=self.ports.locks,
+                preexec_fn=partial(end_with_parent, os.getpid()),
             )
 
 
@@ -188,6 +192,7 @@
             stdout=subprocess.PIPE,
             text=True,
             pass_fds=self.ports.locks,
+            preexec_fn=partial(end_with_parent, os.getpid()),
         )
         assert self._carrier.stdout is not None
         self._carrier.stdout.readline()
--- a/tests/test_soak_ports.py
+++ b/tests/test_soak_ports.py
@@ -18,7 +18,7 @@
 
 from tests.gateway_standins import eventually
 
-#: A run of the soak with one process, which outlives it when it is killed.
+#: A run of the soak whose process has started another, which outlives both.
 _RUN = """
 import pathlib, sys, time
 from bendlead_testing.gateway_soak.deployment import Process
@@ -26,14 +26,18 @@
 
 ports = Ports()
 port = ports.take()
-child = Process('child', ['sleep', '60'], pathlib.Path(sys.argv[1]), ports)
-child.start()
-print(port, child._popen.pid, flush=True)
+command = ['sh', '-c', 'sleep 60 & echo $!; wait']
+Process('shell', command, pathlib.Path(sys.argv[1]), ports).start()
+print(port, flush=True)
 time.sleep(60)
 """
 _OUTGOING = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
 
 
+def _is_running(process: str) -> bool:
+    return pathlib.Path(f'/proc/{process}').exists()
+
+
 class PortsTest(unittest.TestCase):
     """One process runs many seeds one after the other."""
 
@@ -60,7 +64,8 @@
                 stdout=subprocess.PIPE,
                 text=True,
             )
-            port, child = map(int, run.stdout.readline().split())
+            port = int(run.stdout.readline())
+            child = int(eventually(log.readline))
             run.kill()
             run.wait()
             run.stdout.close()
@@ -69,6 +74,21 @@
             lock = eventually(lambda: lock_block(port))
             lock.close()
 
+    def test_processes_of_a_killed_soak_end(self):
+        """Otherwise they keep their ports and use processor time for ever."""
+        soak = subprocess.Popen(
+            [sys.executable, '-m', 'bendlead_testing.gateway_soak'],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+        path = pathlib.Path(f'/proc/{soak.pid}/task/{soak.pid}/children')
+        # The links, four engines, three entries and three owners.
+        eventually(lambda: len(path.read_text().split()) == 11, 20)
+        started = path.read_text().split()
+        soak.kill()
+        soak.wait()
+        eventually(lambda: not any(map(_is_running, started)))
+
     def test_entries_of_an_ended_run_are_asked_no_more(self):
         """An engine of a later run may have the port by then.
 
