Log requests for missing reports only while something is missing

What was seen: by reading, a hall whose processes were all removed is asked for for ever, and each request and answer would have been logged, eight lines a second and process.

Cause: the search for missing nodes mixed nodes that miss reports with the one node by which the return of a silent hall is noticed.

Change: the two are listed apart; requests are logged if a node misses reports, answers if the asked peer holds any of the reports.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/load_relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/load_relay.py
@@ -159,15 +159,16 @@
         if requested == peer.answered_nodes:
             return
         peer.answered_nodes = requested
-        if not requested:
-            return
         held = {node: self._loads.latest(NodeName(node)) for node in requested}
-        ages = {node: load.age if load else None for node, load in held.items()}
-        self._log.event(
-            'relay-answered',
-            peer=peer.record.node,
-            held=format_ages(ages),
-        )
+        if any(held.values()):
+            ages = {
+                node: load.age if load else None for node, load in held.items()
+            }
+            self._log.event(
+                'relay-answered',
+                peer=peer.record.node,
+                held=format_ages(ages),
+            )
 
     def _new_reports(self, peer: Peer) -> list[ToldLoad]:
         relayed: list[ToldLoad] = []
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/relay_requests.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/relay_requests.py
@@ -8,7 +8,7 @@
 
 import math
 import random
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 from bendlead_store import clock
 from msgspec import Struct, field
@@ -64,22 +64,26 @@
         return list(self._selection.requests.get(node, ()))
 
     def _select(self, now: float) -> _Selection:
-        requests: dict[NodeName, list[str]] = {}
-        self._observe_silent_halls(now)
-        missing = list(self._missing_nodes(now))
+        missing, probes = self._find_missing(now)
+        requests = self._assign([*missing, *probes])
         if missing:
-            own_hall, other_halls = self._choose_peers()
-            for node in missing:
-                is_own = self._peers[node].record.hall == self._hall
-                preferred = own_hall if is_own else other_halls
-                for peer in preferred or own_hall or other_halls:
-                    requests.setdefault(peer, []).append(node)
-        for peer, nodes in requests.items():
-            if len(nodes) > _MAX_MISSING:
-                requests[peer] = random.sample(nodes, _MAX_MISSING)
-            self._log_request(peer, requests[peer])
+            self._log_requests(requests)
         return _Selection(now, requests)
 
+    def _assign(self, nodes: Sequence[NodeName]) -> dict[NodeName, list[str]]:
+        """Choose the peers that are asked for each of the nodes."""
+        requests: dict[NodeName, list[str]] = {}
+        own_hall, other_halls = self._choose_peers()
+        for node in nodes:
+            is_own = self._peers[node].record.hall == self._hall
+            preferred = own_hall if is_own else other_halls
+            for peer in preferred or own_hall or other_halls:
+                requests.setdefault(peer, []).append(node)
+        return {
+            peer: random.sample(requested, min(_MAX_MISSING, len(requested)))
+            for peer, requested in requests.items()
+        }
+
     def _choose_peers(self) -> tuple[list[NodeName], list[NodeName]]:
         """Choose peers to ask in the own hall, and in other halls."""
         own_hall: list[NodeName] = []
@@ -90,35 +94,43 @@
                 (own_hall if is_own else other_halls).append(node)
         return _choose_some(own_hall), _choose_some(other_halls)
 
-    def _observe_silent_halls(self, now: float) -> None:
-        halls = {peer.record.hall for peer in self._peers.values()}
-        heard = {
-            peer.record.hall
-            for node, peer in self._peers.items()
-            if self._loads.latest(node)
-        }
-        self._silent_at.update(dict.fromkeys(halls - heard, now))
-
-    def _missing_nodes(self, now: float) -> Iterable[NodeName]:
-        """Yield the peers that may run requests but send no reports.
+    def _find_missing(
+        self, now: float
+    ) -> tuple[list[NodeName], list[NodeName]]:
+        """List the nodes that miss reports, and some that probably stopped.
 
-        A hall that is silent as a whole is cut off rather than stopped, so its
-        nodes still count as missing for a while when one of them returns. In
-        the meantime one of them is enough to notice that.
+        A hall that is silent as a whole may be cut off rather than stopped. A
+        random node of it is requested however long that lasts, to notice when
+        it returns; then its other nodes count as missing for a while again.
         """
         oldest = now - MAX_SILENCE_SECONDS
-        silent_halls: dict[DataHall, list[NodeName]] = {}
+        silent_halls = self._find_silent_halls()
+        missing: list[NodeName] = []
+        stopped: dict[DataHall, list[NodeName]] = {}
         for node, peer in self._peers.items():
             hall = peer.record.hall
             heard_at = self._overdue_since(peer, now)
             if heard_at is None:
                 continue
-            silent_at = self._silent_at.get(hall, -math.inf)
-            if heard_at > oldest or oldest < silent_at < now:
-                yield node
-            elif silent_at == now:
-                silent_halls.setdefault(hall, []).append(node)
-        yield from map(random.choice, silent_halls.values())
+            if hall in silent_halls:
+                self._silent_at[hall] = now
+            elif self._silent_at.get(hall, -math.inf) > oldest:
+                heard_at = now
+            if heard_at > oldest:
+                missing.append(node)
+            elif hall in silent_halls:
+                stopped.setdefault(hall, []).append(node)
+        return missing, [random.choice(nodes) for nodes in stopped.values()]
+
+    def _find_silent_halls(self) -> set[DataHall]:
+        """Return the halls of which no process has reported lately."""
+        halls = {peer.record.hall for peer in self._peers.values()}
+        heard = {
+            peer.record.hall
+            for node, peer in self._peers.items()
+            if self._loads.latest(node)
+        }
+        return halls - heard
 
     def _overdue_since(self, peer: Peer, now: float) -> float | None:
         """Return when an overdue peer last reported, or else was listed."""
@@ -136,14 +148,15 @@
             return None
         return now - age
 
-    def _log_request(self, peer: NodeName, missing: Sequence[str]) -> None:
-        ages = {node: self._loads.age_of(NodeName(node)) for node in missing}
-        self._log.event(
-            'relay-requested',
-            peer=peer,
-            hall=self._peers[peer].record.hall,
-            missing=format_ages(ages),
-        )
+    def _log_requests(self, requests: Mapping[NodeName, list[str]]) -> None:
+        for peer, nodes in requests.items():
+            ages = {node: self._loads.age_of(NodeName(node)) for node in nodes}
+            self._log.event(
+                'relay-requested',
+                peer=peer,
+                hall=self._peers[peer].record.hall,
+                missing=format_ages(ages),
+            )
 
 
 def _choose_some(peers: Sequence[NodeName]) -> list[NodeName]:
