Count relayed reports before a linked node is taken for stopped

What callers saw: no report; the test shows it. In a cut between halls of more than 60 s each process lost the counts of those processes behind the cut that it is linked with directly: in a fleet of 17 or fewer the whole hall, in a larger one its neighbour of the same place. By reading: requests go to full engines.

Cause: a linked node was missing for 60 s from the last report over its own link, then counted as stopped, though the third hall relayed its reports; nobody relays those of a linked node unasked.

Why it works: the age of the last relayed report counts as well, and stays low while somebody hears the node; a stopped one is given up after 60 s as before.

Test: test_long_cut_between_halls, both rows failing before.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/relay_requests.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/relay_requests.py
@@ -134,16 +134,18 @@
 
     def _overdue_since(self, peer: Peer, now: float) -> float | None:
         """Return when an overdue peer last reported, or else was listed."""
-        if peer.link is Link.CLOSE:
-            if peer.loads_overdue:
-                return max(peer.last_report_at, peer.listed_at)
-            return None
-        if peer.record.hall == self._hall:
-            return None
         node = peer.record.node
         age = self._loads.age_of(node)
         if not self._loads.has_report(node):
             age = now - peer.listed_at
+        if peer.link is Link.CLOSE:
+            if not peer.loads_overdue:
+                return None
+            # Others may still hear it and relay its reports.
+            relayed_at = -math.inf if age is None else now - age
+            return max(peer.last_report_at, peer.listed_at, relayed_at)
+        if peer.record.hall == self._hall:
+            return None
         if age is None or age <= _OVERDUE_SECONDS:
             return None
         return now - age
--- a/tests/test_gateway_changes_told.py
+++ b/tests/test_gateway_changes_told.py
@@ -425,6 +425,16 @@
         self.assertLess(max(ages), loads._EXPIRY_SECONDS)
         self.assertEqual(processes * (processes - 1), replay.known())
 
+    @parameterized.expand([('full_mesh', (5, 5, 5)), ('large', (9, 9, 9))])
+    def test_long_cut_between_halls(self, _name, sizes):
+        """A node that others still hear must not count as stopped."""
+        with mock.patch.object(relay_requests, 'MAX_SILENCE_SECONDS', 2):
+            replay = ReportReplay(sum(sizes), 3, 1, changes=True, sizes=sizes)
+            replay.run(0.2)
+            replay.disconnect('hall-0', 'hall-1')
+            ages = replay.run(5).other_hall_ages
+        self.assertLess(max(ages), loads._EXPIRY_SECONDS)
+
     def test_third_hall_suspended_behind_a_cut(self):
         """Loads arrive again once the hall that relays them resumes."""
         replay = ReportReplay(36, 3, 1, changes=True)
