--- a/tests/test_gateway_news.py
+++ b/tests/test_gateway_news.py
@@ -12,6 +12,7 @@
 from bendlead_gateway._fleet.links import Link, Links
 from bendlead_gateway._fleet.load_relay import LoadRelay
 from bendlead_gateway._fleet.peer import Peer
+from bendlead_gateway._log import Log
 from bendlead_gateway.types import DataHall, NodeName, NodeRole, PeerRecord
 from bendlead_schema.gateway import NodeReport
 from parameterized import parameterized
@@ -25,7 +26,8 @@
     def __init__(self, record: PeerRecord, links: Links) -> None:
         self.record = record
         self.loads = loads.LoadTable()
-        self.relay = LoadRelay(record.node, self.loads, links)
+        log = mock.Mock(spec=Log)
+        self.relay = LoadRelay(record.node, self.loads, links, log)
         self.peers: dict[NodeName, Peer] = {}
 
     def report_to(self, node: NodeName) -> NodeReport:
