Log the versions of engines, and which streams clients take up

Cause: none of the incident's hypotheses could be told apart in the log. The adapter decoded an engine's version and dropped it, and Resumes was passed on unread. Change: Engine.version and RequestFacts.resumes, decoded in the adapter; version on engine-listed and item-run; version, began_at, resumes and after on the line of a request whose run failed or that takes a stream up.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
@@ -276,6 +276,7 @@
                 address=engine.address,
                 state=engine.state.value,
                 slots=engine.slots,
+                version=engine.version,
                 born=engine.born,
                 revision=entry.version,
             )
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -224,6 +224,7 @@
             job=run.job.job,
             item=run.progress.item.item,
             engine=run.engine.engine,
+            version=run.engine.version,
             ending=ending,
             digest=digest,
             last_event=run.progress.last_event,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -74,7 +74,7 @@
         engine = view.engine
         name = view.name
         loads = self._fleet.loads
-        exchange.choice = Choice(name, view.online, view.batch)
+        exchange.choice = Choice(name, view.online, view.batch, engine.version)
         exchange.sends += 1
         if exchange.sends == 1:
             self._retry_budget.earn()
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -6,7 +6,13 @@
 from bendlead_gateway._http.messages import Request, Responder
 from bendlead_gateway._scheduling.team_shares import UNCONTESTED, ShareUse
 from bendlead_gateway._suspects.digest import RequestDigest, digest_request
-from bendlead_gateway.types import EngineId, RequestFacts, Route, TeamName
+from bendlead_gateway.types import (
+    EngineId,
+    EngineVersion,
+    RequestFacts,
+    Route,
+    TeamName,
+)
 
 #: Reads time out this long after the deadline, which thus fires first.
 _READ_MARGIN_SECONDS = 0.5
@@ -18,6 +24,7 @@
     engine: str = '-'
     online: int = 0
     batch: int = 0
+    version: EngineVersion = EngineVersion('')
 
 
 class Exchange(Struct):
@@ -40,6 +47,8 @@
     sent_at: float = 0
     last_event: int | None = None
     first_event: float = 0
+    #: Version of the engine that sent the first event, ``None`` if unknown.
+    stream_version: EngineVersion | None = None
     status: int = 0
     failure: str = '-'
     quarantined: bool = False
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -285,6 +285,13 @@
         'total_ms': round(exchange.elapsed * 1000, 1),
         'reason': exchange.failure,
     }
+    if exchange.runs or exchange.facts.resume_after is not None:
+        # A stream may only be continued at the version that began it.
+        fields['version'] = exchange.choice.version
+        fields['began_at'] = exchange.stream_version or '-'
+    if exchange.facts.resume_after is not None:
+        fields['resumes'] = exchange.facts.resumes or '-'
+        fields['after'] = exchange.facts.resume_after
     if exchange.queued_seconds:
         fields['held_ms'] = round(exchange.queued_seconds * 1000, 1)
     if outcome == REFUSED and exchange.share_use.used:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -138,6 +138,8 @@
 
     def _check_order(self, number: int | None) -> None:
         previous = self._exchange.last_event
+        if previous is None:
+            self._exchange.stream_version = self._engine.version
         if number is None:
             raise ResponseError('event without an event number')
         if previous is not None and number != previous + 1:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/engines.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/engines.py
@@ -7,6 +7,7 @@
 from bendlead_gateway._types.ids import (
     DataHall,
     EngineId,
+    EngineVersion,
     RequestId,
     ServiceName,
 )
@@ -23,7 +24,8 @@
     """One incarnation of an engine as listed by service discovery.
 
     ``born`` is the start time of the incarnation in milliseconds since the
-    epoch, 0 if not given; ``warmup`` is the warm-up time in seconds.
+    epoch, 0 if not given; ``warmup`` is the warm-up time in seconds. ``version``
+    is the version of its software, empty if not given.
     """
 
     engine: EngineId
@@ -34,6 +36,7 @@
     state: EngineState
     warmup: float = 0
     born: int = 0
+    version: EngineVersion = EngineVersion('')
 
 
 class EngineAnswer(Struct, frozen=True):
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/requests.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/requests.py
@@ -14,9 +14,12 @@
 
     ``timeout`` is the client's timeout in seconds, if given.
     ``resume_after`` is the id of the last event received, for a resumed stream.
+    ``resumes`` is the id of the request that received its first event, ``None``
+    unless exactly one is named.
     """
 
     request: RequestId
     host: str
     timeout: float | None = None
     resume_after: int | None = None
+    resumes: RequestId | None = None
--- a/packages/bendlead-gateway/src/bendlead_gateway/types.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/types.py
@@ -8,6 +8,7 @@
 from bendlead_gateway._types.ids import (
     DataHall,
     EngineId,
+    EngineVersion,
     ItemId,
     JobId,
     NodeName,
@@ -59,6 +60,7 @@
     'EngineAnswer',
     'EngineId',
     'EngineState',
+    'EngineVersion',
     'Headers',
     'ItemId',
     'ItemOutcome',
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -190,6 +190,7 @@
         'zone': 'hall-1',
         'slots': 8,
         'state': 'ready',
+        'version': 'v1',
     }
     fields.update(changed)
     return fields
--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -126,10 +126,17 @@
         self.assertIs(expected, decoded.state)
         self.assertEqual(('i-1', 8), (decoded.engine, decoded.slots))
 
+    @parameterized.expand(
+        [('given', {'version': 'v1.1'}, 'v1.1'), ('none', {}, '')]
+    )
+    def test_version(self, _name, fields, expected):
+        engine = _DIALECT.engine(self.entry('ready', **fields))
+        self.assertEqual(expected, engine.ok_value.version)
+
     def test_unknown_state_is_invalid(self):
         self.assertTrue(_DIALECT.engine(self.entry('resting')).is_err())
 
-    def entry(self, state):
+    def entry(self, state, **fields):
         """Return the registration of an engine in a state."""
         body = {
             'service': 's1',
@@ -138,6 +145,7 @@
             'slots': 8,
             'state': state,
             'sequence': 4,
+            **fields,
         }
         return _entry('servers/i-1', body)
 
@@ -158,6 +166,20 @@
             (facts.request, facts.host, facts.timeout, facts.resume_after),
         )
 
+    @parameterized.expand(
+        [
+            ('none', [], None),
+            ('one', ['id0'], 'id0'),
+            ('empty', [''], None),
+            ('same_twice', ['id0', 'id0'], 'id0'),
+            ('several', ['id0', 'id1'], None),
+        ]
+    )
+    def test_resumes(self, _name, named, expected):
+        headers = [('X-Attempt-Id', 'id2'), *(('Resumes', at) for at in named)]
+        facts = _DIALECT.request_facts(headers)
+        self.assertEqual(expected, facts.resumes)
+
     @parameterized.expand([('inf',), ('-inf',), ('nan',), ('1e999',)])
     def test_number_not_finite(self, text):
         """Numbers that are not finite count as missing."""
