--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/engines.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/engines.py
@@ -24,8 +24,8 @@
     """One incarnation of an engine as listed by service discovery.
 
     ``born`` is the start time of the incarnation in milliseconds since the
-    epoch, 0 if not given; ``warmup`` is the warm-up time in seconds. ``version``
-    is the version of its software, empty if not given.
+    epoch, 0 if not given; ``warmup`` is the warm-up time in seconds.
+    ``version`` is the version of its software, empty if not given.
     """
 
     engine: EngineId
