Go on with a broken stream only at engines of its version

Without any the answer is broken off at once. An engine that gives no version continues nothing and is given nothing to continue. A stream that broke before its first event may go anywhere. An engine that is silent is left only for one that may go on. Ruled out: versions found when the stream breaks (its engine may have left the list by then).

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
@@ -7,6 +7,7 @@
 from bendlead_gateway._fleet.health import EngineHealth
 from bendlead_gateway._fleet.loads import LoadTable
 from bendlead_gateway._fleet.pace import PaceTable
+from bendlead_gateway._fleet.resume_targets import ResumeTargets
 from bendlead_gateway._health.health_state import HealthAssessment, HealthState
 from bendlead_gateway._health.preference import prefer_trusted
 from bendlead_gateway._health.shared import SharedHealth
@@ -20,6 +21,7 @@
     DataHall,
     Engine,
     EngineId,
+    EngineVersion,
     Route,
     ServiceName,
     ServiceShare,
@@ -41,6 +43,7 @@
         shared: SharedHealth | None = None,
     ) -> None:
         self._engines = engines
+        self.resume_targets = ResumeTargets(engines)
         self._loads = loads
         self._health = health
         self._pace = pace
@@ -53,14 +56,24 @@
         return Traffic(self._pace.run_seconds, self._loads.delay)
 
     def views(
-        self, service: ServiceName, tried: Collection[EngineId] = ()
+        self,
+        service: ServiceName,
+        tried: Collection[EngineId] = (),
+        version: EngineVersion | None = None,
     ) -> list[EngineView]:
-        """List the engines that accept new requests and were not tried."""
-        return [
-            self.view(engine)
-            for engine in self._engines.ready(service)
-            if engine.engine not in tried
-        ]
+        """List the engines that accept new requests and were not tried.
+
+        With a version, list those that may continue what it has begun.
+        """
+        if version is None:
+            engines = [
+                engine
+                for engine in self._engines.ready(service)
+                if engine.engine not in tried
+            ]
+        else:
+            engines = self.resume_targets.at_version(service, version, tried)
+        return [self.view(engine) for engine in engines]
 
     def view(self, engine: Engine) -> EngineView:
         """Return the current load, speed and health of one engine."""
@@ -93,13 +106,16 @@
         tried: Collection[EngineId],
         *,
         once: bool = False,
+        version: EngineVersion | None = None,
     ) -> Placement | None:
         """Choose an engine for an online request.
 
         Set once for a request that cannot be retried: it is not used as a
-        trial and avoids doubted engines.
+        trial and avoids doubted engines. With a version, the request continues
+        a stream that an engine of this version has begun.
         """
-        views = self.views(service, tried)
+        once = once or version is not None
+        views = self.views(service, tried, version)
         if self._shared is not None:
             trial = None if once else self._shared.start_trial(views)
             if trial is not None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
@@ -8,6 +8,7 @@
 from msgspec import Struct, field
 from result import Err
 
+from bendlead_gateway._fleet.draining_times import DrainingTimes
 from bendlead_gateway._log import Log
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import (
@@ -151,6 +152,7 @@
         self._dialect = dialect
         self._log = log
         self._on_removed = on_removed
+        self.draining = DrainingTimes()
         self._engines: dict[EngineId, Engine] = {}
         self._ready: dict[ServiceName, list[Engine]] = {}
         self._listed_at: dict[EngineId, float] = {}
@@ -205,8 +207,10 @@
             self._revision[name] = int(change.version)
             if name in self._engines:
                 self._schedule_removal(name)
-        else:
-            self._apply_entry(Entry(change.key, change.version, change.body))
+            return
+        name = self._apply_entry(Entry(change.key, change.version, change.body))
+        if name:
+            self.draining.record(self._engines.get(name))
 
     def _schedule_removal(self, name: EngineId) -> None:
         """Remove an engine once all changes of the same batch were applied."""
@@ -294,6 +298,7 @@
     ) -> None:
         """Record a new incarnation and discard the state of the previous."""
         self._listed_at[engine.engine] = clock.uptime()
+        self.draining.forget(engine.engine)
         if previous is not None:
             self._log.event(
                 'engine-born-again',
@@ -308,6 +313,7 @@
         if engine is None:
             return
         self._listed_at.pop(name, None)
+        self.draining.forget(name)
         self._index_ready()
         self._log.event('engine-gone', engine=name, reason=reason)
         self._on_removed(engine)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -186,7 +186,9 @@
             # The request may be queued at the engine, so silence is no fault.
             return None
         service = view.engine.service
-        others = self._fleet.balancer.views(service, exchange.tried)
+        others = self._fleet.balancer.views(
+            service, exchange.tried, exchange.stream_version
+        )
         if not has_free_slot(others):
             return None
         return self._retry_budget.take(exchange.route.target)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -47,7 +47,7 @@
     sent_at: float = 0
     last_event: int | None = None
     first_event: float = 0
-    #: Version of the engine that sent the first event, ``None`` if unknown.
+    #: Version of the engine that sent the first event, ``None`` before it.
     stream_version: EngineVersion | None = None
     status: int = 0
     failure: str = '-'
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -132,10 +132,13 @@
     ) -> EngineView | str:
         """Choose an engine, or end the request and return its outcome."""
         placement = self._fleet.balancer.choose(
-            service, exchange.tried, once=not exchange.can_be_retried
+            service,
+            exchange.tried,
+            once=not exchange.can_be_retried,
+            version=exchange.stream_version,
         )
         if placement is None or exchange.seconds_left < _MIN_SECONDS_LEFT:
-            return self._give_up(exchange, 'no engine or no time left')
+            return self._give_up(exchange, _describe_lack(exchange))
         seconds_left = self._quarantine_left(exchange)
         if seconds_left:
             return self._refuse_quarantined(exchange, seconds_left)
@@ -266,6 +269,13 @@
         )
 
 
+def _describe_lack(exchange: Exchange) -> str:
+    version = exchange.stream_version
+    if version is None:
+        return 'no engine or no time left'
+    return f'no engine of version {version or "unknown"} or no time left'
+
+
 def _log_fields(
     exchange: Exchange, outcome: str, first_seconds: float
 ) -> dict[str, object]:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -64,6 +64,7 @@
         self._engine = engine
         self._connection = connection
         self._health = fleet.health
+        self._resume_targets = fleet.balancer.resume_targets
         self._pace = fleet.pace
         self._stream = fleet.observe_stream(engine)
         self._first_part_at = 0.0
@@ -116,12 +117,9 @@
         """Relay complete events, so that another engine can resume."""
         exchange = self._exchange
         splitter = EventSplitter()
-        silence_seconds = exchange.route.gap_target * _SILENCE_GAP_TARGETS
         self._start_response(head)
         try:
-            for part in self._parts(
-                head, max(_MIN_SILENCE_SECONDS, silence_seconds)
-            ):
+            for part in self._parts(head, self._longest_silence()):
                 self._write_events(list(splitter.feed(part)))
         except ResponseError as error:
             raise BrokenStreamError(str(error)) from error
@@ -129,6 +127,16 @@
             raise BrokenStreamError('response ended within an event')
         exchange.responder.finish()
 
+    def _longest_silence(self) -> float:
+        """Return the seconds of silence after which to resume elsewhere.
+
+        Without another engine that may resume, the engine is waited for.
+        """
+        if not self._resume_targets.has_other(self._engine):
+            return self._exchange.read_timeout
+        silence = self._exchange.route.gap_target * _SILENCE_GAP_TARGETS
+        return max(_MIN_SILENCE_SECONDS, silence)
+
     def _write_events(self, events: list[StreamEvent]) -> None:
         for event in events:
             self._check_order(event.number)
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -2,9 +2,11 @@
 
 import json
 import unittest
+from unittest import mock
 
 import gevent
 from bendlead_gateway._entry import EntryNode
+from bendlead_gateway._fleet import draining_times
 from bendlead_gateway._owner import OwnerNode
 from bendlead_gateway.http import HttpConnection
 from bendlead_gateway.types import NodeRole
@@ -50,8 +52,8 @@
 
     def add_engine(self, version, cut_after=None, **changed):
         """Register an engine of a version; ``changed`` are listed fields."""
-        pause = changed.pop('pause_seconds', 0)
-        added = VersionedEngine(version, cut_after, pause)
+        pauses = changed.pop('pauses', {})
+        added = VersionedEngine(version, cut_after, pauses)
         self.addCleanup(added.close)
         self.list_engine(len(self.engines), added, **changed)
         self.engines.append(added)
@@ -193,6 +195,43 @@
         _status, events = self.ask(entry)
         self.assertEqual(expected, events)
 
+    @parameterized.expand(
+        [
+            ('a_moment_ago', 5, _whole('v1')),
+            ('too_long_ago', 0, [(1, 'v1'), (2, 'v1')]),
+        ]
+    )
+    def test_last_engine_of_its_version_drains(
+        self, _name, use_seconds, expected
+    ):
+        self.configure()
+        self.add_engine('v1', cut_after=2)
+        draining = self.add_engine('v1')
+        self.add_engine('v2')
+        entry = self.start_entry()
+        eventually(lambda: entry.fleet.engines_watch.is_waiting)
+        self.list_engine(1, draining, state='draining')
+        eventually(lambda: len(entry.fleet.engines.ready('s1')) == 2)
+        entry.fleet.loads.own.online['i-2'] += 2
+        with mock.patch.object(draining_times, '_USE_SECONDS', use_seconds):
+            _status, events = self.ask(entry)
+        self.assertEqual(expected, events)
+
+    @parameterized.expand([('version_gone', ['v2']), ('only_engine', [])])
+    def test_silent_engine_without_alternative_is_waited_for(
+        self, _name, others
+    ):
+        self.configure(route('streaming', resumable=True, timeout_ms=5000))
+        silence = 0.8
+        self.add_engine('v1', pauses={2: silence})
+        for version in others:
+            self.add_engine(version)
+        entry = self.start_entry()
+        for number, _other in enumerate(others, 1):
+            entry.fleet.loads.own.online[f'i-{number}'] += 2
+        _status, events = self.ask(entry)
+        self.assertEqual(_whole('v1'), events)
+
 
 class ReturningClientTest(VersionCase):
     """A client takes a stream up after its connection was lost."""
@@ -200,7 +239,7 @@
     def begin(self, *others, **changed):
         """Begin a stream at an engine of v1 that stops, beside others."""
         self.configure(**changed)
-        first = self.add_engine('v1', pause_seconds=0.1)
+        first = self.add_engine('v1', pauses={1: 0.5})
         for version in others:
             self.add_engine(version)
         return first
--- a/tests/versioned_engine.py
+++ b/tests/versioned_engine.py
@@ -1,5 +1,7 @@
 """Test double of an engine that streams events of its software version."""
 
+from collections.abc import Mapping
+
 import gevent
 from gevent import socket
 
@@ -18,17 +20,18 @@
 
     It goes on behind the ``Last-Event-Id`` of a request. With ``cut_after`` it
     closes the connection behind that event, and before the first one for 0.
+    ``pauses`` are the seconds that it pauses behind events.
     """
 
     def __init__(
         self,
         version: str,
         cut_after: int | None = None,
-        pause_seconds: float = 0,
+        pauses: Mapping[int, float] | None = None,
     ) -> None:
         self.version = version
         self.cut_after = cut_after
-        self.pause_seconds = pause_seconds
+        self._pauses = pauses or {}
         self.requests: list[dict[str, str]] = []
         self._sock = socket.socket()
         self._sock.bind(('127.0.0.1', 0))
@@ -69,7 +72,7 @@
                 return False
             part = event(number, self.version)
             sock.sendall(b'%x\r\n%b\r\n' % (len(part), part))
-            gevent.sleep(self.pause_seconds)
+            gevent.sleep(self._pauses.get(number, 0))
         sock.sendall(_END)
         return True
 
