Resume clients' streams only at the version that began them

Cause: Resumes was passed on unread, and nothing outside the entry that began a stream knew its version; that entry forgot it with the answer. Change: the entry that relays the first event records its origin (service, version, route, team) and tells three peers, alternating between data halls in an order that all processes compute from the request's id; owners keep origins as well, so they outlive all entries of a hall. A resume asks the first eight of that order where it does not know the origin itself. The first origin stays; two different ones leave the version unknown. Unknown, of another route or team, of a service that the route no longer has, or without an engine of its version: 503 without a time to return, before any engine gets it. A known one goes before admission by wait, as long as its time allows: few engines can go on with it. No call of the store; origins expire after what the route and the client allow. Weighed: telling every peer (grows with the fleet), the version by a hash of the id (views of the list differ), and not telling while one version is listed (an entry that is cut off has an old list).

--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -78,6 +78,7 @@
             self.metrics,
             self.shares,
             self.request_queue,
+            self._origins,
         )
         self._relay = JobRelay(self.peers, dialect, self.log)
         self.limits = TeamLimits(
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/peers.py
@@ -34,6 +34,7 @@
 from bendlead_gateway._fleet.report_exchanger import ReportExchanger
 from bendlead_gateway._health.shared import SharedHealth
 from bendlead_gateway._log import Log
+from bendlead_gateway._streams.holder_ring import HolderRing
 from bendlead_gateway._suspects.suspects import Suspects
 from bendlead_gateway._teams.quota import EntryGroup
 from bendlead_gateway.dialect import Dialect
@@ -71,6 +72,8 @@
         self._levels = levels
         self.codec = ReportCodec(own.hall, log)
         self._links = Links()
+        #: Processes that may keep the origins of streams.
+        self.holders = HolderRing()
         self._relay = LoadRelay(own.node, loads, self._links, log, on_teams)
         self._peers: dict[NodeName, Peer] = {}
         self._relay_requests = RelayRequests(own.hall, self._peers, loads, log)
@@ -167,6 +170,11 @@
             for node, peer in self._peers.items()
         }
 
+    def seems_down(self, node: NodeName) -> bool:
+        """Return whether a peer that should report here does not."""
+        peer = self._peers.get(node)
+        return peer is None or (peer.link is not Link.NONE and peer.is_down)
+
     def watch_owners(self) -> None:
         """Detect that the process of an owner has ended; runs forever.
 
@@ -206,6 +214,7 @@
         """
         records = [peer.record for peer in self._peers.values()]
         self._links.rebuild([self._own, *records])
+        self.holders.rebuild([self._own, *records])
         for node, peer in self._peers.items():
             peer.link = self._links.between(self._own.node, node)
             peer.interval = self._links.interval(peer.link)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_metrics.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_metrics.py
@@ -69,6 +69,16 @@
         self.items_held_back = 0
 
 
+class StreamMetrics:
+    """Metrics of streams that clients resume."""
+
+    def __init__(self) -> None:
+        #: Requests that resume a stream, by outcome.
+        self.resumes: Counter[str] = Counter()
+        #: Origins of streams dropped before they expired.
+        self.origins_dropped = 0
+
+
 class Metrics:
     """Metrics of one process, in the form of a Prometheus collector."""
 
@@ -90,6 +100,7 @@
         #: Calls to the object service.
         self.store_calls = 0
         self.load = LoadMetrics()
+        self.streams = StreamMetrics()
         #: Time from a request to the first part of its response.
         self.first_event = Histogram()
         #: Time from a request to the end of its response.
@@ -121,6 +132,7 @@
             ('engine_failures', 'step', self.engine_failures),
             ('engine_evidence', 'kind', self.load.engine_evidence),
             ('items', 'ending', self.items),
+            ('resumes', 'outcome', self.streams.resumes),
             ('told_bytes', 'link', self.load.told_bytes),
             ('pace_findings', 'source', self.load.pace_findings),
             ('item_stops', 'cause', self.load.item_stops),
@@ -139,6 +151,7 @@
             ('engine_ends', self.engine_ends),
             ('engine_trials', self.load.engine_trials),
             ('items_held_back', self.load.items_held_back),
+            ('origins_dropped', self.streams.origins_dropped),
             ('quarantined', self.quarantined),
             ('store_calls', self.store_calls),
         )
--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -28,6 +28,8 @@
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._reload import Reloader, SettingsSource
+from bendlead_gateway._streams.origin_sender import ORIGINS_PATH
+from bendlead_gateway._streams.origins import QUERY_PATH, StreamOrigins
 from bendlead_gateway._suspension import SuspensionDetector
 from bendlead_gateway._teams.reported_counts import TeamCounts
 from bendlead_gateway.dialect import Dialect
@@ -105,6 +107,13 @@
         self.peers_watch = self.fleet.watcher(
             dialect.peers_prefix, self.peers, _PEER_CHANGES_DELAY_SECONDS
         )
+        self._origins = StreamOrigins(
+            settings.node,
+            self.peers.holders,
+            self.peers.seems_down,
+            self.log,
+            self.metrics,
+        )
         self._configuration_fetcher = PeerConfigurationFetcher(
             self.fleet.configuration, self.fleet.config_watch, self.log
         )
@@ -112,6 +121,8 @@
             REPORT_PATH: self.peers.exchange,
             CHANGES_PATH: self.peers.exchange_changes,
             STORE_PATH: partial(answer_call, store),
+            ORIGINS_PATH: self._origins.receive,
+            QUERY_PATH: self._origins.answer,
         }
         self.internal = HttpServer(
             address,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/admission_control.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/admission_control.py
@@ -38,9 +38,13 @@
 
         ``wait`` is the expected wait (s) for a slot. Blocks while the request
         is queued; requests already sent to an engine are always admitted.
+        A client that resumes a stream waits as long as it may: few engines can
+        go on with it, and its partial response is lost otherwise.
         """
         if exchange.sends or exchange.dequeued or wait <= 0:
             return None
+        if exchange.resumed_by_client and wait < exchange.seconds_left:
+            return None
         admission_request = self._admission_request(exchange, service)
         refusal = check_admission(admission_request, wait, random.random)
         if refusal is None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -36,6 +36,7 @@
 from bendlead_gateway._online.relay import ResponseRelay, end_to_end_headers
 from bendlead_gateway._scheduling.retry import RetryBudget, has_free_slot
 from bendlead_gateway._scheduling.view import EngineView
+from bendlead_gateway._streams.origins import StreamOrigins
 from bendlead_gateway._suspects.crash_detector import BrokenResponse
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import Engine
@@ -55,10 +56,16 @@
     """Run attempts: connect, send, check the head, relay the response."""
 
     def __init__(
-        self, dialect: Dialect, fleet: Fleet, log: Log, metrics: Metrics
+        self,
+        dialect: Dialect,
+        fleet: Fleet,
+        log: Log,
+        metrics: Metrics,
+        origins: StreamOrigins,
     ) -> None:
         self._dialect = dialect
         self._fleet = fleet
+        self._origins = origins
         self._health = fleet.health
         self._shared = fleet.shared_health
         self._log = log
@@ -248,7 +255,9 @@
         connection: HttpConnection,
         head: ResponseHead,
     ) -> None:
-        relay = ResponseRelay(exchange, engine, connection, self._fleet)
+        relay = ResponseRelay(
+            exchange, engine, connection, self._fleet, self._origins
+        )
         try:
             relay.relay(head)
         except (BrokenStreamError, UnknownOutcomeError) as broken:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -11,6 +11,7 @@
     EngineVersion,
     RequestFacts,
     Route,
+    RouteKind,
     TeamName,
 )
 
@@ -89,6 +90,12 @@
         """Return the seconds since the request was received."""
         return clock.uptime() - self.request.received_at
 
+    @property
+    def resumed_by_client(self) -> bool:
+        """Return whether the client resumes a stream of an earlier request."""
+        stream = self.route.kind is RouteKind.STREAM
+        return stream and self.facts.resume_after is not None
+
     @property
     def may_have_run(self) -> bool:
         """Return whether any engine may have run the request."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -28,6 +28,9 @@
 from bendlead_gateway._online.request_queue import FairShares, RequestQueue
 from bendlead_gateway._scheduling import retry
 from bendlead_gateway._scheduling.view import EngineView
+from bendlead_gateway._streams.origin import StreamOrigin
+from bendlead_gateway._streams.origins import StreamOrigins
+from bendlead_gateway._streams.resumption import resume_refusal
 from bendlead_gateway._suspects.crash_history import REQUEST_QUARANTINE_SECONDS
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import (
@@ -64,9 +67,11 @@
         metrics: Metrics,
         shares: FairShares,
         queue: RequestQueue,
+        origins: StreamOrigins,
     ) -> None:
         self._fleet = fleet
-        self._attempts = Attempts(dialect, fleet, log, metrics)
+        self._attempts = Attempts(dialect, fleet, log, metrics, origins)
+        self._origins = origins
         self._log = log
         self._metrics = metrics
         self._admission = AdmissionControl(
@@ -118,6 +123,13 @@
 
     def _serve(self, exchange: Exchange) -> str:
         service = pick_service(exchange.route)
+        if exchange.resumed_by_client:
+            origin = self._find_origin(exchange)
+            refusal = resume_refusal(origin, exchange.route, exchange.team)
+            if origin is None or refusal:
+                return self._refuse_resume(exchange, refusal or '')
+            service = origin.service
+            exchange.stream_version = origin.version
         while True:
             chosen = self._choose(exchange, service)
             if isinstance(chosen, str):
@@ -137,6 +149,9 @@
             once=not exchange.can_be_retried,
             version=exchange.stream_version,
         )
+        if placement is None and exchange.resumed_by_client:
+            if not exchange.sends:
+                return self._refuse_resume(exchange, _describe_lack(exchange))
         if placement is None or exchange.seconds_left < _MIN_SECONDS_LEFT:
             return self._give_up(exchange, _describe_lack(exchange))
         seconds_left = self._quarantine_left(exchange)
@@ -152,6 +167,18 @@
             return self._choose(exchange, service)
         return placement.view
 
+    def _find_origin(self, exchange: Exchange) -> StreamOrigin | None:
+        resumes = exchange.facts.resumes
+        if resumes is None or not exchange.route.resumable:
+            return None
+        return self._origins.find(resumes)
+
+    def _refuse_resume(self, exchange: Exchange, reason: str) -> str:
+        """Respond that the stream cannot go on; no time to return is given."""
+        exchange.failure = reason
+        exchange.answer(HTTPStatus.SERVICE_UNAVAILABLE)
+        return REFUSED
+
     def _quarantine_left(self, exchange: Exchange) -> float:
         return self._fleet.suspects.remaining_quarantine(
             lambda: exchange.digest, REQUEST_QUARANTINE_SECONDS
@@ -263,6 +290,8 @@
             first_seconds = exchange.first_event - exchange.request.received_at
             self._metrics.first_event.observe(first_seconds)
         self._metrics.requests[outcome] += 1
+        if exchange.resumed_by_client:
+            self._metrics.streams.resumes[outcome] += 1
         self._metrics.whole_answer.observe(exchange.elapsed)
         self._log.event(
             'request', **_log_fields(exchange, outcome, first_seconds)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -17,6 +17,9 @@
     BrokenStreamError,
     UnknownOutcomeError,
 )
+from bendlead_gateway._streams.origin import StreamOrigin
+from bendlead_gateway._streams.origins import StreamOrigins
+from bendlead_gateway._streams.resumption import retention_seconds
 from bendlead_gateway.types import Engine, Headers, RouteKind
 
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -59,8 +62,10 @@
         engine: Engine,
         connection: HttpConnection,
         fleet: Fleet,
+        origins: StreamOrigins,
     ) -> None:
         self._exchange = exchange
+        self._origins = origins
         self._engine = engine
         self._connection = connection
         self._health = fleet.health
@@ -146,16 +151,30 @@
 
     def _check_order(self, number: int | None) -> None:
         previous = self._exchange.last_event
-        if previous is None:
-            self._exchange.stream_version = self._engine.version
         if number is None:
             raise ResponseError('event without an event number')
         if previous is not None and number != previous + 1:
             raise ResponseError(
                 f'event {number} received after event {previous}'
             )
+        if previous is None:
+            self._record_origin()
         self._exchange.last_event = number
 
+    def _record_origin(self) -> None:
+        exchange, engine = self._exchange, self._engine
+        exchange.stream_version = engine.version
+        self._origins.record(
+            exchange.facts.request,
+            StreamOrigin(
+                engine.service,
+                engine.version,
+                exchange.route.name,
+                exchange.team,
+            ),
+            retention_seconds(exchange.route, exchange.facts.timeout),
+        )
+
     def _parts(self, head: ResponseHead, timeout: float) -> Iterator[bytes]:
         for part in self._connection.read_parts(head, timeout):
             self._observe(part)
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
@@ -284,6 +284,47 @@
     ) = 0
 
 
+class StreamOrigin(Struct, kw_only=True):
+    """
+    Tell at which version of a service a stream began.
+    """
+
+    request: Annotated[
+        str, Meta(description='The request that received the first event.')
+    ]
+    service: str
+    version: Annotated[
+        str,
+        Meta(
+            description='Version of the engine that sent the first event; empty where reports differ.'
+        ),
+    ]
+    route: str
+    ttl_ms: Annotated[
+        int,
+        Meta(
+            description='Milliseconds for which the stream may still be resumed.', ge=0
+        ),
+    ]
+    team: str | UnsetType = ''
+
+
+class StreamOrigins(Struct, kw_only=True):
+    """
+    Hand streams' origins to a peer that keeps them, or answer a query with those known.
+    """
+
+    origins: list[StreamOrigin] | UnsetType = field(default_factory=list)
+
+
+class OriginQuery(Struct, kw_only=True):
+    """
+    Ask a peer for the origin of a stream.
+    """
+
+    request: str
+
+
 class NodeReport(Struct, kw_only=True):
     """
     Tell a peer what runs here and which shards are held.
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -11,8 +11,14 @@
 import gevent
 from bendlead_gateway._entry import EntryNode
 from bendlead_gateway._owner import OwnerNode
+from bendlead_gateway._streams.origin import StreamOrigin
 from bendlead_gateway.http import HttpConnection, ResponseError
-from bendlead_gateway.types import NodeRole
+from bendlead_gateway.types import (
+    EngineVersion,
+    NodeRole,
+    RequestId,
+    ServiceName,
+)
 from bendlead_platform import PlatformDialect, PlatformStore
 from bendlead_testing.platform_store import PlatformStandIn, Trouble
 from bendlead_testing.ports import free_port
@@ -236,8 +242,11 @@
     def test_resumed_by_its_caller(self):
         self.configure(route('streaming', resumable=True, max_attempts=1))
         entry = self.entry()
+        origin = StreamOrigin(ServiceName('s1'), EngineVersion('v1'), 'r-1')
+        entry._origins.record(RequestId('first'), origin, 60)
+        resumed = [('Last-Event-Id', '3'), ('Resumes', 'first')]
         for _attempt in range(8):
-            self.ask(entry, extra=[('Last-Event-Id', '3')])
+            self.ask(entry, extra=resumed)
             gevent.sleep(0.15)
         self.assertEqual(_CRASHES, self.crashed)
 
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -29,6 +29,14 @@
 
 _TIMEOUT_MS = 2000
 _KEYS = {'team-1': 'key-1', 'team-2': 'key-2'}
+_TENANTS = [
+    {'name': name, 'api_keys': [key], 'priority': 0}
+    for name, key in _KEYS.items()
+]
+_ROUTES = (
+    route('streaming', resumable=True),
+    route('streaming', resumable=True, name='r-2', path_prefix='/y/'),
+)
 #: A refusal that waits for nothing, on a busy machine.
 _AT_ONCE_SECONDS = 0.5
 
@@ -236,9 +244,9 @@
 class ReturningClientTest(VersionCase):
     """A client takes a stream up after its connection was lost."""
 
-    def begin(self, *others, **changed):
+    def begin(self, *others, routes=(), **changed):
         """Begin a stream at an engine of v1 that stops, beside others."""
-        self.configure(**changed)
+        self.configure(*routes, **changed)
         first = self.add_engine('v1', pauses={1: 0.5})
         for version in others:
             self.add_engine(version)
@@ -302,6 +310,36 @@
         self.assertEqual(503, status)
         self.assertEqual([], self.engines[1].requests)
 
+    @parameterized.expand(
+        [
+            ('own', '/x/1', 'team-1', 200),
+            ('other_team', '/x/1', 'team-2', 503),
+            ('other_route', '/y/1', 'team-1', 503),
+        ]
+    )
+    def test_stream_of_another_team_or_route(self, _name, path, team, status):
+        first = self.begin('v1', 'v1', routes=_ROUTES, tenants=_TENANTS)
+        entry = self.start_entry()
+        self.break_first(entry, first, team='team-1')
+        answered, _events = self.ask(
+            entry, request='id2', path=path, team=team, after=1, names=['id1']
+        )
+        self.assertEqual(status, answered)
+        reached = sum(len(other.requests) for other in self.engines[1:])
+        self.assertEqual(int(status == 200), reached)
+
+    def test_full_engines_of_its_version_are_waited_for(self):
+        """New requests are refused, since they would be late."""
+        first = self.begin('v1', 'v2')
+        entry = self.start_entry()
+        self.break_first(entry, first)
+        entry.fleet.pace.add_peer_run(0.7)
+        for name in ('i-0', 'i-1', 'i-2'):
+            entry.fleet.loads.own.online[name] += 16
+        self.assertEqual(503, self.ask(entry, request='new')[0])
+        resumed = self.ask(entry, request='id2', after=1, names=['id1'])
+        self.assertEqual((200, _whole('v1', 2)), resumed)
+
     def test_refused_at_once_with_its_version_gone(self):
         first = self.begin('v2')
         entry = self.start_entry()
