Continue items only at the version that made their events

What callers saw: the text of an item joined from engines of two versions, after a retry, a preemption, a move or a takeover. Cause: progress kept the last event and not the version of its engine. Change: progress and its record in the log carry the version. An item goes on at engines of its version while there are any, waits for one of their slots no longer than it has run, and then starts over: nobody reads its text before it is complete. Progress whose version is unknown (an older log, an older process that went on with it, an engine without a version) starts over too. In the log, events from the start at another version replace those saved. Ruled out: waiting for the version without a bound (its last engines may stay full), and starting over at once (a roll-out would repeat all runs). An item with events is no longer the trial of an engine out of rotation.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owned_job.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owned_job.py
@@ -14,6 +14,7 @@
 
 from bendlead_gateway._suspects.digest import RequestDigest, digest_request
 from bendlead_gateway.types import (
+    EngineVersion,
     ItemId,
     ItemOutcome,
     ItemResult,
@@ -35,6 +36,8 @@
     item: JobItem
     texts: list[str] = field(default_factory=list)
     last_event: int | None = None
+    #: Version of the engines that made the events, empty if unknown.
+    version: EngineVersion = EngineVersion('')
     failures: int = 0
     finished: bool = False
     not_before: float = 0
@@ -48,6 +51,8 @@
     _restored: bool = False
     #: Total duration of the previous runs.
     _previous_run_seconds: float = 0
+    #: End of the previous run (uptime, s).
+    _waiting_since: float = field(default_factory=clock.uptime)
     #: Number of texts handed to the log, and the last event in them.
     _saved_texts: int = 0
     _saved_event: int = BEFORE_FIRST
@@ -65,6 +70,7 @@
             item,
             [saved.text],
             saved.last_event,
+            EngineVersion(saved.version),
             failures,
             _saved_failures=failures,
             _restored=True,
@@ -112,8 +118,17 @@
         self._saved_failures = self.failures
         return ItemFailures(item=self.item.item, failures=self.failures)
 
-    def begin_run(self) -> None:
-        """Start timing a run."""
+    @property
+    def waiting_seconds(self) -> float:
+        """Return the seconds for which the item could have run again."""
+        since = max(self._waiting_since, self.not_before)
+        return max(0, clock.uptime() - since)
+
+    def begin_run(self, version: EngineVersion) -> None:
+        """Start timing a run, from the start if the version is another."""
+        if self.texts and (not version or version != self.version):
+            self._start_over()
+        self.version = version
         self._run_started_at = clock.uptime()
         if self._first_run_at is None:
             self._first_run_at = self._run_started_at
@@ -122,6 +137,7 @@
         """Stop timing the current run."""
         self._previous_run_seconds = self.run_seconds
         self._run_started_at = None
+        self._waiting_since = clock.uptime()
 
     def take_events(self, max_characters: int) -> DirectProgress:
         """Return the record of the next unsaved events and mark them as saved.
@@ -142,6 +158,7 @@
             last_event=self.last_event - len(self.texts) + end,
             text='\n'.join(self.texts[self._saved_texts : end]),
             spent=self.run_seconds,
+            version=self.version,
         )
         # Replace the texts by the joined one, which the shard state shares.
         saved = self.texts[: self._saved_texts]
@@ -150,6 +167,14 @@
         self._saved_event = record.last_event
         return record
 
+    def _start_over(self) -> None:
+        """Drop the events: those of two versions do not fit together."""
+        self.texts = []
+        self.last_event = None
+        self._saved_texts = 0
+        self._saved_event = BEFORE_FIRST
+        self._previous_run_seconds = 0
+
 
 class OwnedJob:
     """A job: its durable state and the progress of its items.
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -25,6 +25,7 @@
 from bendlead_gateway._jobs.owned_shard import OwnedShard
 from bendlead_gateway._jobs.run_stopper import RunStopper
 from bendlead_gateway._jobs.shard_manager import ShardManager
+from bendlead_gateway._jobs.slot_choice import take_slot
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._scheduling.backlog import BacklogRates
@@ -118,27 +119,26 @@
             service = pick_service(candidate.route)
             if self._start_trial(candidate, service, tried_services):
                 running[service] += 1
-            elif self._may_start(candidate, service, running[service]):
-                if self._start_in_free_slot(
-                    candidate, service, capacity, free_slots
-                ):
-                    running[service] += 1
-                else:
-                    full_routes.add(candidate.route.name)
+                continue
+            if not self._may_start(candidate, service, running[service]):
+                continue
+            slots = free_slots.get(service) or capacity.free_slots(service)
+            free_slots[service] = slots
+            if self._start_in_free_slot(candidate, slots, full_routes):
+                running[service] += 1
 
     def _start_in_free_slot(
-        self,
-        candidate: Candidate,
-        service: ServiceName,
-        capacity: BatchCapacity,
-        free_slots: dict[ServiceName, ItemSlots],
+        self, candidate: Candidate, slots: ItemSlots, full_routes: set[str]
     ) -> bool:
-        """Start an item in a free slot; return whether there was one."""
-        if service not in free_slots:
-            free_slots[service] = capacity.free_slots(service)
-        view = free_slots[service].take(candidate.elapsed_share)
+        """Start an item if there is a slot for it; return whether there was.
+
+        Others of the route may have slots where an item waits for its version.
+        """
+        view = take_slot(slots, candidate)
         if view is not None:
             self._start(candidate, view.engine)
+        elif not candidate.progress.texts:
+            full_routes.add(candidate.route.name)
         return view is not None
 
     def _may_start(
@@ -160,9 +160,11 @@
         """Start an item as the trial of an engine that is out of rotation.
 
         Only an item without failures: a failed trial counts towards giving it
-        up. Each service is checked once a round, as thousands may wait.
+        up. Nor one with events, which that engine may be unable to continue.
+        Each service is checked once a round, as thousands may wait.
         """
-        if candidate.progress.failures or service in tried_services:
+        progress = candidate.progress
+        if progress.failures or progress.texts or service in tried_services:
             return False
         tried_services.add(service)
         view = self._fleet.balancer.start_trial(service)
@@ -178,7 +180,7 @@
             candidate.progress,
             candidate.route,
         )
-        run.progress.begin_run()
+        run.progress.begin_run(engine.version)
         self._candidates.record_start(candidate)
         self._runs.add(run)
         self._loads.own.batch[engine.engine] += 1
--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/item_slots.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/item_slots.py
@@ -10,7 +10,7 @@
 
 from bendlead_gateway._scheduling.placement import Traffic
 from bendlead_gateway._scheduling.view import EngineView
-from bendlead_gateway.types import EngineId
+from bendlead_gateway.types import EngineId, EngineVersion
 
 #: Slots left free by job age, a share of the job's time: up to which age, and
 #: how many. Items of older jobs risk preemption to meet their target.
@@ -52,12 +52,26 @@
             view.name: view for view in usable
         }
 
-    def take(self, age: float) -> EngineView | None:
+    def has_version(self, version: EngineVersion) -> bool:
+        """Return whether there are engines of a version, if it is known."""
+        return bool(version) and any(
+            view.engine.version == version for view in self._views.values()
+        )
+
+    def take(
+        self, age: float, version: EngineVersion | None = None
+    ) -> EngineView | None:
         """Take a slot on the engine with most idle ones, if there is one.
 
-        ``age`` is the elapsed share of the job's time.
+        ``age`` is the elapsed share of the job's time. With a version, only
+        its engines are used.
         """
-        best = max(self._views.values(), key=self._idle, default=None)
+        views = [
+            view
+            for view in self._views.values()
+            if version is None or view.engine.version == version
+        ]
+        best = max(views, key=self._idle, default=None)
         if best is None or self._idle(best) <= headroom(age):
             return None
         updated = replace(best, batch=best.batch + 1)
--- a/packages/bendlead-ledger/src/bendlead_ledger/_direct.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_direct.py
@@ -32,6 +32,8 @@
     """Events saved in the log of an item that has no result yet."""
 
     last_event: int = BEFORE_FIRST
+    #: Version of the engines that made the events, empty if unknown.
+    version: str = ''
     #: Total time for which runs of the item have used slots.
     run_seconds: float = 0
     _texts: list[str] = field(default_factory=list)
@@ -42,9 +44,19 @@
         return '\n'.join(self._texts)
 
     def extend(self, progress: DirectProgress) -> bool:
-        """Append events that follow the last one; return whether they did."""
-        if progress.after != self.last_event:
+        """Append events that follow the last one; return whether they did.
+
+        An item that starts over at another version replaces what it had.
+        """
+        version = progress.version or ''
+        if progress.after == BEFORE_FIRST and version != self.version:
+            self._texts.clear()
+            self.version = version
+        elif progress.after != self.last_event:
             return False
+        elif version != self.version:
+            # Written by a process that does not know versions.
+            self.version = ''
         self.last_event = progress.last_event
         self.run_seconds = progress.spent
         self._texts.append(progress.text)
@@ -139,6 +151,7 @@
                     last_event=saved.last_event,
                     text=saved.text,
                     spent=saved.run_seconds,
+                    version=saved.version,
                 )
                 for item, saved in self.saved_progress.items()
             ],
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/records.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/records.py
@@ -313,6 +313,15 @@
         ]
         | UnsetType
     ) = 0
+    version: (
+        Annotated[
+            str,
+            Meta(
+                description='Version of the engines that made the events; empty if unknown.'
+            ),
+        ]
+        | UnsetType
+    ) = ''
 
 
 class DirectJobEnded(Struct, kw_only=True, tag_field='kind', tag='direct-job-ended'):
--- a/tests/test_gateway_progress.py
+++ b/tests/test_gateway_progress.py
@@ -8,7 +8,7 @@
 import gevent.event
 from bendlead_gateway._jobs.owned_job import OwnedJob, Progress
 from bendlead_gateway._jobs.progress import ProgressWriter
-from bendlead_gateway.types import ItemId, JobId, JobItem
+from bendlead_gateway.types import EngineVersion, ItemId, JobId, JobItem
 from bendlead_ledger import DirectJobState, SavedProgress
 from bendlead_schema.records import (
     DirectJobAccepted,
@@ -196,7 +196,7 @@
 
     def test_current_run_counts(self):
         progress = Progress(item())
-        progress.begin_run()
+        progress.begin_run(EngineVersion('v1'))
         gevent.sleep(0.02)
         self.assertGreater(progress.run_seconds, 0.01)
         progress.end_run()
@@ -205,6 +205,28 @@
         self.assertEqual(paused, progress.run_seconds)
 
 
+class RestoredVersionTest(unittest.TestCase):
+    """The next owner goes on at the saved version, or starts over."""
+
+    @parameterized.expand(
+        [
+            ('same', 'v1', 'v1', 7),
+            ('other', 'v1', 'v2', None),
+            ('older_log', '', 'v1', None),
+            ('engine_without_version', '', '', None),
+        ]
+    )
+    def test_begin_run(self, _name, saved, version, last_event):
+        kept = SavedProgress(last_event=7, version=saved, run_seconds=2)
+        progress = Progress.restored(item(), kept)
+        progress.begin_run(EngineVersion(version))
+        self.assertEqual(last_event, progress.last_event)
+        add(progress, 0 if last_event is None else 8, 'c')
+        record = progress.take_events(99)
+        after = -1 if last_event is None else 7
+        self.assertEqual((after, version), (record.after, record.version))
+
+
 class ProgressWriterTest(unittest.TestCase):
     """Which progress of a shard's items is written, and when."""
 
--- a/tests/test_ledger_progress.py
+++ b/tests/test_ledger_progress.py
@@ -3,7 +3,13 @@
 import unittest
 
 import msgspec
-from bendlead_ledger import Owner, ShardId, ShardLog, ShardState
+from bendlead_ledger import (
+    Owner,
+    SavedProgress,
+    ShardId,
+    ShardLog,
+    ShardState,
+)
 from bendlead_ledger._codec import decode, encode
 from bendlead_schema.records import (
     DirectJobAccepted,
@@ -27,10 +33,17 @@
 _SETTINGS = LedgerSettings(tail_bytes=65_536, segments=8)
 
 
-def progress(after: int, last_event: int, text: str, item: str = 'i1'):
+def progress(
+    after: int, last_event: int, text: str, item: str = 'i1', version: str = ''
+):
     """Return a record with some events of an item."""
     update = DirectProgress(
-        item=item, after=after, last_event=last_event, text=text, spent=1.5
+        item=item,
+        after=after,
+        last_event=last_event,
+        text=text,
+        spent=1.5,
+        version=version,
     )
     return DirectResultsRecorded(job='j1', results=[], progress=[update])
 
@@ -143,3 +156,41 @@
         self.assertEqual(
             {'i1': (1, 'a')}, saved_progress(third.take_over().ok_value)
         )
+
+
+class VersionTest(unittest.TestCase):
+    """Saved events are of one version, or their version is unknown."""
+
+    @parameterized.expand(
+        [
+            (
+                'continued',
+                [('v1', -1, 2, 'a\nb'), ('v1', 2, 3, 'c')],
+                ('v1', 3, 'a\nb\nc'),
+            ),
+            (
+                'started_over',
+                [('v1', -1, 2, 'a\nb'), ('v2', -1, 0, 'x')],
+                ('v2', 0, 'x'),
+            ),
+            (
+                'continued_by_an_older_process',
+                [('v1', -1, 2, 'a\nb'), ('', 2, 3, 'c')],
+                ('', 3, 'a\nb\nc'),
+            ),
+            ('older_log', [('', -1, 2, 'a\nb')], ('', 2, 'a\nb')),
+            (
+                'repeated',
+                [('v1', -1, 2, 'a\nb'), ('v1', -1, 1, 'a')],
+                ('v1', 2, 'a\nb'),
+            ),
+        ]
+    )
+    def test_saved(self, _name, updates, expected):
+        saved = SavedProgress()
+        for version, *update in updates:
+            record = progress(*update, version=version)
+            saved.extend(record.progress[0])
+        self.assertEqual(
+            expected, (saved.version, saved.last_event, saved.text)
+        )
