Use draining engines only where a change tells when they began to drain

An engine first listed as draining, by a complete list or by a change, may have begun long ago: a later change of its entry (slots, warm-up) would have made it look as if it had just begun, and it could have got a request after the bound. Found by reading the diff.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
@@ -208,9 +208,10 @@
             if name in self._engines:
                 self._schedule_removal(name)
             return
-        name = self._apply_entry(Entry(change.key, change.version, change.body))
-        if name:
-            self.draining.record(self._engines.get(name))
+        name = EngineId(change.key.rpartition('/')[2])
+        previous = self._engines.get(name)
+        self._apply_entry(Entry(change.key, change.version, change.body))
+        self.draining.record(previous, self._engines.get(name))
 
     def _schedule_removal(self, name: EngineId) -> None:
         """Remove an engine once all changes of the same batch were applied."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/draining_times.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/draining_times.py
@@ -4,9 +4,9 @@
 
 from bendlead_gateway.types import Engine, EngineId, EngineState
 
-#: A draining engine may get a request this long after its entry said so, well
-#: within the 2 s after which it must get none.
-_USE_SECONDS = 1.2
+#: A draining engine may get a request this long after its change was received;
+#: it must get none 2 s after the object service accepted the change.
+_USE_SECONDS = 0.8
 
 
 class DrainingTimes:
@@ -15,17 +15,17 @@
     def __init__(self) -> None:
         self._since: dict[EngineId, float] = {}
 
-    def record(self, engine: Engine | None) -> None:
-        """Record the state that a change of the engine's entry tells.
+    def record(self, previous: Engine | None, engine: Engine | None) -> None:
+        """Record a change of an engine's entry, if it begins to drain.
 
-        A complete list must not be recorded: it may be late.
+        Not for a complete list, nor for an engine first listed as draining:
+        these do not tell how long ago it was.
         """
-        if engine is None:
+        if previous is None or engine is None:
             return
-        if engine.state is EngineState.DRAINING:
-            self._since.setdefault(engine.engine, clock.uptime())
-        else:
-            self.forget(engine.engine)
+        drains = engine.state is EngineState.DRAINING
+        if drains and previous.state is EngineState.READY:
+            self._since[engine.engine] = clock.uptime()
 
     def forget(self, name: EngineId) -> None:
         """Drop an engine that is gone or has started again."""
