Replace an engine that is silent before the first event by one of any version

A silent engine was kept where no other engine of its version was there, also before the first event, when any version may serve; and whether there was one was looked up when the answer began, not when the engine fell silent.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -10,6 +10,7 @@
     HttpConnection,
     ResponseError,
     ResponseHead,
+    ResponseTimeoutError,
 )
 from bendlead_gateway._online.events import EventSplitter, StreamEvent
 from bendlead_gateway._online.exchange import Exchange
@@ -124,7 +125,7 @@
         splitter = EventSplitter()
         self._start_response(head)
         try:
-            for part in self._parts(head, self._longest_silence()):
+            for part in self._parts_until_replaced(head):
                 self._write_events(list(splitter.feed(part)))
         except ResponseError as error:
             raise BrokenStreamError(str(error)) from error
@@ -132,15 +133,24 @@
             raise BrokenStreamError('response ended within an event')
         exchange.responder.finish()
 
-    def _longest_silence(self) -> float:
-        """Return the seconds of silence after which to resume elsewhere.
+    def _parts_until_replaced(self, head: ResponseHead) -> Iterator[bytes]:
+        """Yield the body until the engine is silent and can be replaced.
 
-        Without another engine that may resume, the engine is waited for.
+        Without another engine that may go on, it is waited for.
         """
-        if not self._resume_targets.has_other(self._engine):
-            return self._exchange.read_timeout
         silence = self._exchange.route.gap_target * _SILENCE_GAP_TARGETS
-        return max(_MIN_SILENCE_SECONDS, silence)
+        while True:
+            try:
+                yield from self._parts(head, max(_MIN_SILENCE_SECONDS, silence))
+            except ResponseTimeoutError:
+                if self._is_replaceable():
+                    raise
+            else:
+                return
+
+    def _is_replaceable(self) -> bool:
+        begun = self._exchange.last_event is not None
+        return self._resume_targets.has_other(self._engine, begun=begun)
 
     def _write_events(self, events: list[StreamEvent]) -> None:
         for event in events:
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -225,6 +225,27 @@
             _status, events = self.ask(entry)
         self.assertEqual(expected, events)
 
+    def test_engine_first_listed_as_draining(self):
+        """It may have begun to drain long ago."""
+        self.configure()
+        self.add_engine('v1', cut_after=2)
+        draining = self.add_engine('v1', state='draining')
+        entry = self.start_entry()
+        eventually(lambda: entry.fleet.engines_watch.is_waiting)
+        self.list_engine(1, draining, state='draining', slots=9)
+        eventually(lambda: entry.fleet.engines.find('i-1').slots == 9)
+        _status, events = self.ask(entry)
+        self.assertEqual([(1, 'v1'), (2, 'v1')], events)
+
+    def test_silent_engine_is_replaced_before_its_first_event(self):
+        self.configure(route('streaming', resumable=True, timeout_ms=5000))
+        self.add_engine('v1', pauses={0: 3})
+        self.add_engine('v2')
+        entry = self.start_entry()
+        entry.fleet.loads.own.online['i-1'] += 2
+        _status, events = self.ask(entry)
+        self.assertEqual(_whole('v2'), events)
+
     @parameterized.expand([('version_gone', ['v2']), ('only_engine', [])])
     def test_silent_engine_without_alternative_is_waited_for(
         self, _name, others
--- a/tests/versioned_engine.py
+++ b/tests/versioned_engine.py
@@ -66,6 +66,7 @@
             return False
         self.requests.append(headers)
         sock.sendall(_HEAD)
+        gevent.sleep(self._pauses.get(0, 0))
         first = int(headers.get('last-event-id', 0)) + 1
         for number in range(first, EVENTS + 1):
             if self.cut_after is not None and number > self.cut_after:
