Tell peers the origins recorded before any peer was listed

An entry lists its peers up to half a second after it accepts clients; origins of streams that began before were told to nobody, so after a kill their clients were refused. They wait (500 at most) for the first origin recorded with peers listed. test_recorded_before_a_peer_is_listed fails without it. The state dump counts the origins kept.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -222,6 +222,7 @@
             'batch': dict(self.fleet.loads.own.batch),
             'paces': self._pace_updates.summary(),
             'suspects': self.fleet.suspects.summary(),
+            'stream_origins': len(self._origins.table),
             'engine_health': self.fleet.shared_health.summary(),
             'peers': self.peers.summary(),
             'recent': self.log.recent,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_streams/origins.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_streams/origins.py
@@ -5,6 +5,7 @@
 them, also after the first entry has ended.
 """
 
+from collections import deque
 from collections.abc import Callable, Iterator, Sequence
 from itertools import islice
 
@@ -42,6 +43,8 @@
 _QUERY_SECONDS = 0.3
 #: Queries at a time: clients may name many unknown requests.
 _MAX_QUERIES = 32
+#: Origins kept for peers until the first ones are listed.
+_MAX_UNTOLD = 500
 #: A peer that did not accept origins is passed over for this long.
 _PASSED_OVER_SECONDS = 1.0
 _MS_PER_SECOND = 1000
@@ -68,6 +71,8 @@
         self._metrics = metrics
         self.table = OriginTable()
         self._senders: dict[NodeName, OriginSender] = {}
+        #: Recorded before any peer was listed.
+        self._untold: deque[PendingOrigin] = deque(maxlen=_MAX_UNTOLD)
         self._failed_at: dict[NodeName, float] = {}
         self._queries = BoundedSemaphore(_MAX_QUERIES)
 
@@ -77,7 +82,9 @@
         """Keep an origin here and at peers for some seconds; does not block."""
         self._keep(request, origin, seconds)
         pending = PendingOrigin(_encode(request, origin, seconds))
-        self._give(pending, _HOLDERS)
+        self._untold.append(pending)
+        if next(self._candidates(request), None) is not None:
+            self._give_untold()
 
     def find(self, request: RequestId) -> StreamOrigin | None:
         """Return the origin of a stream, known here or at a peer."""
@@ -112,6 +119,10 @@
             message.ttl_ms / _MS_PER_SECOND,
         )
 
+    def _give_untold(self) -> None:
+        while self._untold:
+            self._give(self._untold.popleft(), _HOLDERS)
+
     def _give(self, pending: PendingOrigin, count: int = 1) -> None:
         """Queue an origin for the next peers in the order."""
         for holder in list(islice(self._next_holders(pending), count)):
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -1,18 +1,26 @@
 """Origins of streams at several processes, within bounds."""
 
+import json
+import os
 import random
+import time
 import unittest
 from itertools import islice
 from unittest import mock
 
+from bendlead_gateway._http.server import HttpServer
+from bendlead_gateway._log import Log
+from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._streams.holder_ring import HolderRing
 from bendlead_gateway._streams.origin import StreamOrigin
 from bendlead_gateway._streams.origin_table import OriginTable
+from bendlead_gateway._streams.origins import StreamOrigins
 from bendlead_gateway._streams.resumption import (
     resume_refusal,
     retention_seconds,
 )
 from bendlead_gateway.types import (
+    ClientLimits,
     DataHall,
     EngineVersion,
     NodeName,
@@ -26,8 +34,11 @@
     TeamName,
 )
 from bendlead_store import clock
+from bendlead_testing.ports import free_port
 from parameterized import parameterized
 
+from tests.gateway_standins import TaskTracker, eventually
+
 _HOLDERS = 3
 _ASKED = 8
 _STREAMS = 1000
@@ -124,6 +135,62 @@
                 self.assertTrue(any(peer.hall != hall for peer in holders))
 
 
+class ToldPeersTest(unittest.TestCase):
+    """Peers get each origin, whichever of them accept it."""
+
+    def setUp(self):
+        self.addCleanup(TaskTracker().end)
+        self.told = []
+        address = f'127.0.0.1:{free_port()}'
+        server = HttpServer(address, self.answer, ClientLimits, time.monotonic)
+        server.start()
+        self.addCleanup(server.stop_accepting)
+        self.peer = PeerRecord(
+            NodeName('peer'), NodeRole.OWNER, DataHall('hall-1'), address
+        )
+        self.ring = HolderRing()
+        sink = os.open(os.devnull, os.O_WRONLY)
+        self.addCleanup(os.close, sink)
+        self.origins = StreamOrigins(
+            NodeName('own'),
+            self.ring,
+            lambda _node: False,
+            Log('own', sink),
+            Metrics(),
+        )
+
+    def answer(self, request, responder):
+        """Accept origins."""
+        origins = json.loads(request.body)['origins']
+        self.told.extend(origin['request'] for origin in origins)
+        responder.answer(200, (), b'{}')
+
+    def record(self, request):
+        """Record an origin."""
+        self.origins.record(RequestId(request), _origin(), 5)
+
+    def test_recorded_before_a_peer_is_listed(self):
+        self.record('id1')
+        self.ring.rebuild([self.peer])
+        self.record('id2')
+        eventually(lambda: sorted(self.told) == ['id1', 'id2'])
+
+    def test_replaces_peers_that_do_not_accept(self):
+        dead = [
+            PeerRecord(
+                NodeName(f'dead-{number}'),
+                NodeRole.ENTRY,
+                DataHall('hall-1'),
+                f'127.0.0.1:{free_port()}',
+            )
+            for number in range(4)
+        ]
+        self.ring.rebuild([self.peer, *dead])
+        for number in range(5):
+            self.record(f'id{number}')
+        eventually(lambda: len(set(self.told)) == 5)
+
+
 class OriginTableTest(unittest.TestCase):
     """Memory of the origins is bounded, and the first one stays."""
 
