--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -243,8 +243,7 @@
         self.add_engine('v2')
         entry = self.start_entry()
         entry.fleet.loads.own.online['i-1'] += 2
-        _status, events = self.ask(entry)
-        self.assertEqual(_whole('v2'), events)
+        self.assertEqual((200, _whole('v2')), self.ask(entry))
 
     @parameterized.expand([('version_gone', ['v2']), ('only_engine', [])])
     def test_silent_engine_without_alternative_is_waited_for(
@@ -361,6 +360,36 @@
         resumed = self.ask(entry, request='id2', after=1, names=['id1'])
         self.assertEqual((200, _whole('v1', 2)), resumed)
 
+    def test_all_streams_of_a_killed_entry_go_on(self):
+        """Two engines of their version are left beside four of another."""
+        self.begin('v1', 'v2', 'v2', 'v2', 'v2')
+        self.add_engine('v1', pauses={1: 0.5})
+        process = SimulatedProcess()
+        self.addCleanup(process.end)
+        entry = self.start_entry(process)
+        others = [self.start_entry() for _number in range(2)]
+        for name in ('i-1', 'i-2', 'i-3', 'i-4', 'i-5'):
+            entry.fleet.loads.own.online[name] += 24
+        names = [f'first{number}' for number in range(24)]
+        began = [
+            gevent.spawn(self.read_first, self.send(entry, request=name))
+            for name in names
+        ]
+        self.assertEqual({(1, 'v1')}, {task.get()[0] for task in began})
+        process.end()
+        resumed = [
+            gevent.spawn(
+                self.ask,
+                others[number % 2],
+                request=f'second{number}',
+                after=1,
+                names=[name],
+            )
+            for number, name in enumerate(names)
+        ]
+        for task in resumed:
+            self.assertEqual((200, _whole('v1', 2)), task.get())
+
     def test_refused_at_once_with_its_version_gone(self):
         first = self.begin('v2')
         entry = self.start_entry()
