Put back reasons that the comments of some constants had lost

Nine comments of constants that decide regain a reason from before the rewording, in today's terms: accepting while a data hall has no other node, billed calls, how slow a slow object service is, quarantine of requests that clients repeat, memory of a suspect, deferrable items, overload and free requests of small teams. Only facts that the old comments held and that are still true; most others had kept theirs.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/store_failover.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/store_failover.py
@@ -35,10 +35,12 @@
 from bendlead_gateway._log import Log
 from bendlead_gateway.types import PeerRecord
 
-#: Timeout of own calls while a peer can make them instead.
+#: Timeout of own calls while a peer can make them instead. A slow service
+#: responds within some tenths of a second.
 _DIRECT_TIMEOUT_SECONDS = 0.6
 _PEER_TIMEOUT_SECONDS = 1.6
-#: Pause after a peer failed too: the service is probably down for all.
+#: Pause after a peer failed too: the service is probably down for all, and
+#: each call is billed.
 _PEER_BACKOFF_SECONDS = 0.3
 #: Between two checks of whether the service answers this process again.
 _PROBE_INTERVAL_SECONDS = 0.5
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/watcher.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/watcher.py
@@ -19,7 +19,8 @@
 
 from bendlead_gateway._log import Log
 
-#: How long one call waits for changes; the platform's store allows 30.
+#: How long one call waits for changes; the platform's store allows 30. Each
+#: call is billed.
 _CALL_SECONDS = 29.0
 #: After a longer outage, entries of live engines may have expired. After a
 #: shorter one, entries that are missing were removed.
--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/deferral.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/deferral.py
@@ -9,7 +9,8 @@
 
 #: Covers the retries of refused clients and short gaps within a burst.
 _RECENT_SECONDS = 0.5
-#: Spare time from which an item can wait until a burst is over.
+#: Spare time from which an item can wait until a burst is over: it would still
+#: be in time if it began this much later.
 _DEFERRABLE_SECONDS = 5.0
 #: Share of a service's slots kept for items that can't be deferred.
 _URGENT_SHARE = 0.1
--- a/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/urgency.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_scheduling/urgency.py
@@ -22,7 +22,8 @@
 UPDATE_INTERVAL_SECONDS = 0.25
 #: Smoothing factor of the slots in use; its window is longer than a burst.
 _SLOTS_SMOOTHING = 0.05
-#: Overload: the remaining work takes this many times the target of an item.
+#: Overload: the remaining work takes this many times the target of an item. A
+#: lower factor would include loads that only a few items are too many for.
 _OVERLOAD_FACTOR = 2.0
 
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_stopping.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_stopping.py
@@ -4,7 +4,8 @@
 from msgspec import Struct
 
 #: New work is accepted for this long after SIGTERM: the platform checks
-#: readiness once a second and removes a node after two failures.
+#: readiness once a second and removes a node after two failures. It keeps
+#: sending clients where a data hall has no other node.
 _ACCEPT_SECONDS = 2.5
 #: Upper limit of ``_ACCEPT_SECONDS``, as a share of the grace period.
 _MAX_ACCEPT_SHARE = 0.5
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
@@ -19,12 +19,13 @@
 #: Longest quarantine, and the time after which unchanged suspects expire: a day
 #: for the operators to investigate.
 MAX_QUARANTINE_SECONDS = 86_400.0
-#: First quarantine of an online request; it doubles with each further crash.
+#: First quarantine of an online request, which its client can send again at any
+#: time; it doubles with each further crash.
 REQUEST_QUARANTINE_SECONDS = 3600.0
 #: First quarantine of a batch item. It is shorter: an item is lost if its
 #: retention, which may be only a minute, ends before it may run again.
 ITEM_QUARANTINE_SECONDS = 15.0
-#: Bound of memory, by eviction of the oldest suspects.
+#: Bound of memory, at about 0.5 kB each, by eviction of the oldest suspects.
 _MAX_SUSPECTS = 4096
 #: Limit for one suspect, of which the newest are kept.
 _MAX_CRASHES = 16
--- a/packages/bendlead-gateway/src/bendlead_gateway/_teams/shares.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_teams/shares.py
@@ -18,7 +18,8 @@
 #: Time in which the weight of past requests falls by a factor of e.
 DECAY_SECONDS = 1.0
 #: Requests of each team that don't count towards its share, so that random
-#: arrivals don't put a small team over it.
+#: arrivals don't put a small team over it: one that sends a request a second
+#: would exceed its share half of the time.
 _FREE_REQUESTS = 2.0
 #: Minimum interval between two computations of the shares.
 _UPDATE_INTERVAL_SECONDS = 0.1
