Soak: do not note a planned end as unasked while another life starts

Polling a child may let other tasks run: of three overlapping stops one noted the end, reset the flag and started the next life while another was still in poll(), which then noted the end of the old life as unasked and lost the new one. Now an end is noted only if the process is still the one that was polled. test_next_life_started_while_the_end_is_polled fails without it. The stand-in fleet of another test of this file lacked the field versions since and failed there; it has it now.

--- a/testing/src/bendlead_testing/gateway_soak/deployment.py
+++ b/testing/src/bendlead_testing/gateway_soak/deployment.py
@@ -53,9 +53,13 @@
     @property
     def running(self) -> bool:
         """Tell whether it runs; note an end that nobody asked for."""
-        if self._popen is None:
+        popen = self._popen
+        if popen is None:
             return False
-        ended = self._popen.poll()
+        ended = popen.poll()
+        if self._popen is not popen:
+            # Polling lets other tasks run: one has noted this end already.
+            return self._popen is not None
         if ended is None:
             return True
         if not self.told_to_end:
--- a/tests/test_soak_ports.py
+++ b/tests/test_soak_ports.py
@@ -9,12 +9,15 @@
 import tempfile
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 import gevent
 from bendlead_testing.gateway_soak.clients import Clients
+from bendlead_testing.gateway_soak.deployment import Process
 from bendlead_testing.gateway_soak.sightings import Sightings
 from bendlead_testing.ports import Ports, free_port, lock_block
 from gevent.server import StreamServer
+from parameterized import parameterized
 
 from tests.gateway_standins import eventually
 
@@ -108,7 +111,7 @@
         self.addCleanup(listener.stop)
         address = f'127.0.0.1:{listener.server_port}'
         spot = SimpleNamespace(name='entry-0', ready=address)
-        fleet = SimpleNamespace(entries=[spot])
+        fleet = SimpleNamespace(versions=1, entries=[spot])
         clients = Clients(fleet, Sightings(), random.Random(1))
         clients.start(online=0, batch=0)
         gevent.sleep(0.2)
@@ -119,5 +122,36 @@
         self.assertEqual([], asked)
 
 
+class ProcessEndTest(unittest.TestCase):
+    """Ends that nobody asked for are noted, and only these."""
+
+    def process(self):
+        """Return a process that has no ports to pass on."""
+        return Process('entry-0', [], pathlib.Path(os.devnull), Ports())
+
+    @parameterized.expand([('asked', True, []), ('by_itself', False, [3])])
+    def test_end(self, _name, told, noted):
+        process = self.process()
+        process._popen = mock.Mock(poll=lambda: 3)
+        process.told_to_end = told
+        self.assertFalse(process.running)
+        self.assertEqual(noted, process.unasked_ends)
+
+    def test_next_life_started_while_the_end_is_polled(self):
+        process = self.process()
+        process.told_to_end = True
+        following = mock.Mock(poll=lambda: None)
+
+        def poll():
+            process.told_to_end = False
+            process._popen = following
+            return 0
+
+        process._popen = mock.Mock(poll=poll)
+        self.assertTrue(process.running)
+        self.assertEqual([], process.unasked_ends)
+        self.assertIs(following, process._popen)
+
+
 if __name__ == '__main__':
     unittest.main()
