Log requests whose answer ends only with its connection

Cause: the hypotheses on broken answers framed as complete could not be told apart in the log: it did not say how an answer was framed. Change: ResponseHead.framing (length, chunks, connection, none), and framing=connection on the request line of an answer that has neither a length nor chunks. Hypothesis 1 shows as outcome=answered with framing=connection for the request of the report, 2 and 3 as answered without it.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
@@ -7,6 +7,7 @@
 import httptools
 from msgspec import Struct, field
 
+from bendlead_gateway._http.framing import Framing, find_framing
 from bendlead_gateway._http.sockets import connect
 from bendlead_gateway.types import Headers
 
@@ -32,6 +33,11 @@
     reason: str
     headers: Headers
 
+    @property
+    def framing(self) -> Framing:
+        """What marks the end of the response."""
+        return find_framing(self.status, self.headers)
+
     def find(self, name: str) -> str | None:
         """Return the value of a header by its lower-case name, or None."""
         for header, text in self.headers:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -3,6 +3,7 @@
 from bendlead_store import clock
 from msgspec import Struct, field
 
+from bendlead_gateway._http.framing import Framing
 from bendlead_gateway._http.messages import Request, Responder
 from bendlead_gateway._scheduling.team_shares import UNCONTESTED, ShareUse
 from bendlead_gateway._suspects.digest import RequestDigest, digest_request
@@ -51,6 +52,8 @@
     #: Version of the engine that sent the first event, ``None`` before it.
     stream_version: EngineVersion | None = None
     status: int = 0
+    #: Framing of the latest response of an engine, ``None`` before it.
+    framing: Framing | None = None
     failure: str = '-'
     quarantined: bool = False
     #: The team's use of its share at the latest admission check.
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -7,6 +7,7 @@
 
 from bendlead_gateway._fleet.balancer import pick_service
 from bendlead_gateway._fleet.fleet import Fleet
+from bendlead_gateway._http.framing import Framing
 from bendlead_gateway._http.messages import (
     ClientDisconnectedError,
     Request,
@@ -331,6 +332,8 @@
     if exchange.facts.resume_after is not None:
         fields['resumes'] = exchange.facts.resumes or '-'
         fields['after'] = exchange.facts.resume_after
+    if exchange.framing is Framing.CONNECTION:
+        fields['framing'] = exchange.framing.value
     if exchange.queued_seconds:
         fields['held_ms'] = round(exchange.queued_seconds * 1000, 1)
     if outcome == REFUSED and exchange.share_use.used:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -79,6 +79,7 @@
     def relay(self, head: ResponseHead) -> None:
         """Relay the body by event, by chunk or buffered, by kind of route."""
         exchange = self._exchange
+        exchange.framing = head.framing
         stream = exchange.route.kind is RouteKind.STREAM
         if stream and exchange.route.resumable and head.status == HTTPStatus.OK:
             self._relay_events(head)
