--- /dev/null
+++ b/tests/test_gateway_broken_answers.py
@@ -0,0 +1,256 @@
+"""A broken answer without a length or chunks must not look complete."""
+
+import json
+import unittest
+
+import gevent
+from bendlead_gateway.http import HttpConnection, ResponseError
+from parameterized import parameterized
+
+from tests.gateway_cases import EntryCase, OwnerCase
+from tests.gateway_standins import (
+    ScriptedPeer,
+    chunked,
+    configuration,
+    engine,
+    event,
+    eventually,
+    route,
+)
+
+_HEAD = b'HTTP/1.1 200 OK\r\nX-Response-Seal: s1\r\n\r\n'
+_FIRST = event(1, 'a')
+_WHOLE = _FIRST + event(2, 'b')
+_CRLF = _WHOLE.replace(b'\n', b'\r\n')
+_TAIL = chunked(event(2, 'b'), headers='X-Response-Seal: s2\r\n')
+_PAUSE_SECONDS = 0.02
+
+
+def closing(*parts):
+    """Return a script that sends the parts and closes the connection."""
+
+    def script(sock, _request):
+        sock.sendall(_HEAD)
+        for part in parts:
+            gevent.sleep(_PAUSE_SECONDS)
+            sock.sendall(part)
+
+    return script
+
+
+class BrokenAnswerCase(EntryCase):
+    """Starts engines that close connections, and some that then crash."""
+
+    def crashing(self, *parts):
+        """Return a script that sends the parts, and whose engine crashes."""
+
+        def script(sock, request):
+            closing(*parts)(sock, request)
+            crashed = next(peer for peer in self.engines if peer.requests)
+            crashed.close()
+
+        return script
+
+    def start_preferring_first(self, changed, answers):
+        """Start the engines and have the entry ask the first one first."""
+        self.start(changed, answers=answers)
+        if len(answers) > 1:
+            self.entry.fleet.loads.own.online['i-1'] += 3
+
+    @property
+    def failures(self):
+        """Failures of engines inside answers, counted by the entry."""
+        return self.entry.metrics.engine_failures['body']
+
+
+class BrokenStreamTest(BrokenAnswerCase):
+    """A stream that stops inside an event, or as its engine crashes."""
+
+    @parameterized.expand(
+        [
+            ('inside_first_event', [b'id: 1\nda']),
+            ('inside_event', [_FIRST, b'id: 2\nda']),
+            ('behind_line', [_FIRST + b'id: 2\ndata: b\n']),
+            ('crlf_inside_event', [_CRLF + b'id: 3\r\nda']),
+            ('crlf_behind_line', [_CRLF + b'id: 3\r\ndata: c\r\n']),
+            ('crlf_inside_end', [_CRLF[:-1]]),
+            ('no_event', []),
+        ],
+    )
+    def test_looks_broken(self, _name, parts):
+        self.start(route('streaming'), answers=[closing(*parts)])
+        with self.assertRaises(ResponseError):
+            self.read(self.send_request())
+        self.assertEqual(1, self.failures)
+
+    def test_crash_behind_event_looks_broken(self):
+        self.start(route('streaming'), answers=[self.crashing(_FIRST)])
+        with self.assertRaises(ResponseError):
+            self.read(self.send_request())
+        self.assertEqual(1, self.failures)
+
+    @parameterized.expand(
+        [
+            ('lf', [_WHOLE]),
+            ('crlf', [_CRLF]),
+            ('end_in_two_reads', [_WHOLE[:-1], _WHOLE[-1:]]),
+            ('crlf_end_in_two_reads', [_CRLF[:-1], _CRLF[-1:]]),
+            ('crlf_end_byte_by_byte', [_CRLF[:-3], b'\n', b'\r', b'\n']),
+        ],
+    )
+    def test_whole_stream_is_complete(self, _name, parts):
+        self.start(route('streaming'), answers=[closing(*parts)])
+        _head, got = self.read(self.send_request())
+        self.assertEqual(b''.join(parts), got)
+        self.assertEqual(0, self.failures)
+
+    def test_framed_stream_that_stops_inside_an_event_looks_broken(self):
+        """Its chunks are complete, but an event is not."""
+        self.start(route('streaming'), answers=[chunked(_FIRST + b'id: 2\n')])
+        with self.assertRaises(ResponseError):
+            self.read(self.send_request())
+
+    def test_suspect_is_not_cleared(self):
+        """A broken answer is no sign of a sound request."""
+        self.start(route('streaming'), answers=[closing(_FIRST, b'id: 2\nd')])
+        suspects = self.entry.fleet.suspects
+        cleared = []
+        suspects.record_success = cleared.append
+        with self.assertRaises(ResponseError):
+            self.read(self.send_request())
+        self.assertEqual([], cleared)
+
+
+class ResumableStreamTest(BrokenAnswerCase):
+    """A resumable stream that broke off goes on at another engine."""
+
+    @parameterized.expand(
+        [
+            ('inside_event', [_FIRST + b'id: 2\nda']),
+            ('behind_line', [_FIRST + b'id: 2\ndata: b\n']),
+        ],
+    )
+    def test_goes_on(self, _name, parts):
+        changed = route('streaming', resumable=True)
+        self.start_preferring_first(changed, [closing(*parts), _TAIL])
+        self.assertEqual(_WHOLE, self.read(self.send_request())[1])
+        self.assertIn(b'Last-Event-Id: 1', self.engines[1].requests[0])
+
+    def test_goes_on_after_a_crash_behind_an_event(self):
+        changed = route('streaming', resumable=True)
+        answers = [self.crashing(_FIRST), _TAIL]
+        self.start_preferring_first(changed, answers)
+        self.assertEqual(_WHOLE, self.read(self.send_request())[1])
+
+    def test_goes_on_without_any_event(self):
+        changed = route('streaming', resumable=True)
+        whole = chunked(_WHOLE)
+        self.start_preferring_first(changed, [closing(), whole])
+        self.assertEqual(_WHOLE, self.read(self.send_request())[1])
+
+    def test_whole_stream_is_complete(self):
+        changed = route('streaming', resumable=True)
+        self.start_preferring_first(changed, [closing(_WHOLE), _TAIL])
+        self.assertEqual(_WHOLE, self.read(self.send_request())[1])
+        self.assertEqual(1, self.count_engine_requests())
+
+
+class PlainAnswerTest(BrokenAnswerCase):
+    """The end of a plain answer shows no cut."""
+
+    def test_client_is_told_no_more_than_is_known(self):
+        self.start(route('safe'), answers=[closing(b'body')])
+        connection = self.send_request()
+        head = connection.read_head(3)
+        self.assertEqual('close', (head.find('connection') or '').lower())
+        self.assertIsNone(head.find('content-length'))
+        self.assertIsNone(head.find('transfer-encoding'))
+        received = b''
+        with self.assertRaises(ResponseError):
+            for part in connection.read_parts(head, 3):
+                received += part
+        self.assertEqual(b'body', received)
+
+    @parameterized.expand(
+        [
+            ('head_only', []),
+            ('body', [b'bo']),
+        ],
+    )
+    def test_engine_that_crashes_is_replaced(self, _name, parts):
+        sound = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+        answers = [self.crashing(*parts), sound]
+        self.start_preferring_first(route('safe'), answers)
+        self.assertEqual(b'ok', self.read(self.send_request())[1])
+
+    def test_unsafe_request_of_a_crashed_engine_has_no_known_outcome(self):
+        self.start(route('unsafe'), answers=[self.crashing(b'bo')])
+        head, _body = self.read(self.send_request())
+        self.assertEqual(502, head.status)
+
+    def test_error_of_a_streaming_route_is_passed_on(self):
+        error = b'HTTP/1.1 500 x\r\nX-Response-Seal: s1\r\n\r\nwhy'
+
+        def script(sock, _request):
+            sock.sendall(error)
+
+        self.start(route('streaming'), answers=[script])
+        connection = self.send_request()
+        head = connection.read_head(3)
+        self.assertEqual(500, head.status)
+        self.assertIsNone(head.find('transfer-encoding'))
+
+
+class ItemTest(OwnerCase):
+    """An item is completed by a stream that is surely whole only."""
+
+    @parameterized.expand(
+        [
+            ('inside_event', [_FIRST + b'id: 2\nda'], False),
+            ('no_event', [], False),
+            ('crash_behind_event', [_FIRST], True),
+            ('whole', [_WHOLE], False),
+        ],
+    )
+    def test_text_is_whole(self, name, parts, crashes):
+        config = configuration(1, route('batch', max_attempts=3))
+        self.store.set('config', 'main', config)
+
+        def script(sock):
+            peer.read_request(sock)
+            closing(*parts)(sock, b'')
+            if crashes:
+                peer.close()
+
+        def replacement(sock):
+            resumed = b'Last-Event-Id: 1' in other.read_request(sock)
+            sock.sendall(_TAIL if resumed else chunked(_WHOLE))
+
+        peer = ScriptedPeer([script])
+        other = ScriptedPeer([replacement] * 4)
+        self.addCleanup(peer.close)
+        self.addCleanup(other.close)
+        self.store.set('servers', 'i-1', engine(peer.address))
+        owner = self.start_sole_owner()
+        self.submit(owner)
+        eventually(lambda: peer.requests)
+        self.store.set('servers', 'i-2', engine(other.address))
+        eventually(lambda: self.results(owner))
+        self.assertEqual('a\nb', self.results(owner)[0]['text'])
+        self.assertEqual(name == 'whole', not other.requests)
+
+
+class OwnProcessTest(unittest.TestCase):
+    """Calls between processes are framed; other ends are no answers."""
+
+    def test_body_that_ends_with_its_connection(self):
+        def script(sock):
+            peer.read_request(sock)
+            sock.sendall(b'HTTP/1.1 200 OK\r\n\r\n' + json.dumps({}).encode())
+
+        peer = ScriptedPeer([script])
+        self.addCleanup(peer.close)
+        connection = HttpConnection(peer.address, 1)
+        self.addCleanup(connection.close)
+        with self.assertRaises(ResponseError):
+            connection.request('GET', '/', timeout=1)
