Do not vouch for the end of an answer that may be truncated

Cause: HttpConnection took the end of a connection for the end of a response without a length or chunks; each reader then decided alone, most did not ask, and the last chunk to the client vouched for it. Class: an uncertain end that turns into a certain one on its way. Change: read_parts ends normally only where the framing says that the body is complete, and raises CloseDelimitedError else, so that a reader that does not look fails safe. Streams keep their chunks towards clients, so that a loss on our side shows. A plain close-delimited answer goes out close-delimited: nothing in it shows a cut. Errors of streaming routes are buffered like plain answers.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
@@ -12,7 +12,6 @@
 from bendlead_gateway.types import Headers
 
 _READ_BYTES = 65_536
-_STATUSES_WITHOUT_BODY = frozenset((204, 304))
 _MIN_FINAL_STATUS = 200
 #: A socket timeout of 0 would make the socket non-blocking.
 _MIN_TIMEOUT_SECONDS = 0.001
@@ -26,6 +25,14 @@
     """The peer sent nothing within the timeout."""
 
 
+class CloseDelimitedError(ResponseError):
+    """The peer closed the connection of a response with no other end.
+
+    The response has neither a length nor chunks, so it may be complete or
+    truncated. All of its body has been returned.
+    """
+
+
 class ResponseHead(Struct, frozen=True):
     """Status line and headers of a response."""
 
@@ -194,7 +201,11 @@
         return response.head
 
     def read_parts(self, head: ResponseHead, timeout: float) -> Iterator[bytes]:
-        """Yield the body as it arrives; the timeout (s) is for each part."""
+        """Yield the body as it arrives; the timeout (s) is for each part.
+
+        Ends normally where the body is complete by its framing. Raises
+        ``CloseDelimitedError`` where it can't be told whether it is.
+        """
         response = self._response_parser.current
         while True:
             if response.body:
@@ -237,12 +248,15 @@
         self._reusable = False
 
     def _handle_end_of_stream(self, head: ResponseHead) -> None:
-        framed = head.find('content-length') or head.find('transfer-encoding')
-        if framed and head.status not in _STATUSES_WITHOUT_BODY:
+        if head.framing is Framing.CONNECTION:
+            raise CloseDelimitedError(
+                'peer closed the connection of a response without length or '
+                + 'chunks, so that it may be truncated'
+            )
+        if head.framing is not Framing.NO_BODY:
             raise ResponseError(
                 'peer closed the connection before the response was complete'
             )
-        self._response_parser.current.complete = True
 
     def _receive(self, timeout: float) -> bool:
         self._sock.settimeout(max(timeout, _MIN_TIMEOUT_SECONDS))
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -10,6 +10,7 @@
 from bendlead_gateway._http.client import HttpConnection, ResponseHead
 from bendlead_gateway._jobs.owned_job import ITEM_METHOD, OwnedJob, Progress
 from bendlead_gateway._jobs.owned_shard import OwnedShard
+from bendlead_gateway._online.answer_body import AnswerBody
 from bendlead_gateway._online.events import EventSplitter, StreamEvent
 from bendlead_gateway._suspects.digest import RequestDigest
 from bendlead_gateway.dialect import Dialect
@@ -175,14 +176,20 @@
     ) -> None:
         """Store each event as it arrives, so that a stopped run keeps them."""
         splitter = EventSplitter()
-        for part in connection.read_parts(head, _IO_TIMEOUT_SECONDS):
+        body = AnswerBody(
+            run.engine,
+            connection,
+            head,
+            self._fleet.suspects.crash_detector,
+            splitter,
+            may_be_empty=run.progress.last_event is not None,
+        )
+        for part in body.parts(_IO_TIMEOUT_SECONDS):
             if run.stopped:
                 raise RunFailedError('run was stopped')
             run.last_output_at = clock.uptime()
             for event in splitter.feed(part):
                 _append_event(run.progress, event)
-        if splitter.remainder:
-            raise RunFailedError('response ended within an event')
         if not run.progress.texts:
             raise RunFailedError('response has no events')
 
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/answer_body.py
@@ -0,0 +1,79 @@
+"""Bodies of engines' answers, and whether they arrived completely."""
+
+from collections.abc import Iterator
+from typing import Protocol
+
+from bendlead_gateway._http.client import (
+    CloseDelimitedError,
+    HttpConnection,
+    ResponseError,
+    ResponseHead,
+)
+from bendlead_gateway._types.engines import Engine
+
+
+class EventPosition(Protocol):
+    """Position in a stream of events, kept by its reader."""
+
+    @property
+    def inside_event(self) -> bool:
+        """Whether the bytes read so far stop inside an event."""
+
+
+class CrashCheck(Protocol):
+    """Check whether an engine has crashed."""
+
+    def has_crashed(self, engine: Engine) -> bool:
+        """Return whether an engine refuses connections, after a pause."""
+
+
+class AnswerBody:
+    """Body of one answer of an engine.
+
+    Its parts end normally only if the answer is complete. A stream must not
+    stop inside an event. An answer without a length or chunks ends with its
+    connection, which also happens when its engine crashes; such an answer
+    counts as complete if its engine still accepts connections afterwards.
+    """
+
+    def __init__(
+        self,
+        engine: Engine,
+        connection: HttpConnection,
+        head: ResponseHead,
+        crashes: CrashCheck,
+        events: EventPosition | None = None,
+        *,
+        may_be_empty: bool = False,
+    ) -> None:
+        """Make a body; ``events`` is None where it is no event stream.
+
+        ``may_be_empty`` tells that the stream may have no further event.
+        """
+        self._engine = engine
+        self._connection = connection
+        self._head = head
+        self._crashes = crashes
+        self._events = events
+        self._empty = not may_be_empty
+
+    def parts(self, timeout: float) -> Iterator[bytes]:
+        """Yield the body as it arrives; the timeout (s) is for each part.
+
+        Raises ``ResponseError`` if the answer broke off. Can be called again
+        after ``ResponseTimeoutError``.
+        """
+        try:
+            for part in self._connection.read_parts(self._head, timeout):
+                self._empty = False
+                yield part
+        except CloseDelimitedError as closed:
+            self._confirm_end(closed)
+        if self._events is not None and self._events.inside_event:
+            raise ResponseError('response ended within an event')
+
+    def _confirm_end(self, closed: CloseDelimitedError) -> None:
+        if self._events is not None and self._empty:
+            raise ResponseError('response ended before an event') from closed
+        if self._crashes.has_crashed(self._engine):
+            raise ResponseError('engine crashed as it responded') from closed
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/events.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/events.py
@@ -5,6 +5,8 @@
 from msgspec import Struct
 
 _EVENT_END = b'\n\n'
+#: Longest end of an event, with CRLF line ends.
+_MAX_END_BYTES = 4
 
 
 class StreamEvent(Struct, frozen=True):
@@ -22,9 +24,9 @@
         self._remainder = b''
 
     @property
-    def remainder(self) -> bytes:
-        """Return the bytes received after the last complete event."""
-        return self._remainder
+    def inside_event(self) -> bool:
+        """Return whether the bytes received stop inside an event."""
+        return bool(self._remainder.strip())
 
     def feed(self, part: bytes) -> Iterator[StreamEvent]:
         """Add received bytes and yield the events that they complete."""
@@ -37,6 +39,26 @@
                 yield _parse_event(raw)
 
 
+class EventBoundary:
+    """Tell whether a stream that is passed on as bytes is between events."""
+
+    def __init__(self) -> None:
+        self._tail = b''
+
+    @property
+    def inside_event(self) -> bool:
+        """Return whether the bytes received stop inside an event."""
+        if not self._tail:
+            return False
+        tail = self._tail.replace(b'\r\n', b'\n')
+        return not tail.endswith((_EVENT_END, b'\r\r'))
+
+    def feed(self, part: bytes) -> None:
+        """Add received bytes."""
+        tail = self._tail + part[-_MAX_END_BYTES:]
+        self._tail = tail[-_MAX_END_BYTES:]
+
+
 def _parse_event(raw: bytes) -> StreamEvent:
     number = None
     texts = []
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -12,7 +12,13 @@
     ResponseHead,
     ResponseTimeoutError,
 )
-from bendlead_gateway._online.events import EventSplitter, StreamEvent
+from bendlead_gateway._http.framing import Framing
+from bendlead_gateway._online.answer_body import AnswerBody, EventPosition
+from bendlead_gateway._online.events import (
+    EventBoundary,
+    EventSplitter,
+    StreamEvent,
+)
 from bendlead_gateway._online.exchange import Exchange
 from bendlead_gateway._online.outcomes import (
     BrokenStreamError,
@@ -69,6 +75,7 @@
         self._origins = origins
         self._engine = engine
         self._connection = connection
+        self._crashes = fleet.suspects.crash_detector
         self._health = fleet.health
         self._resume_targets = fleet.balancer.resume_targets
         self._pace = fleet.pace
@@ -80,8 +87,11 @@
         """Relay the body by event, by chunk or buffered, by kind of route."""
         exchange = self._exchange
         exchange.framing = head.framing
-        stream = exchange.route.kind is RouteKind.STREAM
-        if stream and exchange.route.resumable and head.status == HTTPStatus.OK:
+        stream = (
+            exchange.route.kind is RouteKind.STREAM
+            and head.status == HTTPStatus.OK
+        )
+        if stream and exchange.route.resumable:
             self._relay_events(head)
         elif exchange.responder.started:
             raise BrokenStreamError(f'resume failed with status {head.status}')
@@ -99,9 +109,12 @@
     def _relay_bytes(self, head: ResponseHead) -> None:
         """Relay a stream that no other engine can resume."""
         exchange = self._exchange
-        self._start_response(head)
+        boundary = EventBoundary()
+        body = self._body(head, boundary)
+        self._start_stream(head)
         try:
-            for part in self._parts(head, exchange.read_timeout):
+            for part in self._parts(body, exchange.read_timeout):
+                boundary.feed(part)
                 exchange.responder.write(part)
         except ResponseError as error:
             raise BrokenStreamError(str(error)) from error
@@ -110,13 +123,21 @@
     def _relay_buffered(self, head: ResponseHead) -> None:
         """Buffer a plain response, so that a broken one can be retried."""
         exchange = self._exchange
+        parts = self._parts(self._body(head), exchange.read_timeout)
         try:
-            body = b''.join(self._parts(head, exchange.read_timeout))
+            body = b''.join(parts)
         except ResponseError as error:
             raise UnknownOutcomeError(
                 f'incomplete response: {error}'
             ) from error
-        self._start_response(head)
+        exchange.status = head.status
+        headers = end_to_end_headers(head.headers)
+        if head.framing is Framing.CONNECTION:
+            exchange.responder.answer_until_close(
+                head.status, head.reason, headers, body
+            )
+            return
+        exchange.responder.start(head.status, head.reason, headers, len(body))
         exchange.responder.write(body)
         exchange.responder.finish()
 
@@ -124,17 +145,28 @@
         """Relay complete events, so that another engine can resume."""
         exchange = self._exchange
         splitter = EventSplitter()
-        self._start_response(head)
+        body = self._body(head, splitter)
+        self._start_stream(head)
         try:
-            for part in self._parts_until_replaced(head):
+            for part in self._parts_until_replaced(body):
                 self._write_events(list(splitter.feed(part)))
         except ResponseError as error:
             raise BrokenStreamError(str(error)) from error
-        if splitter.remainder:
-            raise BrokenStreamError('response ended within an event')
         exchange.responder.finish()
 
-    def _parts_until_replaced(self, head: ResponseHead) -> Iterator[bytes]:
+    def _body(
+        self, head: ResponseHead, events: EventPosition | None = None
+    ) -> AnswerBody:
+        return AnswerBody(
+            self._engine,
+            self._connection,
+            head,
+            self._crashes,
+            events,
+            may_be_empty=self._exchange.last_event is not None,
+        )
+
+    def _parts_until_replaced(self, body: AnswerBody) -> Iterator[bytes]:
         """Yield the body until the engine is silent and can be replaced.
 
         Without another engine that may go on, it is waited for.
@@ -142,7 +174,7 @@
         silence = self._exchange.route.gap_target * _SILENCE_GAP_TARGETS
         while True:
             try:
-                yield from self._parts(head, max(_MIN_SILENCE_SECONDS, silence))
+                yield from self._parts(body, max(_MIN_SILENCE_SECONDS, silence))
             except ResponseTimeoutError:
                 if self._is_replaceable():
                     raise
@@ -186,8 +218,8 @@
             retention_seconds(exchange.route, exchange.facts.timeout),
         )
 
-    def _parts(self, head: ResponseHead, timeout: float) -> Iterator[bytes]:
-        for part in self._connection.read_parts(head, timeout):
+    def _parts(self, body: AnswerBody, timeout: float) -> Iterator[bytes]:
+        for part in body.parts(timeout):
             self._observe(part)
             yield part
 
@@ -205,17 +237,14 @@
             self._pace.observe_gap(name, now - self._last_part_at)
         self._last_part_at = now
 
-    def _start_response(self, head: ResponseHead) -> None:
+    def _start_stream(self, head: ResponseHead) -> None:
         exchange = self._exchange
         if exchange.responder.started:
             return
         exchange.status = head.status
-        length = head.find('content-length')
-        stream = exchange.route.kind is RouteKind.STREAM
-        body_bytes = int(length) if length and not stream else None
         exchange.responder.start(
             head.status,
             head.reason,
             end_to_end_headers(head.headers),
-            body_bytes,
+            length=None,
         )
