Treat a reset inside an answer as a failure of its engine

What callers saw: a stream that an engine reset did not go on elsewhere though its route allows it, and a plain answer on a safe route ended without any answer. Cause: HttpConnection._receive let ConnectionResetError through, and the relay catches ResponseError only. The request's greenlet died with a traceback, the log said client_gone, health heard nothing, and suspects got an abandoned request in place of a broken answer. Change: a failed read raises ResponseError with the errno, so that all readers see one kind of error: relays, refusals, surplus answers, items, job calls, peers, object service. So client_gone lines of earlier records may be engines that reset.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
@@ -18,7 +18,10 @@
 
 
 class ResponseError(OSError):
-    """The peer's response ended early or is not valid HTTP."""
+    """The peer's response ended early or is not valid HTTP.
+
+    ``errno`` is that of the connection's failure, if any.
+    """
 
 
 class ResponseTimeoutError(ResponseError):
@@ -267,6 +270,11 @@
             raise ResponseTimeoutError(
                 f'no data received for {timeout:.3f} s'
             ) from timed_out
+        except OSError as error:
+            self._reusable = False
+            raise ResponseError(
+                error.errno, f'connection failed: {error.strerror}'
+            ) from error
         if not received:
             self._reusable = False
             return False
