Pass on answers without a body as they are

What callers saw: a HEAD request timed out at the entry (504 after its whole time, a stream broken off), and a 204 or 304 came with chunks or a length of its own, so that a last chunk was read as the begin of the next answer. Cause: the client's parser waits for the body that the headers of an answer to HEAD describe, and the relay framed a body in each answer. Change: such a head is the whole answer (Framing.NO_BODY), towards engines and clients; a Content-Length in it is passed on.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
@@ -42,10 +42,14 @@
     status: int
     reason: str
     headers: Headers
+    #: Whether it answers a HEAD request.
+    answers_head: bool = False
 
     @property
     def framing(self) -> Framing:
         """What marks the end of the response."""
+        if self.answers_head:
+            return Framing.NO_BODY
         return find_framing(self.status, self.headers)
 
     def find(self, name: str) -> str | None:
@@ -80,8 +84,9 @@
     earlier request.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, method: str = '') -> None:
         self._parser = httptools.HttpResponseParser(self)
+        self._answers_head = method == 'HEAD'
         self._responses: deque[_PartialResponse] = deque()
 
     @property
@@ -122,7 +127,9 @@
         """Store the status line and the headers."""
         latest = self._responses[-1]
         status = self._parser.get_status_code()
-        latest.head = ResponseHead(status, latest.reason, latest.headers)
+        latest.head = ResponseHead(
+            status, latest.reason, latest.headers, self._answers_head
+        )
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
@@ -177,7 +184,7 @@
         timeout: float,
     ) -> None:
         """Send one request with its body."""
-        self._response_parser = _ResponseParser()
+        self._response_parser = _ResponseParser(method)
         self._request_count += 1
         lines = [f'{method} {target} HTTP/1.1']
         lines.extend(f'{name}: {text}' for name, text in headers)
@@ -210,6 +217,9 @@
         ``CloseDelimitedError`` where it can't be told whether it is.
         """
         response = self._response_parser.current
+        if head.framing is Framing.NO_BODY:
+            # The parser would wait for the body of an answer to HEAD.
+            response.complete = True
         while True:
             if response.body:
                 part = b''.join(response.body)
@@ -256,10 +266,9 @@
                 'peer closed the connection of a response without length or '
                 + 'chunks, so that it may be truncated'
             )
-        if head.framing is not Framing.NO_BODY:
-            raise ResponseError(
-                'peer closed the connection before the response was complete'
-            )
+        raise ResponseError(
+            'peer closed the connection before the response was complete'
+        )
 
     def _receive(self, timeout: float) -> bool:
         self._sock.settimeout(max(timeout, _MIN_TIMEOUT_SECONDS))
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/messages.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/messages.py
@@ -78,6 +78,17 @@
         self._write_head(head, body)
         self.finished = True
 
+    def answer_without_body(
+        self, status: int, reason: str, headers: Headers
+    ) -> None:
+        """Send a response that has no body, by its status or to HEAD.
+
+        A length in the headers is that of the body left out.
+        """
+        self.started = True
+        self._write_head(self._head(status, reason, headers), b'')
+        self.finished = True
+
     def answer_until_close(
         self, status: int, reason: str, headers: Headers, body: bytes
     ) -> None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -90,6 +90,7 @@
         stream = (
             exchange.route.kind is RouteKind.STREAM
             and head.status == HTTPStatus.OK
+            and head.framing is not Framing.NO_BODY
         )
         if stream and exchange.route.resumable:
             self._relay_events(head)
@@ -132,14 +133,20 @@
             ) from error
         exchange.status = head.status
         headers = end_to_end_headers(head.headers)
-        if head.framing is Framing.CONNECTION:
-            exchange.responder.answer_until_close(
+        responder = exchange.responder
+        if head.framing is Framing.NO_BODY:
+            length = head.find('content-length')
+            if length is not None:
+                headers.append(('Content-Length', length))
+            responder.answer_without_body(head.status, head.reason, headers)
+        elif head.framing is Framing.CONNECTION:
+            responder.answer_until_close(
                 head.status, head.reason, headers, body
             )
-            return
-        exchange.responder.start(head.status, head.reason, headers, len(body))
-        exchange.responder.write(body)
-        exchange.responder.finish()
+        else:
+            responder.start(head.status, head.reason, headers, len(body))
+            responder.write(body)
+            responder.finish()
 
     def _relay_events(self, head: ResponseHead) -> None:
         """Relay complete events, so that another engine can resume."""
