Read bodies of the own face only where their end is marked

What callers saw: nothing reported. Change: read_framed, for the own face and its object service, raises there; the call then has an unknown outcome. Streams of the own face end with [DONE], and the library drops a part of an event, so they were sound (6 rows say so).

--- a/packages/bendlead-node/src/bendlead_node/_common/upstream.py
+++ b/packages/bendlead-node/src/bendlead_node/_common/upstream.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from bendlead_store import Failure, FailureKind
+from bendlead_store.framing import read_framed
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPSocketPoolResponse
 from result import Err, Ok, Result
@@ -93,7 +94,7 @@
 def read_body(response: HTTPSocketPoolResponse) -> Result[bytes, Failure]:
     """Read a whole response body."""
     try:
-        return Ok(bytes(response.read()))
+        return Ok(read_framed(response))
     except Exception as error:  # the library raises many kinds
         detail = f'{type(error).__name__}: {error}'
         return Err(Failure(FailureKind.UNKNOWN, 'read body', '', detail))
--- a/packages/bendlead-store/src/bendlead_store/_http.py
+++ b/packages/bendlead-store/src/bendlead_store/_http.py
@@ -18,6 +18,7 @@
     Version,
     VirtualMachine,
 )
+from bendlead_store.framing import read_framed
 
 VERSION_HEADER = 'X-Version'
 _POOL_SIZE = 64
@@ -197,7 +198,7 @@
 
 
 def _read_response(response: HTTPSocketPoolResponse) -> _Response:
-    body = bytes(response.read())
+    body = read_framed(response)
     headers = {name.lower(): text for name, text in response.items()}
     return _Response(response.status_code, headers, body)
 
