Relay answers of another type on streaming routes as plain ones

Cause: the change to ends holds each 200 of a streaming route to ends of events, so that an answer with a Content-Type of its own would look broken; found by test_gateway_leaving, whose engine sent two bytes without an event there. Change: with a Content-Type other than text/event-stream such an answer is plain: buffered, and close-delimited where its engine's is. Without a Content-Type it counts as a stream, as the route says. The engine of that test now sends an event, which its two checks compare whole.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -41,6 +41,7 @@
         'content-length',
     ),
 )
+_EVENT_STREAM = 'text/event-stream'
 #: A resumable stream is resumed on another engine after a silence of this many
 #: gap targets, but not before the minimum.
 _SILENCE_GAP_TARGETS = 3.0
@@ -56,6 +57,14 @@
     ]
 
 
+def _has_events(head: ResponseHead) -> bool:
+    """Return whether a response of a streaming route is a stream of events."""
+    if head.status != HTTPStatus.OK or head.framing is Framing.NO_BODY:
+        return False
+    content_type = head.find('content-type') or _EVENT_STREAM
+    return content_type.strip().lower().startswith(_EVENT_STREAM)
+
+
 class ResponseRelay:
     """Relay one response from one engine.
 
@@ -87,11 +96,7 @@
         """Relay the body by event, by chunk or buffered, by kind of route."""
         exchange = self._exchange
         exchange.framing = head.framing
-        stream = (
-            exchange.route.kind is RouteKind.STREAM
-            and head.status == HTTPStatus.OK
-            and head.framing is not Framing.NO_BODY
-        )
+        stream = exchange.route.kind is RouteKind.STREAM and _has_events(head)
         if stream and exchange.route.resumable:
             self._relay_events(head)
         elif exchange.responder.started:
--- a/tests/test_gateway_broken_answers.py
+++ b/tests/test_gateway_broken_answers.py
@@ -1,10 +1,15 @@
 """A broken answer without a length or chunks must not look complete."""
 
+import contextlib
 import json
 import unittest
 
 import gevent
-from bendlead_gateway.http import HttpConnection, ResponseError
+from bendlead_gateway.http import (
+    CloseDelimitedError,
+    HttpConnection,
+    ResponseError,
+)
 from parameterized import parameterized
 
 from tests.gateway_cases import EntryCase, OwnerCase
@@ -110,6 +115,26 @@
         with self.assertRaises(ResponseError):
             self.read(self.send_request())
 
+    @parameterized.expand(
+        [
+            ('length', 'Content-Length: 2\r\n', None),
+            ('neither', '', 'close'),
+        ],
+    )
+    def test_answer_without_events_is_plain(self, _name, header, connection):
+        """An engine may answer a streaming route with another type."""
+        sent = f'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n{header}\r\n'
+        answer = sent.encode() + b'ok'
+        self.start(route('streaming'), answers=[answer])
+        request = self.send_request()
+        head = request.read_head(3)
+        self.assertEqual(connection, head.find('connection'))
+        received = b''
+        with contextlib.suppress(CloseDelimitedError):
+            for part in request.read_parts(head, 3):
+                received += part
+        self.assertEqual(b'ok', received)
+
     def test_suspect_is_not_cleared(self):
         """A broken answer is no sign of a sound request."""
         self.start(route('streaming'), answers=[closing(_FIRST, b'id: 2\nd')])
@@ -166,7 +191,7 @@
         self.assertIsNone(head.find('content-length'))
         self.assertIsNone(head.find('transfer-encoding'))
         received = b''
-        with self.assertRaises(ResponseError):
+        with self.assertRaises(CloseDelimitedError):
             for part in connection.read_parts(head, 3):
                 received += part
         self.assertEqual(b'body', received)
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -14,6 +14,7 @@
 _PLAIN = (
     b'HTTP/1.1 200 OK\r\nX-Response-Seal: s1\r\nContent-Length: 2\r\n\r\nok'
 )
+_SHORT = chunked(event(1, 'ok'), headers=_SEAL)
 _RUNS_SECONDS = 2.6
 _SPARE_SECONDS = 0.4
 #: After the entry accepts no more requests, while earlier ones still run.
@@ -34,7 +35,7 @@
 def _slow_first(sock, request):
     """Answer the first request with a stream whose second event is late."""
     if b'/x/2' in request:
-        sock.sendall(_PLAIN)
+        sock.sendall(_SHORT)
         return
     sock.sendall(_HEAD)
     gevent.sleep(_RUNS_SECONDS)
@@ -151,6 +152,8 @@
             return False
         self.addCleanup(connection.close)
         try:
-            return connection.request('POST', '/x/2', _HEADERS).body == b'ok'
+            return connection.request('POST', '/x/2', _HEADERS).body == event(
+                1, 'ok'
+            )
         except ResponseError:
             return False
