Go on where a resumed stream ends without an event

Cause: AnswerBody took an empty close-delimited answer to a resumed stream for the end of the stream. An engine that sends nothing does not say that nothing is left. Change: such an answer is broken, and another engine is asked; one that answers with a length or chunks still may say that nothing is left. No shortcut for resumed streams is left in the type. Evidence: 2 of 34 tests failed before (stream, item), none now.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -182,7 +182,6 @@
             head,
             self._fleet.suspects.crash_detector,
             splitter,
-            may_be_empty=run.progress.last_event is not None,
         )
         for part in body.parts(_IO_TIMEOUT_SECONDS):
             if run.stopped:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/answer_body.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/answer_body.py
@@ -33,7 +33,8 @@
     Its parts end normally only if the answer is complete. A stream must not
     stop inside an event. An answer without a length or chunks ends with its
     connection, which also happens when its engine crashes; such an answer
-    counts as complete if its engine still accepts connections afterwards.
+    counts as complete if its engine still accepts connections afterwards, and
+    a stream only if it has an event.
     """
 
     def __init__(
@@ -43,19 +44,14 @@
         head: ResponseHead,
         crashes: CrashCheck,
         events: EventPosition | None = None,
-        *,
-        may_be_empty: bool = False,
     ) -> None:
-        """Make a body; ``events`` is None where it is no event stream.
-
-        ``may_be_empty`` tells that the stream may have no further event.
-        """
+        """Make a body; ``events`` is None where it is no event stream."""
         self._engine = engine
         self._connection = connection
         self._head = head
         self._crashes = crashes
         self._events = events
-        self._empty = not may_be_empty
+        self._empty = True
 
     def parts(self, timeout: float) -> Iterator[bytes]:
         """Yield the body as it arrives; the timeout (s) is for each part.
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -170,12 +170,7 @@
         self, head: ResponseHead, events: EventPosition | None = None
     ) -> AnswerBody:
         return AnswerBody(
-            self._engine,
-            self._connection,
-            head,
-            self._crashes,
-            events,
-            may_be_empty=self._exchange.last_event is not None,
+            self._engine, self._connection, head, self._crashes, events
         )
 
     def _parts_until_replaced(self, body: AnswerBody) -> Iterator[bytes]:
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -34,6 +34,12 @@
         self.requests: list[bytes] = []
         self._task = gevent.spawn(self._accept)
 
+    def run(self, scripts: Sequence[Script]) -> None:
+        """Run these scripts on connections from now on."""
+        self._task.kill()
+        self._scripts = list(scripts)
+        self._task = gevent.spawn(self._accept)
+
     def close(self) -> None:
         """Stop accepting."""
         self._task.kill()
--- a/tests/test_gateway_broken_answers.py
+++ b/tests/test_gateway_broken_answers.py
@@ -43,6 +43,12 @@
     return script
 
 
+def sound(sock, request):
+    """Send the stream, from the event that is asked for on."""
+    resumed = b'Last-Event-Id: 1' in request
+    sock.sendall(_TAIL if resumed else chunked(_WHOLE))
+
+
 class BrokenAnswerCase(EntryCase):
     """Starts engines that close connections, and some that then crash."""
 
@@ -173,6 +179,15 @@
         self.start_preferring_first(changed, [closing(), whole])
         self.assertEqual(_WHOLE, self.read(self.send_request())[1])
 
+    def test_goes_on_after_an_empty_answer_to_a_resumed_stream(self):
+        """An engine that sends nothing does not say that nothing is left."""
+        changed = route('streaming', resumable=True, max_attempts=3)
+        answers = [closing(_FIRST + b'id: 2\nda'), closing(), _TAIL]
+        self.start_preferring_first(changed, answers)
+        self.entry.fleet.loads.own.online['i-2'] += 6
+        self.assertEqual(_WHOLE, self.read(self.send_request())[1])
+        self.assertEqual(3, self.count_engine_requests())
+
     def test_whole_stream_is_complete(self):
         changed = route('streaming', resumable=True)
         self.start_preferring_first(changed, [closing(_WHOLE), _TAIL])
@@ -238,31 +253,45 @@
         ],
     )
     def test_text_is_whole(self, name, parts, crashes):
-        config = configuration(1, route('batch', max_attempts=3))
-        self.store.set('config', 'main', config)
+        self.check_text([closing(*parts)], crashes=crashes)
+        self.assertEqual(name == 'whole', len(self.requests) == 1)
 
-        def script(sock):
-            peer.read_request(sock)
-            closing(*parts)(sock, b'')
-            if crashes:
-                peer.close()
+    def test_empty_answer_to_a_resumed_item(self):
+        """An engine that sends nothing does not say that nothing is left."""
+        self.check_text([closing(_FIRST + b'id: 2\nda'), closing()])
+        self.assertIn(b'Last-Event-Id: 1', self.requests[-1])
+        self.assertEqual(3, len(self.requests))
 
-        def replacement(sock):
-            resumed = b'Last-Event-Id: 1' in other.read_request(sock)
-            sock.sendall(_TAIL if resumed else chunked(_WHOLE))
+    def check_text(self, answers, *, crashes=False):
+        """Have an item answered so, and at last by a sound engine."""
+        config = configuration(1, route('batch', max_attempts=3))
+        self.store.set('config', 'main', config)
 
-        peer = ScriptedPeer([script])
-        other = ScriptedPeer([replacement] * 4)
-        self.addCleanup(peer.close)
-        self.addCleanup(other.close)
-        self.store.set('servers', 'i-1', engine(peer.address))
+        answers = [*answers, sound]
+
+        def script_of(peer):
+            def script(sock):
+                request = peer.read_request(sock)
+                if request:
+                    self.requests.append(request)
+                    answers.pop(0)(sock, request)
+                if crashes and len(self.requests) == 1:
+                    peer.close()
+
+            return script
+
+        peers = [ScriptedPeer([]) for _peer in range(2)]
+        for peer in peers:
+            peer.run([script_of(peer)] * 9)
+            self.addCleanup(peer.close)
+        self.requests = []
+        self.store.set('servers', 'i-1', engine(peers[0].address))
         owner = self.start_sole_owner()
         self.submit(owner)
-        eventually(lambda: peer.requests)
-        self.store.set('servers', 'i-2', engine(other.address))
+        eventually(lambda: self.requests)
+        self.store.set('servers', 'i-2', engine(peers[1].address))
         eventually(lambda: self.results(owner))
         self.assertEqual('a\nb', self.results(owner)[0]['text'])
-        self.assertEqual(name == 'whole', not other.requests)
 
 
 class OwnProcessTest(unittest.TestCase):
