Soak with answers that end in all ways

Engines answer some streams without a length or chunks, break some of them off inside an event, and reset connections inside answers (--ends), beside engines and entries that are killed. Links pass a reset on as a reset; they made a close of it. The outcome counts such ends.

--- a/testing/src/bendlead_testing/gateway_soak/__main__.py
+++ b/testing/src/bendlead_testing/gateway_soak/__main__.py
@@ -27,6 +27,7 @@
     parser.add_argument('--deadly', type=int, default=0)
     parser.add_argument('--hard', action='store_true')
     parser.add_argument('--versions', type=int, default=1)
+    parser.add_argument('--ends', action='store_true')
     parser.add_argument(
         '--steps',
         type=json.loads,
@@ -43,6 +44,7 @@
         asked.deadly,
         asked.hard,
         asked.versions,
+        asked.ends,
     )
     # Told to stop, the soak still ends every process that it started.
     gevent.signal_handler(signal.SIGTERM, sys.exit, 1)
--- a/testing/src/bendlead_testing/gateway_soak/deployment.py
+++ b/testing/src/bendlead_testing/gateway_soak/deployment.py
@@ -150,11 +150,14 @@
         *,
         hard: bool = False,
         versions: int = 1,
+        ends: bool = False,
     ) -> None:
         """Lay it out; where load is hard, engines differ and teams compete."""
         self.hard = hard
         #: How many versions of engines serve side by side.
         self.versions = versions
+        #: Whether engines end answers in all ways.
+        self.ends = ends
         #: Whether a team sends many times its usual now.
         self.hot = False
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='gateway-soak-'))
@@ -286,6 +289,8 @@
         ]
         if self.hard:
             command.append(f'--pace={_PACES[number % len(_PACES)]}')
+        if self.ends:
+            command.append('--ends')
         name = f'engine-{number}'
         version = number % self.versions + 1
         command.extend((f'--spot={name}', f'--version=v{version}'))
--- a/testing/src/bendlead_testing/gateway_soak/disruptions.py
+++ b/testing/src/bendlead_testing/gateway_soak/disruptions.py
@@ -10,6 +10,7 @@
 
 from bendlead_testing.gateway_soak.deployment import Deployment, Process
 from bendlead_testing.gateway_soak.engine_process import (
+    END_TROUBLES,
     HARD_TROUBLES,
     EngineTrouble,
 )
@@ -223,7 +224,7 @@
             found[f'store {kind}'] = Disruption(begin, _store)
             found[f'store {kind} for one'] = Disruption(begin, _nodes)
     for bad in EngineTrouble:
-        if bad is not EngineTrouble.NONE and bad not in HARD_TROUBLES:
+        if bad not in {EngineTrouble.NONE, *HARD_TROUBLES, *END_TROUBLES}:
             found[f'engine {bad.value}'] = Disruption(
                 _engine_trouble(bad), _engines
             )
@@ -257,6 +258,17 @@
         'reset entry': Disruption(_link(LinkMode.RESET, 'client>{}'), _entries),
     }
 )
+#: What comes besides where ends of answers are tried.
+END_DISRUPTIONS: Mapping[str, Disruption] = MappingProxyType(
+    {
+        'kill engine': Disruption(_kill, _engines),
+        'kill entry': Disruption(_kill, _entries),
+        **{
+            f'engine {bad.value}': Disruption(_engine_trouble(bad), _engines)
+            for bad in END_TROUBLES
+        },
+    }
+)
 EVERY_DISRUPTION: Mapping[str, Disruption] = MappingProxyType(
-    DISRUPTIONS | HARD_DISRUPTIONS | VERSION_DISRUPTIONS
+    DISRUPTIONS | HARD_DISRUPTIONS | VERSION_DISRUPTIONS | END_DISRUPTIONS
 )
--- a/testing/src/bendlead_testing/gateway_soak/engine_journal.py
+++ b/testing/src/bendlead_testing/gateway_soak/engine_journal.py
@@ -16,6 +16,8 @@
     draining: dict[str, float] = field(default_factory=dict)
     crashes: list[dict[str, Any]] = field(default_factory=list)
     lives: list[dict[str, Any]] = field(default_factory=list)
+    #: Whole streams without a length or chunks.
+    unframed: int = 0
 
     def take(self, line: dict[str, Any]) -> None:
         """Index one line."""
@@ -30,6 +32,8 @@
             self.lives.append(line)
         elif kind == 'crash':
             self.crashes.append(line)
+        elif kind == 'unframed':
+            self.unframed += 1
         elif kind == 'draining':
             self.draining[line['engine']] = line['at']
 
--- a/testing/src/bendlead_testing/gateway_soak/engine_process.py
+++ b/testing/src/bendlead_testing/gateway_soak/engine_process.py
@@ -27,6 +27,7 @@
     marked_text,
     seal_of,
 )
+from bendlead_testing.gateway_soak.sightings import Kind
 
 _LIMITS = ClientLimits(idle_seconds=20)
 _BEAT_SECONDS = 0.5
@@ -34,6 +35,8 @@
 _EVENT_SECONDS = 0.02
 _FIRST_SECONDS = 0.03
 _QUEUE = 16
+#: Paths whose answers are no streams.
+_PLAIN_PATHS = (Kind.ONCE.value, Kind.SAFE.value, '/version-')
 #: An engine that can't tell the store that it leaves gives up after this (s).
 _TELL_SECONDS = 8.0
 #: A draining engine serves on this long (s) once the store knows.
@@ -44,6 +47,9 @@
 #: Part of the requests that a troubled engine treats badly.
 _BAD_SHARE = 0.3
 
+#: Part of the answers that end in each odd way, where ends are tried.
+_ODD_END_SHARE = 0.1
+
 
 class EngineTrouble(enum.Enum):
     """Say how an engine misbehaves for now."""
@@ -59,12 +65,19 @@
     #: All requests, at once.
     FAIL_FAST = 'fail-fast'
     RESET_ALL = 'reset-all'
+    #: Streams end with their connections, some of them inside an event.
+    UNFRAMED = 'unframed'
+    RESET_MIDWAY = 'reset-midway'
 
 
 #: Troubles that come only where load is hard.
 HARD_TROUBLES = frozenset((EngineTrouble.FAIL_FAST, EngineTrouble.RESET_ALL))
 
 
+#: Troubles that come only where ends of answers are tried.
+END_TROUBLES = frozenset((EngineTrouble.UNFRAMED, EngineTrouble.RESET_MIDWAY))
+
+
 class Journal:
     """Append lines that outlive the process."""
 
@@ -198,7 +211,10 @@
         self._journal.note('start', **facts)
         ending = 'dropped'
         try:
-            ending = self._run(name, headers, facts['after'], responder, until)
+            plain = facts['path'].startswith(_PLAIN_PATHS)
+            ending = self._run(
+                name, headers, facts['after'], responder, until, plain=plain
+            )
         finally:
             self._slots.release()
             self._journal.note('end', request=name, ending=ending)
@@ -210,6 +226,8 @@
         after: int,
         responder: Responder,
         until: float,
+        *,
+        plain: bool,
     ) -> str:
         if self._bad(EngineTrouble.HANG):
             gevent.sleep(until - time.monotonic())
@@ -238,8 +256,11 @@
             os._exit(_CRASHED)
         total = int(headers.get('x-token-usage', '0,5').split(',')[1])
         gevent.sleep(_FIRST_SECONDS)
+        if not plain and self._ends(EngineTrouble.UNFRAMED):
+            return self._run_unframed(name, after, total, responder)
         responder.start(200, 'OK', self._marks(name), None)
         cut = total // 2 if self._bad(EngineTrouble.BREAK_OFF) else total
+        reset = total // 2 if self._ends(EngineTrouble.RESET_MIDWAY) else total
         pause = _EVENT_SECONDS * self._asked.pace
         if self._trouble is EngineTrouble.SLOW:
             pause *= 5
@@ -247,6 +268,9 @@
             if number > cut:
                 responder.abort()
                 return 'broken-off'
+            if number > reset:
+                _reset(responder)
+                return 'reset'
             if time.monotonic() > until:
                 responder.abort()
                 return 'deadline'
@@ -262,13 +286,49 @@
             responder._send(b'Content-Length: 4\r\n\r\nmore')
         return 'done'
 
+    def _run_unframed(
+        self, name: str, after: int, total: int, responder: Responder
+    ) -> str:
+        """Answer without a length or chunks.
+
+        But for its end, the stream always stands inside an event, so that an
+        engine that is killed breaks off inside one.
+        """
+        responder.answer_until_close(200, 'OK', self._marks(name), b'')
+        broken = random.random() < _BAD_SHARE
+        cut = after + (total - after) // 2 if broken else total
+        end = b''
+        for number in range(after + 1, cut + 1):
+            text = marked_text(name, number, self._asked.version)
+            responder._send(end + f'id: {number}\ndata: {text}\n'.encode())
+            end = b'\n'
+            gevent.sleep(_EVENT_SECONDS * self._asked.pace)
+        if broken:
+            if random.random() < _BAD_SHARE:
+                _reset(responder)
+            return 'broken-off-unframed'
+        responder._send(end)
+        self._journal.note('unframed', request=name)
+        return 'done'
+
     def _marks(self, name: str) -> list[tuple[str, str]]:
         return [('X-Attempt-Id', name), ('X-Response-Seal', seal_of(name))]
 
+    def _ends(self, trouble: EngineTrouble) -> bool:
+        """Draw whether an answer ends that way, at times without a trouble."""
+        odd = self._asked.ends and random.random() < _ODD_END_SHARE
+        return odd or self._bad(trouble)
+
     def _bad(self, trouble: EngineTrouble) -> bool:
         return self._trouble is trouble and random.random() < _BAD_SHARE
 
 
+def _reset(responder: Responder) -> None:
+    responder.abort()
+    responder._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESETS)
+    responder._sock.close()
+
+
 def main() -> None:
     """Serve until ended."""
     parser = argparse.ArgumentParser()
@@ -278,6 +338,7 @@
     parser.add_argument('--pace', type=float, default=1.0)
     parser.add_argument('--version', default='v1')
     parser.add_argument('--spot', default='')
+    parser.add_argument('--ends', action='store_true')
     EngineStandIn(parser.parse_args()).run()
 
 
--- a/testing/src/bendlead_testing/gateway_soak/links.py
+++ b/testing/src/bendlead_testing/gateway_soak/links.py
@@ -90,7 +90,7 @@
     ) -> None:
         with contextlib.suppress(OSError):
             while True:
-                block = source.recv(_BLOCK)
+                block = _receive(source, sink)
                 if self.delay:
                     gevent.sleep(self.delay)
                 while self.mode in {LinkMode.SILENT, stopped_by}:
@@ -104,6 +104,15 @@
             end.close()
 
 
+def _receive(source: socket.socket, sink: socket.socket) -> bytes:
+    """Receive a block; pass a reset on."""
+    try:
+        return source.recv(_BLOCK)
+    except ConnectionResetError:
+        _reset(sink)
+        raise
+
+
 def _reset(end: socket.socket) -> None:
     with contextlib.suppress(OSError):
         end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESETS)
--- a/testing/src/bendlead_testing/gateway_soak/plan.py
+++ b/testing/src/bendlead_testing/gateway_soak/plan.py
@@ -6,6 +6,7 @@
 from bendlead_testing.gateway_soak.deployment import Deployment
 from bendlead_testing.gateway_soak.disruptions import (
     DISRUPTIONS,
+    END_DISRUPTIONS,
     EVERY_DISRUPTION,
     HARD_DISRUPTIONS,
     VERSION_DISRUPTIONS,
@@ -26,6 +27,8 @@
 _HARD_WEIGHT = 6
 #: How many times as often as another a disruption of several versions comes.
 _VERSION_WEIGHT = 8
+#: How many times as often as another a disruption of ends of answers comes.
+_END_WEIGHT = 8
 #: Calm before the first disruption, for the fleet to come up (s).
 WARM_SECONDS = 3.0
 
@@ -55,6 +58,8 @@
         others = [*others, *sorted(HARD_DISRUPTIONS) * _HARD_WEIGHT]
     if fleet.versions > 1:
         others = [*others, *sorted(VERSION_DISRUPTIONS) * _VERSION_WEIGHT]
+    if fleet.ends:
+        others = [*others, *sorted(END_DISRUPTIONS) * _END_WEIGHT]
     planned_share = 1 if chance.random() < _CALM_RUNS else _PLANNED_SHARE
     while at < WARM_SECONDS + seconds:
         lasts = chance.uniform(*_LASTS)
--- a/testing/src/bendlead_testing/gateway_soak/run.py
+++ b/testing/src/bendlead_testing/gateway_soak/run.py
@@ -55,6 +55,8 @@
     hard: bool = False
     #: Versions of engines that serve side by side.
     versions: int = 1
+    #: Whether engines end answers in all ways.
+    ends: bool = False
 
 
 @dataclass(frozen=True)
@@ -81,6 +83,7 @@
         size.engines,
         hard=size.hard,
         versions=size.versions,
+        ends=size.ends,
     )
     planned = draw(chance, fleet, seconds) if steps is None else list(steps)
     seen = Sightings()
@@ -102,7 +105,10 @@
     journal = read_journal(fleet.journal)
     seen.troubles.extend(_engine_ends(journal))
     return Outcome(
-        seed, check(seen, journal), _count(seen, planned), str(fleet.folder)
+        seed,
+        check(seen, journal),
+        _count(seen, planned) | _count_ends(journal),
+        str(fleet.folder),
     )
 
 
@@ -118,6 +124,17 @@
     ]
 
 
+def _count_ends(journal: EngineJournal) -> dict[str, int]:
+    endings = Counter(
+        line['ending'] for lines in journal.ends.values() for line in lines
+    )
+    return {
+        'unframed': journal.unframed,
+        'unframed_broken': endings['broken-off-unframed'],
+        'reset': endings['reset'],
+    }
+
+
 class _Operator:
     """Write configurations; each version brings a route and drops one."""
 
