--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -22,6 +22,7 @@
         self.status_code = status
         self._body = body
         self._headers = {name.lower(): text for name, text in headers.items()}
+        self._headers['content-length'] = str(len(body))
 
     def get(self, name: str):
         return self._headers.get(name.lower())
