Log the shared parts of prompts of requests that broke off

Cause: the hypotheses on engines that end one after the other could not be told apart in the log, which named no parts. Change: the adapter decodes the parts of a prompt that other requests may share (all but the last, 16 at most, none where the header is malformed or given twice); parts= on the request line of an attempt that an engine may have run.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -343,6 +343,8 @@
     if exchange.runs or exchange.quarantined:
         # Unlike the id, the digest is the same when the client retries.
         fields['digest'] = exchange.digest
+        if exchange.facts.shared_parts:
+            fields['parts'] = ','.join(exchange.facts.shared_parts)
     return {
         name: logged
         for name, logged in fields.items()
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/ids.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/ids.py
@@ -3,6 +3,8 @@
 from typing import NewType
 
 RequestId = NewType('RequestId', str)
+#: Part of a prompt that several requests may share.
+PromptPart = NewType('PromptPart', str)
 JobId = NewType('JobId', str)
 ItemId = NewType('ItemId', str)
 EngineId = NewType('EngineId', str)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/requests.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/requests.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from bendlead_gateway._types.ids import RequestId
+from bendlead_gateway._types.ids import PromptPart, RequestId
 
 Headers = Sequence[tuple[str, str]]
 
@@ -16,6 +16,7 @@
     ``resume_after`` is the id of the last event received, for a resumed stream.
     ``resumes`` is the id of the request that received its first event, ``None``
     unless exactly one is named.
+    ``shared_parts`` are the parts of the prompt that other requests may share.
     """
 
     request: RequestId
@@ -23,3 +24,4 @@
     timeout: float | None = None
     resume_after: int | None = None
     resumes: RequestId | None = None
+    shared_parts: tuple[PromptPart, ...] = ()
--- a/packages/bendlead-gateway/src/bendlead_gateway/dialect.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/dialect.py
@@ -17,6 +17,7 @@
     JobCall,
     KeyDigest,
     PeerRecord,
+    PromptPart,
     RequestFacts,
     StopOrder,
     Submission,
@@ -57,6 +58,9 @@
     def request_facts(self, headers: Headers) -> RequestFacts | None:
         """Decode a client's headers; None if the request id is missing."""
 
+    def shared_parts(self, headers: Headers) -> tuple[PromptPart, ...]:
+        """Return the parts of a prompt that other requests may share."""
+
     def caller_key(self, headers: Headers) -> KeyDigest | None:
         """Return the digest of a client's key; None if no key was sent."""
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/types.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/types.py
@@ -12,6 +12,7 @@
     ItemId,
     JobId,
     NodeName,
+    PromptPart,
     RequestId,
     ServiceName,
 )
@@ -74,6 +75,7 @@
     'NodeRole',
     'NodeSettings',
     'PeerRecord',
+    'PromptPart',
     'ReadBody',
     'ReadResults',
     'RequestFacts',
--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -198,6 +198,35 @@
     def test_no_id(self):
         self.assertIsNone(_DIALECT.request_facts([('Host', 'a')]))
 
+    @parameterized.expand(
+        [
+            ('all_but_the_last', 'a1:800,B2:410,e4:250', ('a1', 'b2')),
+            ('spaces', 'a1:800, b2:410 ,e4:250', ('a1', 'b2')),
+            ('twice', 'a1:800,a1:800,e4:250', ('a1',)),
+            ('last_only', 'e4:250', ()),
+            ('empty', '', ()),
+            ('no_tokens', 'a1,b2:1,c3:1', ()),
+            ('not_hex', 'x1:1,b2:1,c3:1', ()),
+            ('no_id', ':1,b2:1,c3:1', ()),
+            ('negative', 'a1:-1,b2:1,c3:1', ()),
+            ('gap', 'a1:1,,c3:1', ()),
+            ('long_id', f'{"a" * 65}:1,c3:1', ()),
+        ]
+    )
+    def test_shared_parts(self, _name, sent, expected):
+        headers = [('X-Attempt-Id', 'r'), ('X-Prompt-Prefix', sent)]
+        facts = _DIALECT.request_facts(headers)
+        self.assertEqual(expected, facts.shared_parts)
+
+    def test_shared_parts_are_bounded(self):
+        sent = ','.join(f'{part:x}:1' for part in range(5000))
+        found = _DIALECT.shared_parts([('X-Prompt-Prefix', sent)])
+        self.assertEqual(16, len(found))
+
+    def test_parts_given_twice_are_none(self):
+        headers = [('X-Prompt-Prefix', 'a1:8,e4:2')] * 2
+        self.assertEqual((), _DIALECT.shared_parts(headers))
+
     def test_engine_headers_replace_client_headers(self):
         headers = [
             ('X-Attempt-Id', 'id1'),
