--- a/tools/reference.py
+++ b/tools/reference.py
@@ -21,7 +21,9 @@
         if 'enum' in kind:
             parts.append(f'\nOne of: {", ".join(kind["enum"])}.\n')
             continue
-        parts.append('\n| key | default | range | meaning |\n|---|---|---|---|\n')
+        parts.append(
+            '\n| key | default | range | meaning |\n|---|---|---|---|\n'
+        )
         parts.extend(
             _table_row(key, field) for key, field in kind['properties'].items()
         )
