Quarantine parts of prompts that crash engines

Cause: a crash was held against the digest of whole requests only; what they share was read nowhere. Class: evidence counted for a key that the cause does not have. Ruled out: crashes without a request as their cause (each within 0.15 s of a request that had begun, in several halls), and evidence that is lost or late (no digest had two crashes anywhere). Change: crashes are held against the shared parts of the requests, too, unless their answer had gone on for 1 s, and told like digests. A part is found by a sequential test: was it running at more crashes than its share of requests explains, since the last whole answer to a request with it? Crashes of 0.1 s count as one, a repeated request once, and what a found part explains speaks for no other. Found parts are refused for an hour (503 with the time), items wait; a whole answer or an operator releases them. All processes know by reports, late starters by the object service. Checked before each send: new, queued and repeated requests, streams and items.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
@@ -15,6 +15,7 @@
 from bendlead_gateway._scheduling.fair_order import FairOrder, ItemCost
 from bendlead_gateway._scheduling.urgency import ItemDurations, Urgency
 from bendlead_gateway._suspects.crash_history import ITEM_QUARANTINE_SECONDS
+from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import Route
 
 #: Tolerance for clock skew: another process may have accepted the job.
@@ -67,12 +68,14 @@
         durations: ItemDurations,
         metrics: Metrics,
         give_up: GiveUp,
+        dialect: Dialect,
     ) -> None:
         self._manager = manager
         self._fleet = fleet
         self._durations = durations
         self._metrics = metrics
         self._give_up = give_up
+        self._dialect = dialect
         self._fair_order = FairOrder()
 
     def ranked(self) -> list[Candidate]:
@@ -154,7 +157,9 @@
 
     def _quarantined(self, job: OwnedJob, progress: Progress) -> bool:
         remaining_seconds = self._fleet.suspects.remaining_quarantine(
-            lambda: job.digest(progress), ITEM_QUARANTINE_SECONDS
+            lambda: job.digest(progress),
+            ITEM_QUARANTINE_SECONDS,
+            progress.read_shared_parts(self._dialect),
         )
         return remaining_seconds > 0
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -13,8 +13,9 @@
 from bendlead_gateway._online.answer_body import AnswerBody
 from bendlead_gateway._online.events import EventSplitter, StreamEvent
 from bendlead_gateway._suspects.digest import RequestDigest
+from bendlead_gateway._suspects.suspected_parts import find_suspected_parts
 from bendlead_gateway.dialect import Dialect
-from bendlead_gateway.types import Engine, ItemOutcome, Route
+from bendlead_gateway.types import Engine, ItemOutcome, PromptPart, Route
 
 #: Timeout of each read and write on a connection to an engine.
 _IO_TIMEOUT_SECONDS = 2.0
@@ -47,6 +48,7 @@
     #: When the request was sent (uptime, s); whether a response has begun.
     sent_at: float = 0
     response_started: bool = False
+    response_started_at: float = 0
     #: When output last arrived (uptime, s), 0 for never.
     last_output_at: float = 0
 
@@ -55,6 +57,13 @@
         """Return the digest of the request, equal for all runs of the item."""
         return self.job.digest(self.progress)
 
+    @property
+    def suspected_parts(self) -> tuple[PromptPart, ...]:
+        """Return the parts that may be the cause if the engine crashes now."""
+        return find_suspected_parts(
+            self.progress.shared_parts or (), self.response_started_at
+        )
+
     @property
     def silent_seconds(self) -> float:
         """Return the seconds since the last output, 0 before the first."""
@@ -119,6 +128,9 @@
             run.job.team,
         )
         run.sent_at = clock.uptime()
+        self._fleet.suspects.record_sent(
+            run.progress.read_shared_parts(self._dialect)
+        )
         connection.send(
             ITEM_METHOD, item.path, headers, item.body, _IO_TIMEOUT_SECONDS
         )
@@ -127,6 +139,7 @@
             answer = self._dialect.engine_answer(head.status, head.headers)
             if answer.request in {None, item.item}:
                 run.response_started = True
+                run.response_started_at = clock.uptime()
                 return head
             connection.skip_response(head, _IO_TIMEOUT_SECONDS)
             connection.disable_reuse()
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owned_job.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owned_job.py
@@ -13,6 +13,7 @@
 from msgspec import Struct, field
 
 from bendlead_gateway._suspects.digest import RequestDigest, digest_request
+from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import (
     EngineVersion,
     ItemId,
@@ -20,6 +21,7 @@
     ItemResult,
     JobId,
     JobItem,
+    PromptPart,
     TeamName,
 )
 
@@ -43,6 +45,8 @@
     not_before: float = 0
     #: Computed on first use: the scheduler checks waiting items often.
     digest: RequestDigest | None = None
+    #: Parts of the prompt that other requests may share, ``None`` if not read.
+    shared_parts: tuple[PromptPart, ...] | None = None
     #: Start of the current run.
     _run_started_at: float | None = None
     #: Start of the first run under this owner.
@@ -79,6 +83,13 @@
             _saved_event=saved.last_event,
         )
 
+    def read_shared_parts(self, dialect: Dialect) -> tuple[PromptPart, ...]:
+        """Return the parts of the prompt that other requests may share."""
+        if self.shared_parts is None:
+            headers = list(self.item.headers.items())
+            self.shared_parts = dialect.shared_parts(headers)
+        return self.shared_parts
+
     @property
     def running(self) -> bool:
         """Return whether the item is running."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -71,7 +71,12 @@
         self._wake = Event()
         self._backlog_monitor = BacklogMonitor(manager, self._durations)
         self._candidates = Candidates(
-            manager, fleet, self._durations, metrics, self._give_up
+            manager,
+            fleet,
+            self._durations,
+            metrics,
+            self._give_up,
+            dialect,
         )
         self._hold_back_states = HoldBackStates()
         self.backlog_rates = BacklogRates()
@@ -236,7 +241,10 @@
         if not run.stopped:
             if isinstance(error, OSError):
                 broken = BrokenResponse(
-                    run.digest, run.sent_at, run.response_started
+                    run.digest,
+                    run.sent_at,
+                    run.response_started,
+                    run.suspected_parts,
                 )
                 self._fleet.suspects.record_broken(run.engine, broken)
             self._fleet.health.record_failure(run.engine.engine)
@@ -267,7 +275,9 @@
         )
         text = ''
         if outcome is ItemOutcome.COMPLETED:
-            self._fleet.suspects.record_success(lambda: job.digest(progress))
+            self._fleet.suspects.record_success(
+                lambda: job.digest(progress), progress.shared_parts or ()
+            )
             text = '\n'.join(progress.texts)
         item_result = ItemResult(progress.item.item, outcome, text)
         self._metrics.items[outcome.value] += 1
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -85,6 +85,7 @@
         exchange.sends += 1
         if exchange.sends == 1:
             self._retry_budget.earn()
+            self._fleet.suspects.record_sent(exchange.facts.shared_parts)
         loads.start_online(name)
         connection = None
         idle_seconds = None
@@ -93,7 +94,7 @@
             idle_seconds = self._run(exchange, view, connection)
         except _ABANDONED:
             self._fleet.suspects.record_abandoned(
-                engine, exchange.digest, exchange.sent_at
+                engine, _broken(exchange, response_started=False)
             )
             raise
         finally:
@@ -120,6 +121,7 @@
         """Relay the response; return the keep-alive time (s) of the engine."""
         engine = view.engine
         head = self._send_and_read_head(exchange, view, connection)
+        exchange.head_at = clock.uptime()
         self._health.record_activity(engine.engine)
         answer = self._dialect.engine_answer(head.status, head.headers)
         if answer.closing:
@@ -150,7 +152,9 @@
             )
         self._relay(exchange, engine, connection, head)
         if head.status < HTTPStatus.MULTIPLE_CHOICES:
-            self._fleet.suspects.record_success(lambda: exchange.digest)
+            self._fleet.suspects.record_success(
+                lambda: exchange.digest, exchange.facts.shared_parts
+            )
         return answer.idle_seconds
 
     def _send_and_read_head(
@@ -162,6 +166,7 @@
         silent = False
         exchange.maybe_delivered = True
         exchange.sent_at = clock.uptime()
+        exchange.head_at = 0
         try:
             self._send(exchange, engine, connection)
             return self._read_own_head(exchange, connection, timeout)
@@ -278,9 +283,7 @@
     def _report_broken(
         self, exchange: Exchange, engine: Engine, *, response_started: bool
     ) -> None:
-        broken = BrokenResponse(
-            exchange.digest, exchange.sent_at, response_started
-        )
+        broken = _broken(exchange, response_started=response_started)
         self._fleet.suspects.record_broken(engine, broken)
 
     def _log_failure(
@@ -295,3 +298,12 @@
             reason=error,
             paused=paused,
         )
+
+
+def _broken(exchange: Exchange, *, response_started: bool) -> BrokenResponse:
+    return BrokenResponse(
+        exchange.digest,
+        exchange.sent_at,
+        response_started,
+        exchange.suspected_parts,
+    )
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -7,9 +7,11 @@
 from bendlead_gateway._http.messages import Request, Responder
 from bendlead_gateway._scheduling.team_shares import UNCONTESTED, ShareUse
 from bendlead_gateway._suspects.digest import RequestDigest, digest_request
+from bendlead_gateway._suspects.suspected_parts import find_suspected_parts
 from bendlead_gateway.types import (
     EngineId,
     EngineVersion,
+    PromptPart,
     RequestFacts,
     Route,
     RouteKind,
@@ -47,6 +49,8 @@
     sends: int = 0
     #: Start of the latest send, in seconds of uptime.
     sent_at: float = 0
+    #: When the head of the latest response arrived, 0 before it.
+    head_at: float = 0
     last_event: int | None = None
     first_event: float = 0
     #: Version of the engine that sent the first event, ``None`` before it.
@@ -78,6 +82,11 @@
             )
         return self._digest
 
+    @property
+    def suspected_parts(self) -> tuple[PromptPart, ...]:
+        """Return the parts that may be the cause if the engine crashes now."""
+        return find_suspected_parts(self.facts.shared_parts, self.head_at)
+
     @property
     def seconds_left(self) -> float:
         """Return the seconds until the deadline."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -182,7 +182,9 @@
 
     def _quarantine_left(self, exchange: Exchange) -> float:
         return self._fleet.suspects.remaining_quarantine(
-            lambda: exchange.digest, REQUEST_QUARANTINE_SECONDS
+            lambda: exchange.digest,
+            REQUEST_QUARANTINE_SECONDS,
+            exchange.facts.shared_parts,
         )
 
     def _refuse_quarantined(
@@ -195,6 +197,11 @@
         self._metrics.quarantined += 1
         exchange.quarantined = True
         reason = 'quarantined: engines crashed while running it'
+        part = self._fleet.suspects.quarantined_part(
+            exchange.facts.shared_parts
+        )
+        if part:
+            reason = f'quarantined: engines crashed on part {part}'
         if exchange.runs:
             return self._give_up(exchange, reason)
         return self._refuse(exchange, reason, seconds_left)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_detector.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_detector.py
@@ -17,7 +17,12 @@
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._suspects.crash_check import CrashCheck
 from bendlead_gateway._suspects.digest import RequestDigest
-from bendlead_gateway.types import Engine, EngineId, EngineState
+from bendlead_gateway.types import (
+    Engine,
+    EngineId,
+    EngineState,
+    PromptPart,
+)
 
 #: Pauses before the probes that follow a broken response. The listening socket
 #: of a process may close some ms after its connections.
@@ -39,11 +44,14 @@
 
 _Incarnation = tuple[str, int]
 
-#: Called with a crashed engine and a request that it was running.
-OnCrash = Callable[[Engine, RequestDigest], None]
+_Parts = tuple[PromptPart, ...]
 
+#: Called with a crashed engine, a request that it was running, and those of its
+#: parts that may have caused the crash.
+OnCrash = Callable[[Engine, RequestDigest, _Parts], None]
 
-def ignore_crash(engine: Engine, digest: RequestDigest) -> None:
+
+def ignore_crash(engine: Engine, digest: RequestDigest, parts: _Parts) -> None:
     """Ignore a crash."""
 
 
@@ -52,11 +60,14 @@
 
     ``sent_at`` is when its request was sent (s on the steady clock),
     ``response_started`` whether some bytes of the response had arrived.
+    ``suspected_parts`` are the shared parts of a request that may have caused
+    a crash at that moment.
     """
 
     digest: RequestDigest
     sent_at: float
     response_started: bool
+    suspected_parts: tuple[PromptPart, ...] = ()
 
 
 class _PossibleCrash(Struct):
@@ -64,9 +75,9 @@
 
     engine: Engine
     noticed_at: float
-    digests: set[RequestDigest] = field(default_factory=set)
+    digests: dict[RequestDigest, _Parts] = field(default_factory=dict)
     #: Requests closed at once, perhaps by a proxy in front of the engine.
-    closed_early: set[RequestDigest] = field(default_factory=set)
+    closed_early: dict[RequestDigest, _Parts] = field(default_factory=dict)
     confirmed: bool = False
     #: Set after the first probe.
     probed: Event = field(default_factory=Event)
@@ -87,7 +98,9 @@
         self._log = log
         self._metrics = metrics
         self._possible: dict[_Incarnation, _PossibleCrash] = {}
-        self._abandoned: dict[_Incarnation, dict[RequestDigest, float]] = {}
+        self._abandoned: dict[
+            _Incarnation, dict[RequestDigest, tuple[float, _Parts]]
+        ] = {}
         self._check = CrashCheck()
         self.on_crash: OnCrash = ignore_crash
 
@@ -106,15 +119,16 @@
         if crash is not None:
             self._add(crash, broken)
 
-    def record_abandoned(self, engine: Engine, digest: RequestDigest) -> None:
+    def record_abandoned(
+        self, engine: Engine, digest: RequestDigest, parts: _Parts = ()
+    ) -> None:
         """Record that the client of a running request disconnected.
 
         The engine may go on with the request, and crash a moment later.
         """
         self._expire()
-        self._abandoned.setdefault(_incarnation(engine), {})[digest] = (
-            clock.uptime()
-        )
+        abandoned = self._abandoned.setdefault(_incarnation(engine), {})
+        abandoned[digest] = (clock.uptime(), parts)
 
     def record_refused(self, engine: Engine) -> None:
         """Record that an engine's address refused a connection."""
@@ -173,11 +187,11 @@
             return
         elapsed = clock.uptime() - broken.sent_at
         if not broken.response_started and elapsed < _EARLY_CLOSE_SECONDS:
-            crash.closed_early.add(broken.digest)
+            crash.closed_early[broken.digest] = broken.suspected_parts
             return
-        crash.digests.add(broken.digest)
+        crash.digests[broken.digest] = broken.suspected_parts
         if crash.confirmed:
-            self.on_crash(crash.engine, broken.digest)
+            self.on_crash(crash.engine, broken.digest, broken.suspected_parts)
 
     def _probe(self, crash: _PossibleCrash) -> None:
         for pause in _PROBE_PAUSES_SECONDS:
@@ -210,11 +224,11 @@
             return
         crash.confirmed = True
         since = crash.noticed_at - _ABANDONED_SECONDS
-        for digest, abandoned_at in self._abandoned.pop(
+        for digest, (abandoned_at, parts) in self._abandoned.pop(
             _incarnation(crash.engine), {}
         ).items():
             if abandoned_at > since:
-                crash.digests.add(digest)
+                crash.digests.setdefault(digest, parts)
         self._metrics.engine_ends += 1
         self._log.event(
             'engine-ended',
@@ -224,8 +238,8 @@
             after_ms=round((clock.uptime() - crash.noticed_at) * 1000),
             digests=','.join(sorted(crash.digests)),
         )
-        for digest in crash.digests:
-            self.on_crash(crash.engine, digest)
+        for digest, suspected in crash.digests.items():
+            self.on_crash(crash.engine, digest, suspected)
 
     def _expire(self) -> None:
         """Forget broken responses and abandoned requests that are too old."""
@@ -234,7 +248,7 @@
             if crash.noticed_at < oldest:
                 self._possible.pop(incarnation)
         for incarnation, abandoned in list(self._abandoned.items()):
-            if max(abandoned.values()) < oldest:
+            if max(abandoned.values())[0] < oldest:
                 self._abandoned.pop(incarnation)
 
 
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_table.py
@@ -0,0 +1,79 @@
+"""Recent engine crashes and the requests that were running at each."""
+
+from collections.abc import Iterable, Iterator, Mapping
+
+from msgspec import Struct, field
+
+from bendlead_gateway._suspects.digest import RequestDigest
+
+#: Crashes nearer to the first of them than this may have one cause.
+_SAME_CAUSE_MS = 100
+_MAX_CRASHES = 128
+
+
+class _Crash(Struct):
+    at_ms: int
+    requests: set[RequestDigest] = field(default_factory=set)
+
+
+class Incident(Struct):
+    """Crashes that may have one cause.
+
+    ``running`` counts the requests that are known to have been running.
+    """
+
+    at_ms: int
+    running: int
+    incarnations: set[str]
+
+
+class CrashTable:
+    """Crashes by engine incarnation, the latest of them.
+
+    A request counts at its first crash only. Unlike the records of requests it
+    keeps those that were answered since.
+    """
+
+    def __init__(self) -> None:
+        self._crashes: dict[str, _Crash] = {}
+        self._counted: dict[RequestDigest, str] = {}
+
+    def add(self, digest: RequestDigest, ends: Mapping[str, int]) -> None:
+        """Add the crashes at which a request was running."""
+        if not ends:
+            return
+        first = min(ends, key=ends.__getitem__)
+        if self._counted.setdefault(digest, first) != first:
+            return
+        crash = self._crashes.setdefault(first, _Crash(ends[first]))
+        crash.at_ms = min(crash.at_ms, ends[first])
+        crash.requests.add(digest)
+        while len(self._crashes) > _MAX_CRASHES:
+            oldest = min(self._crashes, key=self._time_of)
+            for request in self._crashes.pop(oldest).requests:
+                self._counted.pop(request)
+
+    def incidents(
+        self, until_ms: int, explained: Iterable[str]
+    ) -> Iterator[Incident]:
+        """Yield the incidents up to a time, without explained crashes."""
+        skipped = frozenset(explained)
+        times = sorted(
+            (crash.at_ms, incarnation)
+            for incarnation, crash in self._crashes.items()
+            if crash.at_ms <= until_ms and incarnation not in skipped
+        )
+        incident: Incident | None = None
+        for at_ms, incarnation in times:
+            if incident and at_ms - incident.at_ms > _SAME_CAUSE_MS:
+                yield incident
+                incident = None
+            if incident is None:
+                incident = Incident(at_ms, 0, set())
+            incident.running += len(self._crashes[incarnation].requests)
+            incident.incarnations.add(incarnation)
+        if incident:
+            yield incident
+
+    def _time_of(self, incarnation: str) -> int:
+        return self._crashes[incarnation].at_ms
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/digest.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/digest.py
@@ -3,12 +3,14 @@
 from hashlib import sha256
 from typing import NewType
 
-from bendlead_gateway.types import TeamName
+from bendlead_gateway.types import PromptPart, TeamName
 
 #: Digest of a request's team, method, host, target and body; the same for each
-#: attempt.
+#: attempt. Parts of prompts are suspected under names of the same type.
 RequestDigest = NewType('RequestDigest', str)
 
+_PART_PREFIX = 'part-'
+
 #: 128 bits, so that neither accidental nor forged collisions are practical.
 _DIGEST_HEX_DIGITS = 32
 
@@ -23,3 +25,18 @@
         hasher.update(f'{len(part)}:{part}'.encode('utf-8', 'surrogateescape'))
     hasher.update(body)
     return RequestDigest(hasher.hexdigest()[:_DIGEST_HEX_DIGITS])
+
+
+def name_part(part: PromptPart) -> RequestDigest:
+    """Return the name under which a part of prompts is suspected."""
+    return RequestDigest(f'{_PART_PREFIX}{part}')
+
+
+def names_part(digest: RequestDigest) -> bool:
+    """Return whether a suspect is a part of prompts."""
+    return digest.startswith(_PART_PREFIX)
+
+
+def part_of(suspect: RequestDigest) -> PromptPart:
+    """Return the part of prompts that a suspect is."""
+    return PromptPart(suspect.removeprefix(_PART_PREFIX))
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
@@ -0,0 +1,130 @@
+"""Search for parts of prompts that crash engines.
+
+A sequential test of each part: did more crashes happen while a request with it
+was running than its share of the requests explains? A part is only tested on
+crashes since the last complete answer to a request with it, and not on those
+that a part found before explains.
+"""
+
+import heapq
+import math
+from collections.abc import Iterator, Mapping, Sequence
+
+from msgspec import Struct
+
+from bendlead_gateway._suspects.crash_history import CrashHistory
+from bendlead_gateway._suspects.crash_table import CrashTable, Incident
+from bendlead_gateway._suspects.digest import (
+    RequestDigest,
+    names_part,
+    part_of,
+)
+from bendlead_gateway._suspects.part_shares import PartShares
+
+#: Share of crashes that a part causes which crashes engines; others happen
+#: meanwhile.
+_CAUSED_SHARE = 0.7
+#: Logarithm of the likelihood ratio from which on a part is found. A sound part
+#: reaches it from a given crash with a probability below exp(-9), 1 in 8,100.
+_FOUND_EVIDENCE = 9.0
+_MIN_INCIDENTS = 3
+#: Bound of the time that a search takes.
+_MAX_CANDIDATES = 32
+#: Time for all processes to report the requests that were running at a crash.
+_REPORT_MS = 200
+
+
+class FoundPart(Struct, frozen=True):
+    """A part of prompts that crashes engines, and the evidence for it."""
+
+    suspect: RequestDigest
+    evidence: float
+    incidents: int
+
+
+class PartSearch:
+    """Find parts in the history of crashes."""
+
+    def __init__(
+        self, history: CrashHistory, crashes: CrashTable, shares: PartShares
+    ) -> None:
+        self._history = history
+        self._crashes = crashes
+        self._shares = shares
+
+    def find(self, now_ms: int) -> FoundPart | None:
+        """Return the part with the most evidence, if that is enough.
+
+        Among equals it is the one recorded last: it comes later in prompts,
+        so fewer requests share it. The caller records it, so that its crashes
+        speak for no other part.
+        """
+        incidents = list(
+            self._crashes.incidents(now_ms - _REPORT_MS, self._explained())
+        )
+        found = [self._test(part, incidents) for part in self._candidates()]
+        enough = [part for part in found if part.evidence >= _FOUND_EVIDENCE]
+        enough.reverse()
+        return max(enough, key=_evidence_of, default=None)
+
+    def _candidates(self) -> Sequence[RequestDigest]:
+        """Return the parts that were running at most crashes.
+
+        Those with equally many stand in the order in which they were recorded.
+        """
+        counts = {
+            suspect: crashes
+            for suspect, crashes in self._history.summary().items()
+            if names_part(suspect)
+            and crashes >= _MIN_INCIDENTS
+            and not self._history.is_quarantined(suspect)
+        }
+        return heapq.nlargest(_MAX_CANDIDATES, counts, key=counts.__getitem__)
+
+    def _test(
+        self, suspect: RequestDigest, incidents: Sequence[Incident]
+    ) -> FoundPart:
+        part = part_of(suspect)
+        ends = self._history.record(suspect).ends
+        shares = {
+            incarnation: self._shares.share_at(part, incarnation)
+            for incarnation in ends
+        }
+        evidence, count = _weigh(incidents, shares)
+        if count < _MIN_INCIDENTS:
+            evidence = 0
+        return FoundPart(suspect, evidence, count)
+
+    def _explained(self) -> Iterator[str]:
+        for suspect in self._history.quarantined():
+            if names_part(suspect):
+                yield from self._history.record(suspect).ends
+
+
+def _weigh(
+    incidents: Sequence[Incident], shares: Mapping[str, float]
+) -> tuple[float, int]:
+    """Return the evidence, and the incidents at which a part was running.
+
+    ``shares`` are those of the part as of the crashes at which it was.
+    """
+    evidence = 0.0
+    count = 0
+    for incident in incidents:
+        present = incident.incarnations.intersection(shares)
+        if present:
+            share = max(shares[incarnation] for incarnation in present)
+            running = max(1, incident.running)
+            by_chance = 1 - (1 - share) ** running
+            explained = _CAUSED_SHARE + (1 - _CAUSED_SHARE) * by_chance
+            evidence += math.log(explained / by_chance)
+            count += 1
+        else:
+            evidence += math.log(1 - _CAUSED_SHARE)
+        if evidence <= 0:
+            evidence, count = 0.0, 0
+    return evidence, count
+
+
+def _evidence_of(found: FoundPart) -> float:
+    return found.evidence
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspect_store.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspect_store.py
@@ -18,11 +18,13 @@
 
 from bendlead_gateway._log import Log
 from bendlead_gateway._suspects.crash_history import CrashHistory
-from bendlead_gateway._suspects.digest import RequestDigest
+from bendlead_gateway._suspects.digest import RequestDigest, names_part
 
 #: Crashes from which on a suspect is stored. Most requests with a single crash
 #: only ran beside the one that caused it, and writes cost money.
 CRASHES_UNTIL_STORED = 2
+#: The same for a part of prompts, which is often present by chance.
+PART_CRASHES_UNTIL_STORED = 3
 _RETRY_SECONDS = 0.5
 #: Interval of the removal of expired records.
 _SWEEP_SECONDS = 600.0
@@ -63,8 +65,11 @@
 
     def save(self, digest: RequestDigest) -> None:
         """Queue a changed record for writing if it has enough crashes."""
+        least = CRASHES_UNTIL_STORED
+        if names_part(digest):
+            least = PART_CRASHES_UNTIL_STORED
         stored = digest in self._versions
-        if stored or self._history.crash_count(digest) >= CRASHES_UNTIL_STORED:
+        if stored or self._history.crash_count(digest) >= least:
             self._unwritten.add(digest)
             self._write_requested.set()
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -1,8 +1,9 @@
 """Suspects that this process and its peers know of."""
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
+import gevent
 from bendlead_schema.gateway import SuspectRecord
 from bendlead_store import FollowedStore
 
@@ -16,15 +17,27 @@
     CRASHES_UNTIL_QUARANTINE,
     CrashHistory,
 )
-from bendlead_gateway._suspects.digest import RequestDigest
+from bendlead_gateway._suspects.crash_table import CrashTable
+from bendlead_gateway._suspects.digest import (
+    RequestDigest,
+    name_part,
+    names_part,
+    part_of,
+)
+from bendlead_gateway._suspects.part_search import PartSearch
+from bendlead_gateway._suspects.part_shares import PartShares
 from bendlead_gateway._suspects.suspect_store import SuspectStore
-from bendlead_gateway.types import Engine, EngineId
+from bendlead_gateway.types import Engine, EngineId, PromptPart
 
+_MS_PER_SECOND = 1000
 #: Age up to which changes are sent to peers. A process that starts reads older
 #: ones from the object service.
 _GOSSIP_SECONDS = 60.0
 #: Limit of one report; the next one has the remaining records.
 _MAX_REPORTED = 32
+#: Pause from news of a crash until parts are searched for, so that the reports
+#: of other processes have arrived.
+_SEARCH_PAUSE_SECONDS = 0.25
 
 
 class Suspects:
@@ -42,44 +55,63 @@
         self._log = log
         self._metrics = metrics
         self._history = CrashHistory()
+        self._crashes = CrashTable()
+        self._shares = PartShares()
+        self._search = PartSearch(self._history, self._crashes, self._shares)
+        self._searching: gevent.Greenlet | None = None
         self.crash_detector = CrashDetector(
             takes_requests, last_response_at, log, metrics
         )
         self.crash_detector.on_crash = self._add_crash
         self.store = SuspectStore(self._history, store, prefix, log)
 
+    def record_sent(self, parts: Sequence[PromptPart]) -> None:
+        """Count the shared parts of a request, on its first send only."""
+        self._shares.add(parts)
+
     def remaining_quarantine(
-        self, digest_of: Callable[[], RequestDigest], first: float
+        self,
+        digest_of: Callable[[], RequestDigest],
+        first: float,
+        parts: Sequence[PromptPart] = (),
     ) -> float:
         """Return the seconds until a request may be sent to an engine.
 
         ``first`` is the length of its first quarantine (s). The digest is only
-        computed while some request is quarantined.
+        computed while some suspect is quarantined.
         """
         if not self._history.any_quarantined:
             return 0
-        return self._history.remaining_quarantine(
-            digest_of(), first, time.time()
+        now = time.time()
+        suspects = [digest_of(), *map(name_part, parts)]
+        return max(
+            self._history.remaining_quarantine(suspect, first, now)
+            for suspect in suspects
         )
 
+    def quarantined_part(self, parts: Sequence[PromptPart]) -> str:
+        """Return the first quarantined part, or an empty string."""
+        for part in parts:
+            if self._history.is_quarantined(name_part(part)):
+                return part
+        return ''
+
     def record_broken(self, engine: Engine, broken: BrokenResponse) -> None:
         """Record that an engine's response to a request broke off."""
         self.crash_detector.record_broken(engine, broken)
 
-    def record_abandoned(
-        self, engine: Engine, digest: RequestDigest, sent_at: float
-    ) -> None:
+    def record_abandoned(self, engine: Engine, broken: BrokenResponse) -> None:
         """Record that the client of a running request disconnected.
 
         The engine is only probed where the request is a suspect: clients
         disconnect often, and each probe opens a connection.
         """
-        if self._history.crash_count(digest):
-            self.crash_detector.record_broken(
-                engine, BrokenResponse(digest, sent_at, response_started=False)
-            )
+        if self._history.crash_count(broken.digest):
+            self.crash_detector.record_broken(engine, broken)
         else:
-            self.crash_detector.record_abandoned(engine, digest)
+            self.crash_detector.record_abandoned(
+                engine, broken.digest, broken.suspected_parts
+            )
 
     def await_probe(self, digest: RequestDigest) -> None:
         """Wait for an engine's probe if one more crash means quarantine.
@@ -90,21 +122,27 @@
         if self._history.crash_count(digest) == CRASHES_UNTIL_QUARANTINE - 1:
             self.crash_detector.await_probe(digest)
 
-    def record_success(self, digest_of: Callable[[], RequestDigest]) -> None:
-        """Clear a request to which an engine sent a complete response."""
+    def record_success(
+        self,
+        digest_of: Callable[[], RequestDigest],
+        parts: Sequence[PromptPart] = (),
+    ) -> None:
+        """Clear a request that was answered completely, and its parts."""
         if not self._history.any_suspects:
             return
-        digest = digest_of()
-        if self._history.clear(digest, time.time()):
-            self._log.event('suspect-cleared', digest=digest)
-            self.store.save(digest)
+        for suspect in (digest_of(), *map(name_part, parts)):
+            if self._history.clear(suspect, time.time()):
+                self._log.event('suspect-cleared', digest=suspect)
+                self.store.save(suspect)
 
     def receive(self, records: Iterable[SuspectRecord]) -> None:
         """Merge the records of a peer."""
         now = time.time()
         for record in records:
             if self._history.merge(record, now):
-                self._log_suspect(RequestDigest(record.digest), 'a peer')
+                suspect = RequestDigest(record.digest)
+                self._log_suspect(suspect, 'a peer')
+                self._record_crashes(suspect, record.ends)
 
     def updates_after(self, after: int) -> tuple[int, list[SuspectRecord]]:
         """Return changes after a revision, and the revision they reach."""
@@ -120,11 +158,56 @@
         """Count the crashes of each suspect, for the state dump."""
         return self._history.summary()
 
-    def _add_crash(self, engine: Engine, digest: RequestDigest) -> None:
+    def _add_crash(
+        self,
+        engine: Engine,
+        digest: RequestDigest,
+        parts: Sequence[PromptPart],
+    ) -> None:
         incarnation = f'{engine.engine}@{engine.born}'
-        if self._history.add_crash(digest, incarnation, time.time()):
-            self._log_suspect(digest, engine.engine)
-            self.store.save(digest)
+        now = time.time()
+        suspects = [digest]
+        if not self._history.crash_count(digest):
+            # One that is repeated is no further evidence against its parts.
+            suspects.extend(map(name_part, parts))
+        for suspect in suspects:
+            if self._history.add_crash(suspect, incarnation, now):
+                self._log_suspect(suspect, engine.engine)
+                self.store.save(suspect)
+            ends = {incarnation: round(now * _MS_PER_SECOND)}
+            self._record_crashes(suspect, ends)
+
+    def _record_crashes(
+        self, suspect: RequestDigest, ends: Mapping[str, int]
+    ) -> None:
+        if names_part(suspect):
+            self._shares.record_crashes(part_of(suspect), ends)
+        else:
+            self._crashes.add(suspect, ends)
+        self._search_soon()
+
+    def _search_soon(self) -> None:
+        if self._searching is None or self._searching.dead:
+            self._searching = gevent.spawn_later(
+                _SEARCH_PAUSE_SECONDS, self._find_parts
+            )
+
+    def _find_parts(self) -> None:
+        """Quarantine the parts of prompts that crash engines."""
+        self._searching = None
+        while True:
+            now = time.time()
+            found = self._search.find(round(now * _MS_PER_SECOND))
+            if found is None:
+                return
+            self._history.record_found(found.suspect, now)
+            self._log.event(
+                'part-quarantined',
+                digest=found.suspect,
+                evidence=round(found.evidence, 1),
+                incidents=found.incidents,
+            )
+            self.store.save(found.suspect)
 
     def _log_suspect(self, digest: RequestDigest, source: str) -> None:
         self._log.event(
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
@@ -93,7 +93,9 @@
 
     digest: Annotated[
         str,
-        Meta(description='Names the request, whichever attempt of its caller it is.'),
+        Meta(
+            description='Names the request, whichever attempt of its caller it is, or a part of prompts.'
+        ),
     ]
     ends: (
         Annotated[
@@ -114,6 +116,16 @@
         ]
         | UnsetType
     ) = 0
+    found_ms: (
+        Annotated[
+            int,
+            Meta(
+                description='Unix millisecond at which a part of prompts was found to crash engines; 0 for never.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
 
 
 class ReportChange(Struct, kw_only=True):
--- /dev/null
+++ b/tests/test_gateway_part_search.py
@@ -0,0 +1,195 @@
+"""Search for a part of prompts that crashes engines, in simulated loads."""
+
+import unittest
+
+from bendlead_gateway._suspects.crash_history import (
+    PART_QUARANTINE_SECONDS,
+    CrashHistory,
+)
+from bendlead_gateway._suspects.crash_table import CrashTable
+from bendlead_gateway._suspects.digest import RequestDigest, name_part
+from bendlead_gateway._suspects.part_search import PartSearch
+from bendlead_gateway._suspects.part_shares import PartShares
+from bendlead_gateway.types import PromptPart
+from bendlead_schema.gateway import SuspectRecord
+from bendlead_testing.part_replay import (
+    BAD_PART,
+    PartLoad,
+    PartOutcome,
+    PartReplay,
+)
+from msgspec.structs import asdict
+from parameterized import parameterized
+
+_SEEDS = 4
+_MANY = {'engines': 6, 'slots': 32, 'per_second': 120.0, 'seconds': 25.0}
+_LATE = 3
+_NOW = 1_000_000.0
+_MS = 1000
+
+
+def kills(seconds, pause, count):
+    """Return crashes of some engines at once, a pause apart."""
+    times = range(int(seconds / pause))
+    return [(5 + at * pause, count) for at in times]
+
+
+def replay(load):
+    """Play a load over all seeds."""
+    return [PartReplay(load, seed).play() for seed in range(_SEEDS)]
+
+
+class BadPartTest(unittest.TestCase):
+    """The part is found in time, and no other is."""
+
+    @parameterized.expand(
+        [
+            ('each_second', {'bad_per_second': 1.0}),
+            ('seldom', {'bad_per_second': 0.3}),
+            ('often', {'bad_per_second': 4.0}),
+            ('first_part', {'bad_per_second': 1.0, 'bad_first': True}),
+            ('many_slots', {'bad_per_second': 1.0, **_MANY}),
+            (
+                'first_part_many_slots',
+                {'bad_per_second': 1.0, 'bad_first': True, **_MANY},
+            ),
+            (
+                'other_crashes',
+                {'bad_per_second': 1.0, 'kills': kills(30, 2, 1)},
+            ),
+            ('low_traffic', {'bad_per_second': 1.0, 'per_second': 10.0}),
+        ]
+    )
+    def test_found_in_time(self, _name, fields):
+        for outcome in replay(PartLoad(**fields)):
+            self.assertEqual([name_part(BAD_PART)], outcome.found, outcome)
+            self.assertLessEqual(outcome.late, _LATE)
+            self.assertEqual(0, outcome.refused)
+
+
+class NoBadPartTest(unittest.TestCase):
+    """Crashes that no part explains quarantine none."""
+
+    @parameterized.expand(
+        [
+            ('one_by_one', kills(30, 3, 1), {}),
+            ('one_by_one_often', kills(30, 0.5, 1), {}),
+            ('third_at_once', kills(30, 8, 6), {}),
+            ('all_at_once', kills(30, 8, 18), {}),
+            ('crash_loop', kills(15, 0.3, 18), {'restart_seconds': 0.4}),
+            ('slow_crash_loop', kills(15, 0.7, 18), {'restart_seconds': 0.3}),
+            ('many_slots', kills(20, 3, 1), _MANY),
+            ('many_slots_often', kills(20, 0.5, 1), _MANY),
+            ('many_slots_all', kills(20, 6, 6), _MANY),
+        ]
+    )
+    def test_sound_requests_are_served(self, _name, crashes, fields):
+        for outcome in replay(PartLoad(kills=crashes, **fields)):
+            self.assertEqual([], outcome.found, outcome)
+
+
+class PartSearchTest(unittest.TestCase):
+    """The search on given crashes; each second one, at each two requests."""
+
+    def setUp(self):
+        self.history = CrashHistory()
+        self.crashes = CrashTable()
+        self.shares = PartShares()
+        self.search = PartSearch(self.history, self.crashes, self.shares)
+        for number in range(200):
+            self.shares.add((f'f{number % 20}', f's{number % 100}'))
+
+    def crash(self, second, *parts, engine=None):
+        """Record a crash while one request with these parts was running."""
+        incarnation = f'{engine or second}@0'
+        digest = RequestDigest(f'd{second}')
+        for suspect in (digest, *map(name_part, parts)):
+            self.history.add_crash(suspect, incarnation, _NOW + second)
+        ends = {incarnation: round((_NOW + second) * _MS)}
+        self.crashes.add(digest, ends)
+        for part in parts:
+            self.shares.record_crashes(part, ends)
+
+    def find(self, second=100):
+        found = self.search.find(round((_NOW + second) * _MS))
+        return found and found.suspect
+
+    def test_found(self):
+        for second in range(3):
+            self.crash(second, 'f1', 'bad')
+        self.assertEqual('part-bad', self.find())
+
+    def test_the_rarer_of_two_at_the_same_crashes(self):
+        for second in range(6):
+            self.crash(second, 'f1', 'bad')
+        self.assertEqual('part-bad', self.find())
+        self.history.record_found(name_part(PromptPart('bad')), _NOW + 7)
+        self.assertIsNone(self.find())
+
+    def test_complete_answer_clears(self):
+        for second in range(3):
+            self.crash(second, 'bad')
+        self.history.clear(name_part(PromptPart('bad')), _NOW + 1.5)
+        self.assertIsNone(self.find())
+
+    def test_complete_answer_releases(self):
+        """A part that was found though it is sound."""
+        self.history.record_found(name_part(PromptPart('bad')), _NOW)
+        self.assertTrue(self.history.any_quarantined)
+        self.assertTrue(
+            self.history.clear(name_part(PromptPart('bad')), _NOW + 1)
+        )
+        self.assertFalse(self.history.any_quarantined)
+
+    def test_crashes_of_one_instant_count_once(self):
+        for number in range(9):
+            self.crash(number / 100, 'bad', engine=number)
+        self.assertIsNone(self.find())
+
+    def test_part_of_all_requests(self):
+        for _request in range(600):
+            self.shares.add(('all',))
+        for second in range(16):
+            self.crash(second, 'all')
+        self.assertIsNone(self.find())
+
+    def test_crash_is_not_judged_before_all_have_reported(self):
+        for second in range(3):
+            self.crash(second, 'bad')
+        self.assertIsNone(self.find(2.1))
+        self.assertEqual('part-bad', self.find(2.3))
+
+    def test_quarantine_ends(self):
+        suspect = name_part(PromptPart('bad'))
+        self.history.record_found(suspect, _NOW)
+        for after, left in ((0, PART_QUARANTINE_SECONDS), (4000, 0)):
+            self.assertEqual(
+                left,
+                self.history.remaining_quarantine(suspect, 1, _NOW + after),
+            )
+
+    def test_records_merge_in_any_order(self):
+        records = [
+            SuspectRecord(digest='part-bad', ends={'1@0': 1000, '2@0': 3000}),
+            SuspectRecord(digest='part-bad', found_ms=3500),
+            SuspectRecord(digest='part-bad', cleared_ms=2000),
+        ]
+        for order in ((0, 1, 2), (2, 1, 0), (1, 2, 0, 1)):
+            history = CrashHistory()
+            for number in order:
+                history.merge(records[number], _NOW)
+            joined = history.record(RequestDigest('part-bad'))
+            self.assertEqual(
+                {'2@0': 3000}, joined.ends, f'{order}: {asdict(joined)}'
+            )
+            self.assertEqual((2000, 3500), (joined.cleared_ms, joined.found_ms))
+
+    def test_shares_are_bounded(self):
+        for number in range(5000):
+            self.shares.add((f'p{number}',))
+        self.assertLess(self.shares.share('p1'), 0.001)
+        self.assertLessEqual(len(self.shares._counts), 512)
+
+    def test_outcome_of_an_idle_load(self):
+        outcome = PartReplay(PartLoad(per_second=0.01, seconds=1), 1).play()
+        self.assertEqual(PartOutcome(sound=1, served=1), outcome)
