Soak with engines that crash on a part of prompts

Clients name the parts of their prompts and some send requests with one part on which engines crash once they have begun to answer, no two alike (--deadly-part), beside ends of all kinds and all other disruptions. A check of its own: after five such crashes and the time to know, three more may reach engines at most; two rows prove it.

--- a/testing/src/bendlead_testing/gateway_soak/__main__.py
+++ b/testing/src/bendlead_testing/gateway_soak/__main__.py
@@ -25,6 +25,7 @@
     parser.add_argument('--online', type=int, default=12)
     parser.add_argument('--batch', type=int, default=2)
     parser.add_argument('--deadly', type=int, default=0)
+    parser.add_argument('--deadly-part', type=int, default=0)
     parser.add_argument('--hard', action='store_true')
     parser.add_argument('--versions', type=int, default=1)
     parser.add_argument('--ends', action='store_true')
@@ -45,6 +46,7 @@
         asked.hard,
         asked.versions,
         asked.ends,
+        asked.deadly_part,
     )
     # Told to stop, the soak still ends every process that it started.
     gevent.signal_handler(signal.SIGTERM, sys.exit, 1)
--- a/testing/src/bendlead_testing/gateway_soak/answers.py
+++ b/testing/src/bendlead_testing/gateway_soak/answers.py
@@ -7,6 +7,10 @@
 
 #: Ends the ids of requests under which engines end.
 DEADLY = '-deadly'
+#: The part of prompts on which engines end, and what ends the ids of requests
+#: with it; no two of these are alike.
+DEADLY_PART = 'dead'
+DEADLY_PART_MARK = '-part'
 
 
 def text_of(request: str, number: int) -> str:
--- a/testing/src/bendlead_testing/gateway_soak/callers.py
+++ b/testing/src/bendlead_testing/gateway_soak/callers.py
@@ -12,6 +12,8 @@
 
 HOST = 'soak.example'
 _CONNECT_SECONDS = 1.0
+_FIRST_PARTS = 5
+_SECOND_PARTS = 40
 
 
 class Callers:
@@ -28,6 +30,13 @@
         """Make an id that no other request has."""
         return f'{kind}{next(self._numbers)}-{self._chance.randrange(9999)}'
 
+    def prompt(self, part: str = '') -> tuple[str, str]:
+        """Draw the parts of a prompt, with a given one or another."""
+        first = self._chance.randrange(_FIRST_PARTS)
+        second = part or f'b{self._chance.randrange(_SECOND_PARTS)}'
+        own = next(self._numbers)
+        return 'X-Prompt-Prefix', f'a{first}:9,{second}:9,{own:x}:9'
+
     def entry(self) -> NodeSpot:
         """Draw an entry among those that are ready."""
         return self._chance.choice(list(self.balancer.ready))
--- a/testing/src/bendlead_testing/gateway_soak/clients.py
+++ b/testing/src/bendlead_testing/gateway_soak/clients.py
@@ -4,12 +4,17 @@
 import itertools
 import random
 import time
+from collections.abc import Sequence
 from dataclasses import replace
 
 import gevent
 from bendlead_gateway.http import HttpConnection
 
-from bendlead_testing.gateway_soak.answers import DEADLY
+from bendlead_testing.gateway_soak.answers import (
+    DEADLY,
+    DEADLY_PART,
+    DEADLY_PART_MARK,
+)
 from bendlead_testing.gateway_soak.callers import HOST, Callers
 from bendlead_testing.gateway_soak.deployment import Deployment, NodeSpot
 from bendlead_testing.gateway_soak.job_clients import JobClient
@@ -78,6 +83,12 @@
             task = gevent.spawn(self._repeat_deadly, number, until)
             self._tasks.append(task)
 
+    def start_deadly_part(self, count: int, seconds: float) -> None:
+        """Start clients of requests with a part on which engines end."""
+        until = time.monotonic() + seconds
+        for _number in range(count):
+            self._tasks.append(gevent.spawn(self._send_deadly_part, until))
+
     def _start_online(self, count: int, team: SoakTeam) -> None:
         kinds = itertools.cycle(Kind)
         if self._fleet.versions > 1:
@@ -96,6 +107,16 @@
             self._note_unjudged(name, entry, path)
             self._post(entry, path, name)
 
+    def _send_deadly_part(self, until: float) -> None:
+        """Send requests that share a part, each of its own."""
+        while self._callers.going and time.monotonic() < until:
+            gevent.sleep(self._chance.uniform(*_DEADLY_PAUSE))
+            name = self._callers.name('y') + DEADLY_PART_MARK
+            entry = self._callers.entry()
+            path = f'{Kind.STREAM.value}{name}'
+            self._note_unjudged(name, entry, path)
+            self._post(entry, path, name, [self._callers.prompt(DEADLY_PART)])
+
     def stop(self, within: float) -> int:
         """Let jobs be read to their end; tell how many tasks went on."""
         self._callers.going = False
@@ -204,6 +225,8 @@
             ('X-Deadline-Ms', str(int(_DEADLINE_SECONDS * 1000))),
             one.team.header,
         ]
+        if self._fleet.parts:
+            headers.append(self._callers.prompt())
         if one.resumes:
             headers.append(('Last-Event-Id', str(one.after)))
             headers.append(('Resumes', one.resumes))
@@ -273,7 +296,13 @@
         one = Attempt(name, Kind.SAFE, entry.name, path, body, now, 1, left=now)
         self._seen.attempts.append(one)
 
-    def _post(self, entry: NodeSpot, path: str, name: str) -> int:
+    def _post(
+        self,
+        entry: NodeSpot,
+        path: str,
+        name: str,
+        extra: Sequence[tuple[str, str]] = (),
+    ) -> int:
         """Send a request without a body on a new connection."""
         headers = [
             ('Host', HOST),
@@ -281,6 +310,7 @@
             ('X-Token-Usage', '1,1'),
             ('X-Deadline-Ms', '2000'),
             SoakTeam.QUIET.header,
+            *extra,
         ]
         connection = self._callers.connect(entry)
         if connection is None:
--- a/testing/src/bendlead_testing/gateway_soak/deployment.py
+++ b/testing/src/bendlead_testing/gateway_soak/deployment.py
@@ -151,6 +151,7 @@
         hard: bool = False,
         versions: int = 1,
         ends: bool = False,
+        parts: bool = False,
     ) -> None:
         """Lay it out; where load is hard, engines differ and teams compete."""
         self.hard = hard
@@ -158,6 +159,8 @@
         self.versions = versions
         #: Whether engines end answers in all ways.
         self.ends = ends
+        #: Whether clients name the parts of their prompts.
+        self.parts = parts
         #: Whether a team sends many times its usual now.
         self.hot = False
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='gateway-soak-'))
--- a/testing/src/bendlead_testing/gateway_soak/engine_process.py
+++ b/testing/src/bendlead_testing/gateway_soak/engine_process.py
@@ -24,6 +24,7 @@
 
 from bendlead_testing.gateway_soak.answers import (
     DEADLY,
+    DEADLY_PART,
     marked_text,
     seal_of,
 )
@@ -256,9 +257,14 @@
             os._exit(_CRASHED)
         total = int(headers.get('x-token-usage', '0,5').split(',')[1])
         gevent.sleep(_FIRST_SECONDS)
-        if not plain and self._ends(EngineTrouble.UNFRAMED):
+        deadly = DEADLY_PART in headers.get('x-prompt-prefix', '')
+        if not (plain or deadly) and self._ends(EngineTrouble.UNFRAMED):
             return self._run_unframed(name, after, total, responder)
         responder.start(200, 'OK', self._marks(name), None)
+        if deadly:
+            gevent.sleep(_FIRST_SECONDS)
+            self._journal.note('crash', request=name)
+            os._exit(_CRASHED)
         cut = total // 2 if self._bad(EngineTrouble.BREAK_OFF) else total
         reset = total // 2 if self._ends(EngineTrouble.RESET_MIDWAY) else total
         pause = _EVENT_SECONDS * self._asked.pace
--- a/testing/src/bendlead_testing/gateway_soak/promises.py
+++ b/testing/src/bendlead_testing/gateway_soak/promises.py
@@ -6,6 +6,7 @@
 
 from bendlead_testing.gateway_soak.answers import (
     DEADLY,
+    DEADLY_PART_MARK,
     seal_of,
     text_of,
     without_versions,
@@ -41,6 +42,7 @@
 #: at most, once all may know it (s). Here links take connections for an engine
 #: that is gone, so its end is known when it leaves the list, 1.5 s later.
 _ENDS_UNTIL_KNOWN = 3
+_PART_ENDS_UNTIL_KNOWN = 5
 _KNOWN_SECONDS = CONTACT_SECONDS + 2.0
 _LATE_RETRIES = 3
 #: Served in the calm at the end, as a share of what was asked.
@@ -273,15 +275,29 @@
 
 def _crashed(seen: Sightings, journal: EngineJournal) -> Iterator[str]:
     """Few engines get a request under which three have ended."""
-    ended = sorted(one['at'] for one in journal.crashes)
-    if len(ended) < _ENDS_UNTIL_KNOWN:
+    yield from _sent_late(seen, journal, DEADLY, _ENDS_UNTIL_KNOWN)
+
+
+def _crashed_by_part(seen: Sightings, journal: EngineJournal) -> Iterator[str]:
+    """Few engines get a part of prompts under which five have ended."""
+    ends = _PART_ENDS_UNTIL_KNOWN
+    yield from _sent_late(seen, journal, DEADLY_PART_MARK, ends)
+
+
+def _sent_late(
+    seen: Sightings, journal: EngineJournal, mark: str, until_known: int
+) -> Iterator[str]:
+    ended = sorted(
+        one['at'] for one in journal.crashes if one['request'].endswith(mark)
+    )
+    if len(ended) < until_known:
         return
-    known = ended[_ENDS_UNTIL_KNOWN - 1] + _KNOWN_SECONDS
+    known = ended[until_known - 1] + _KNOWN_SECONDS
     others = [one for one in seen.troubles if one.name != ENGINE_ENDED]
     late = 0
     for line in journal.arrivals:
         at = line['at']
-        if line['request'].endswith(DEADLY) and at > known:
+        if line['request'].endswith(mark) and at > known:
             late += calm(others, at - CONTACT_SECONDS, at)
     if late > _LATE_RETRIES:
         yield f'sent {late} times more, {len(ended)} engines ended in all'
@@ -363,6 +379,7 @@
     'ended jobs': _ended_jobs,
     'gone': _gone,
     'crashed': _crashed,
+    'crashed by part': _crashed_by_part,
     'recovered': _recovered,
     'failing engines': _failing_engines,
     'fair': _fair,
--- a/testing/src/bendlead_testing/gateway_soak/run.py
+++ b/testing/src/bendlead_testing/gateway_soak/run.py
@@ -57,6 +57,8 @@
     versions: int = 1
     #: Whether engines end answers in all ways.
     ends: bool = False
+    #: Clients of requests with a part on which engines end.
+    deadly_part: int = 0
 
 
 @dataclass(frozen=True)
@@ -84,6 +86,7 @@
         hard=size.hard,
         versions=size.versions,
         ends=size.ends,
+        parts=size.deadly_part > 0,
     )
     planned = draw(chance, fleet, seconds) if steps is None else list(steps)
     seen = Sightings()
@@ -96,6 +99,7 @@
         if size.hard:
             clients.start_hot(size.online * _HOT_TIMES)
         clients.start_deadly(size.deadly, WARM_SECONDS + seconds)
+        clients.start_deadly_part(size.deadly_part, WARM_SECONDS + seconds)
         _play(fleet, seen, operator, planned, chance)
         gevent.sleep(_CALM_SECONDS)
         clients.stop(_DRAIN_SECONDS)
@@ -132,6 +136,7 @@
         'unframed': journal.unframed,
         'unframed_broken': endings['broken-off-unframed'],
         'reset': endings['reset'],
+        'crashes': len(journal.crashes),
     }
 
 
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -74,6 +74,21 @@
         self.assertEqual([], outcome.get('breaches'), told)
         self.assertGreater(outcome['served'], 100)
 
+    def test_ends_of_answers_and_a_part_that_ends_engines(self):
+        """Answers end in all ways, and engines on one part of prompts."""
+        outcome, told = self.play(
+            57001,
+            None,
+            '--ends',
+            '--deadly-part=1',
+            '--engines=6',
+            '--online=24',
+        )
+        self.assertEqual([], outcome.get('breaches'), told)
+        self.assertGreater(outcome['unframed'], 0)
+        self.assertGreater(outcome['reset'], 0)
+        self.assertGreater(outcome['crashes'], 0)
+
     def play(self, seed, steps, *options):
         """Run a seed; give its outcome and the end of what it told."""
         ended = subprocess.run(
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -41,9 +41,9 @@
     return {**made, **changed}
 
 
-def _repeated(ends, late):
+def _repeated(ends, late, mark='-deadly'):
     """Let engines end under a request, and others get it long after."""
-    names = [f'x{at}-deadly' for at in range(ends + late)]
+    names = [f'x{at}{mark}' for at in range(ends + late)]
     lines = []
     for at, name in enumerate(names):
         sent = _START + at / 10 + (20 if at >= ends else 0)
@@ -288,6 +288,16 @@
                 _repeated(ends=3, late=4),
                 'crashed',
             ),
+            (
+                'part_sent_on_after_five_engines_had_ended',
+                _repeated(ends=5, late=4, mark='-part'),
+                'crashed by part',
+            ),
+            (
+                'part_sent_on_three_times_more',
+                _repeated(ends=5, late=3, mark='-part'),
+                '',
+            ),
             (
                 'sent_on_three_times_more',
                 _repeated(ends=3, late=3),
@@ -355,6 +365,7 @@
             'ended jobs',
             'gone',
             'crashed',
+            'crashed by part',
             'recovered',
             'failing engines',
             'fair',
