Count complete answers without a part as evidence against it

Change: between two crashes at which a part was running, each complete answer of this process adds the improbability that none of them held the part. It is the same test: requests with a sound part would have been among them, and would have cleared it.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
@@ -1,8 +1,9 @@
 """Search for parts of prompts that crash engines.
 
 A sequential test of each part: did more crashes happen while a request with it
-was running than its share of the requests explains? A part is only tested on
-crashes since the last complete answer to a request with it, and not on those
+was running, and fewer complete answers to such requests come, than its share of
+the requests explains? A part is only tested on crashes since the last complete
+answer to a request with it, so that there are none of these, and not on crashes
 that a part found before explains.
 """
 
@@ -19,7 +20,7 @@
     names_part,
     part_of,
 )
-from bendlead_gateway._suspects.part_shares import PartShares
+from bendlead_gateway._suspects.part_shares import PartAtCrash, PartShares
 
 #: Share of crashes that a part causes which crashes engines; others happen
 #: meanwhile.
@@ -86,11 +87,11 @@
     ) -> FoundPart:
         part = part_of(suspect)
         ends = self._history.record(suspect).ends
-        shares = {
-            incarnation: self._shares.share_at(part, incarnation)
+        at_crashes = {
+            incarnation: self._shares.at_crash(part, incarnation)
             for incarnation in ends
         }
-        evidence, count = _weigh(incidents, shares)
+        evidence, count = _weigh(incidents, at_crashes)
         if count < _MIN_INCIDENTS:
             evidence = 0
         return FoundPart(suspect, evidence, count)
@@ -102,22 +103,24 @@
 
 
 def _weigh(
-    incidents: Sequence[Incident], shares: Mapping[str, float]
+    incidents: Sequence[Incident], at_crashes: Mapping[str, PartAtCrash]
 ) -> tuple[float, int]:
     """Return the evidence, and the incidents at which a part was running.
 
-    ``shares`` are those of the part as of the crashes at which it was.
+    ``at_crashes`` tells its share at the crashes at which it was.
     """
     evidence = 0.0
     count = 0
+    answers = 0
     for incident in incidents:
-        present = incident.incarnations.intersection(shares)
+        present = incident.incarnations.intersection(at_crashes)
         if present:
-            share = max(shares[incarnation] for incarnation in present)
-            running = max(1, incident.running)
-            by_chance = 1 - (1 - share) ** running
-            explained = _CAUSED_SHARE + (1 - _CAUSED_SHARE) * by_chance
-            evidence += math.log(explained / by_chance)
+            part = max(map(at_crashes.__getitem__, present), key=_share_of)
+            if count:
+                missing = part.answers - answers
+                evidence -= missing * math.log1p(-part.share)
+            evidence += _evidence_of_presence(part.share, incident.running)
+            answers = part.answers
             count += 1
         else:
             evidence += math.log(1 - _CAUSED_SHARE)
@@ -126,5 +129,15 @@
     return evidence, count
 
 
+def _evidence_of_presence(share: float, running: int) -> float:
+    by_chance = 1 - (1 - share) ** max(1, running)
+    explained = _CAUSED_SHARE + (1 - _CAUSED_SHARE) * by_chance
+    return math.log(explained / by_chance)
+
+
+def _share_of(part: PartAtCrash) -> float:
+    return part.share
+
+
 def _evidence_of(found: FoundPart) -> float:
     return found.evidence
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_shares.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_shares.py
@@ -3,19 +3,32 @@
 from collections import Counter, deque
 from collections.abc import Iterable, Sequence
 
+from msgspec import Struct
+
 from bendlead_gateway.types import PromptPart
 
 _MAX_REQUESTS = 512
 _MAX_CRASH_SHARES = 4096
 
 
+class PartAtCrash(Struct, frozen=True):
+    """A part's share of the requests as of a crash.
+
+    ``answers`` counts the complete answers of this process until then.
+    """
+
+    share: float
+    answers: int
+
+
 class PartShares:
     """Count parts in the latest requests of this process."""
 
     def __init__(self) -> None:
         self._requests: deque[Sequence[PromptPart]] = deque()
         self._counts: Counter[PromptPart] = Counter()
-        self._at_crashes: dict[tuple[PromptPart, str], float] = {}
+        self._answers = 0
+        self._at_crashes: dict[tuple[PromptPart, str], PartAtCrash] = {}
 
     def add(self, parts: Sequence[PromptPart]) -> None:
         """Count a request."""
@@ -28,6 +41,10 @@
                 if not self._counts[part]:
                     self._counts.pop(part)
 
+    def record_answer(self) -> None:
+        """Count a complete answer."""
+        self._answers += 1
+
     def share(self, part: PromptPart) -> float:
         """Estimate the share of requests with a part, above 0."""
         return (self._counts[part] + 0.5) / (len(self._requests) + 1)
@@ -39,10 +56,14 @@
         for incarnation in incarnations:
             known = (part, incarnation) in self._at_crashes
             if not known:
-                self._at_crashes[part, incarnation] = self.share(part)
+                self._at_crashes[part, incarnation] = self._now(part)
         while len(self._at_crashes) > _MAX_CRASH_SHARES:
             self._at_crashes.pop(next(iter(self._at_crashes)))
 
-    def share_at(self, part: PromptPart, incarnation: str) -> float:
-        """Return a part's share as of a crash."""
-        return self._at_crashes.get((part, incarnation)) or self.share(part)
+    def at_crash(self, part: PromptPart, incarnation: str) -> PartAtCrash:
+        """Return a part's share as of a crash, the present one if unknown."""
+        found = self._at_crashes.get((part, incarnation))
+        return found or self._now(part)
+
+    def _now(self, part: PromptPart) -> PartAtCrash:
+        return PartAtCrash(self.share(part), self._answers)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -128,6 +128,7 @@
         parts: Sequence[PromptPart] = (),
     ) -> None:
         """Clear a request that was answered completely, and its parts."""
+        self._shares.record_answer()
         if not self._history.any_suspects:
             return
         for suspect in (digest_of(), *map(name_part, parts)):
--- a/testing/src/bendlead_testing/part_replay.py
+++ b/testing/src/bendlead_testing/part_replay.py
@@ -48,6 +48,8 @@
     report_delay: float = 0.1
     #: Share of the running requests at a crash that nobody reports.
     unreported: float = 0.05
+    #: Processes that share the requests; each counts its own answers.
+    entries: int = 6
     seconds: float = 40.0
 
 
@@ -185,6 +187,8 @@
                 return
             engine.runs.remove(run)
             self.outcome.served += 1
+            if self.outcome.served % self._load.entries == 0:
+                self._shares.record_answer()
             at = self._now
             self._schedule(
                 at + self._load.report_delay, lambda: self._clear(run, at)
