Test that complete answers without a part are evidence against it

One part at three crashes among nine requests each: not found where no answer came between, found with 40.

--- a/tests/test_gateway_part_search.py
+++ b/tests/test_gateway_part_search.py
@@ -141,6 +141,21 @@
         )
         self.assertFalse(self.history.any_quarantined)
 
+    @parameterized.expand([('none', 0, None), ('many', 40, 'part-often')])
+    def test_complete_answers_without_the_part(self, _name, answers, expected):
+        """At each crash it ran by chance, but not in any answer between."""
+        for _request in range(30):
+            self.shares.add(('often',))
+        for second in range(3):
+            for beside in range(8):
+                digest = RequestDigest(f'beside{second}-{beside}')
+                at_ms = round((_NOW + second) * _MS)
+                self.crashes.add(digest, {f'{second}@0': at_ms})
+            self.crash(second, 'often')
+            for _answer in range(answers):
+                self.shares.record_answer()
+        self.assertEqual(expected, self.find())
+
     def test_crashes_of_one_instant_count_once(self):
         for number in range(9):
             self.crash(number / 100, 'bad', engine=number)
