Find a part again after its quarantine has ended

What callers would have seen: an hour after a part was found, engine after engine lost again, without a bound. Cause: a part once found was no candidate any more and its own crashes counted as explained, though its requests are let through after an hour. Found by reading the diff. Change: only parts whose quarantine lasts are left out and explain crashes; one more crash then finds the part, since its earlier ones still speak against it. The Protocol of the check has a name of its own now.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/answer_body.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/answer_body.py
@@ -20,8 +20,8 @@
         """Whether the bytes read so far stop inside an event."""
 
 
-class CrashCheck(Protocol):
-    """Check whether an engine has crashed."""
+class CrashDetection(Protocol):
+    """Detection of engine crashes."""
 
     def has_crashed(self, engine: Engine) -> bool:
         """Return whether an engine refuses connections, after a pause."""
@@ -42,7 +42,7 @@
         engine: Engine,
         connection: HttpConnection,
         head: ResponseHead,
-        crashes: CrashCheck,
+        crashes: CrashDetection,
         events: EventPosition | None = None,
     ) -> None:
         """Make a body; ``events`` is None where it is no event stream."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
@@ -73,9 +73,12 @@
         """Return whether a request is or has been quarantined."""
         return digest in self._quarantined
 
-    def quarantined(self) -> Iterator[RequestDigest]:
-        """Yield the suspects that are or have been quarantined."""
-        yield from self._quarantined
+    def quarantined_parts(self, now: float) -> Iterator[RequestDigest]:
+        """Yield the parts of prompts whose quarantine has not ended."""
+        for suspect in self._quarantined:
+            if names_part(suspect):
+                if self.remaining_quarantine(suspect, 0, now):
+                    yield suspect
 
     def summary(self) -> dict[str, int]:
         """Count the crashes of each suspect."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
@@ -9,7 +9,13 @@
 
 import heapq
 import math
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import (
+    Container,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 
 from msgspec import Struct
 
@@ -33,6 +39,7 @@
 _MAX_CANDIDATES = 32
 #: Time for all processes to report the requests that were running at a crash.
 _REPORT_MS = 200
+_MS_PER_SECOND = 1000
 
 
 class FoundPart(Struct, frozen=True):
@@ -60,15 +67,22 @@
         so fewer requests share it. The caller records it, so that its crashes
         speak for no other part.
         """
+        refused = set(self._history.quarantined_parts(now_ms / _MS_PER_SECOND))
         incidents = list(
-            self._crashes.incidents(now_ms - _REPORT_MS, self._explained())
+            self._crashes.incidents(
+                now_ms - _REPORT_MS, self._explained_by(refused)
+            )
         )
-        found = [self._test(part, incidents) for part in self._candidates()]
+        found = [
+            self._test(part, incidents) for part in self._candidates(refused)
+        ]
         enough = [part for part in found if part.evidence >= _FOUND_EVIDENCE]
         enough.reverse()
         return max(enough, key=_evidence_of, default=None)
 
-    def _candidates(self) -> Sequence[RequestDigest]:
+    def _candidates(
+        self, refused: Container[RequestDigest]
+    ) -> Sequence[RequestDigest]:
         """Return the parts that were running at most crashes.
 
         Those with equally many stand in the order in which they were recorded.
@@ -78,7 +92,7 @@
             for suspect, crashes in self._history.summary().items()
             if names_part(suspect)
             and crashes >= _MIN_INCIDENTS
-            and not self._history.is_quarantined(suspect)
+            and suspect not in refused
         }
         return heapq.nlargest(_MAX_CANDIDATES, counts, key=counts.__getitem__)
 
@@ -96,10 +110,9 @@
             evidence = 0
         return FoundPart(suspect, evidence, count)
 
-    def _explained(self) -> Iterator[str]:
-        for suspect in self._history.quarantined():
-            if names_part(suspect):
-                yield from self._history.record(suspect).ends
+    def _explained_by(self, found: Iterable[RequestDigest]) -> Iterator[str]:
+        for suspect in found:
+            yield from self._history.record(suspect).ends
 
 
 def _weigh(
--- a/tests/test_gateway_part_search.py
+++ b/tests/test_gateway_part_search.py
@@ -183,6 +183,17 @@
                 self.history.remaining_quarantine(suspect, 1, _NOW + after),
             )
 
+    def test_one_more_crash_after_the_quarantine(self):
+        suspect = name_part(PromptPart('bad'))
+        for second in range(3):
+            self.crash(second, 'bad')
+        self.assertEqual(suspect, self.find())
+        self.history.record_found(suspect, _NOW + 3)
+        self.assertIsNone(self.find())
+        after = PART_QUARANTINE_SECONDS + 60
+        self.crash(after, 'bad')
+        self.assertEqual(suspect, self.find(after + 1))
+
     def test_records_merge_in_any_order(self):
         records = [
             SuspectRecord(digest='part-bad', ends={'1@0': 1000, '2@0': 3000}),
