--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,11 @@
-"""The operator raises a limit while clients keep their connections."""
+"""Engines crash in turn while an item of a job runs."""
 
-import copy
+import base64
 import http.client
+import json
 import pathlib
 import sys
+import threading
 import time
 import uuid
 
@@ -11,79 +13,176 @@
 
 import fleet as fleet_module  # noqa: E402
 
-#: Bounds of the deployment.
-CONFIGURATION_S = 2.0
-DENIED_MOST = 5
-OLD_BODY_BYTES = 65_536
-NEW_BODY_BYTES = 4_194_304
-REQUEST_BYTES = 100_000
-CONNECTIONS = 12
-#: Sent every so often on each connection, well within `idle_ms`.
-PAUSE_S = 1.0
+#: Engines that crash, one of six at a time, and how long each is down.
+CRASHES = 4
+DOWN_S = 0.8
+FINISH_S = 18
+#: As the rule says: nothing of the kind in the last seconds of the day.
+FAILED_WITHIN_S = 20
+#: Longest time that crashes are waited for.
+PATIENCE_S = 45
+ITEMS = 10
+EVENTS = 64
 
 
-def ask(fleet, connection, number, size):
-    """Send one request on a kept connection; return the status."""
-    request = uuid.uuid4().hex[:16]
+def hand_in(fleet):
+    """Hand in a job; return its id and items."""
+    job = uuid.uuid4().hex[:16]
+    items = [uuid.uuid4().hex[:16] for _number in range(ITEMS)]
+    body = {
+        'items': [
+            {
+                'id': item,
+                'path': '/notes/3/91c4',
+                'headers': {
+                    'X-Model': 'm',
+                    'X-Token-Usage': f'350,{EVENTS}',
+                    'X-Prompt-Prefix': f'9c2e41:100,{item[:8]}:250',
+                },
+                'body': base64.b64encode(item.encode() * 50).decode(),
+                'tokens': 350 + EVENTS,
+            }
+            for item in items
+        ]
+    }
     headers = {
-        'Host': 'shop.example', 'X-Attempt-Id': request, 'X-Model': 'm',
-        'X-Token-Usage': '450,5',
-        'X-Prompt-Prefix': f'5c1e07a2:200,{request[:8]}:250',
-        'X-Deadline-Ms': '5000',
+        'Host': 'shop.example', 'X-Attempt-Id': job,
+        'Content-Type': 'application/json',
     }
-    try:
-        connection.request('POST', '/swaps/2f', b'x' * size, headers)
-        answer = connection.getresponse()
-        body = answer.read()
-        status = answer.status
-    except (OSError, http.client.HTTPException) as error:
-        status, body = repr(error), b''
-    fleet.note(
-        f'client: id={request} connection={number} bytes={size} '
-        f'status={status} events={body.count(bytes((10, 10)))}'
+    status, _headers, _body = fleet.call(
+        fleet.entries[0]['clients'], 'POST', f'/notes/{job[:6]}', headers,
+        json.dumps(body).encode(),
     )
-    return status
+    fleet.note(f'client: POST job={job} items={ITEMS} status={status}')
+    if status != 202:
+        raise fleet_module.CannotRunError('the job was not accepted')
+    return job, items
 
 
-def case(fleet, trouble):
-    """Change the limit, wait until it must be in force, then use it."""
-    first = copy.deepcopy(fleet_module.CONFIG)
-    first['version'] = 8
-    first['limits']['body_bytes'] = OLD_BODY_BYTES
-    second = copy.deepcopy(first)
-    second['version'] = 9
-    second['limits']['body_bytes'] = NEW_BODY_BYTES
-    fleet.store.put('config', 'main', first if trouble else second)
-    fleet.note('operator: the first configuration is acknowledged')
-    time.sleep(CONFIGURATION_S + 1)
-    connections = []
-    for number in range(CONNECTIONS):
+def read(fleet, job, after):
+    """Read the results from a position on."""
+    headers = {'Host': 'shop.example', 'X-Wait-Ms': '1000'}
+    status, _headers, body = fleet.call(
+        fleet.entries[1]['clients'], 'GET',
+        f'/-/lots/{job}?watch_after={after}', headers,
+    )
+    return json.loads(body)['results'] if status == 200 else []
+
+
+def chat(fleet, until):
+    """Ask for a stream now and then, as the day's traffic."""
+    number = 0
+    while time.monotonic() < until():
+        number += 1
+        request = uuid.uuid4().hex[:16]
         entry = fleet.entries[number % len(fleet.entries)]
-        connection = http.client.HTTPConnection(
-            '127.0.0.1', entry['clients'], timeout=6
+        headers = {
+            'Host': 'shop.example', 'X-Attempt-Id': request, 'X-Model': 'm',
+            'X-Token-Usage': '450,39',
+            'X-Prompt-Prefix': f'5c1e07a2:200,{request[:8]}:250',
+            'X-Deadline-Ms': '5000',
+        }
+        try:
+            status, _headers, body = fleet.call(
+                entry['clients'], 'POST', '/swaps/2f', headers, b'x' * 1500, 6
+            )
+        except (OSError, http.client.HTTPException) as error:
+            status, body = repr(error), b''
+        count = body.count(b'\n\n')
+        fleet.note(f'client: id={request} status={status} events={count}')
+        time.sleep(0.5)
+
+
+def runs_at(fleet, wanted):
+    """Return the engine and since when it runs one of the items, if any."""
+    running = {}
+    for line in fleet.engine_lines():
+        if line.get('id') not in wanted:
+            continue
+        if line['what'] == 'runs':
+            running[line['id']] = (line['engine'], line['at'])
+        elif line['what'] == 'stops':
+            running.pop(line['id'], None)
+    return running
+
+
+def crash_in_turn(fleet, item, done):
+    """Crash the engine that runs an item, wherever it runs, a few times."""
+    until = time.monotonic() + PATIENCE_S
+    crashed = 0
+    names = set()
+    back = time.monotonic()
+    while crashed < CRASHES and time.monotonic() < until and not done():
+        engine, since = runs_at(fleet, {item}).get(item, ('', 0))
+        spot = next(
+            (one for one in fleet.engines if one.name == engine), None
         )
-        connections.append(connection)
-        if ask(fleet, connection, number, 1500) != 200:
-            raise fleet_module.CannotRunError('a small request failed')
+        ran = time.monotonic() - since
+        alone = time.monotonic() > back
+        if spot is not None and engine not in names and ran > 0.4 and alone:
+            names.add(engine)
+            crashed += 1
+            fleet.note(f'engine {engine} crashes (SIGKILL), number {crashed}')
+            spot.crash()
+            threading.Timer(DOWN_S, spot.start).start()
+            # The engine needs a moment to start again.
+            back = time.monotonic() + DOWN_S + 0.4
+        time.sleep(0.1)
+    return crashed
+
+
+def case(fleet, trouble):
+    """Crash engines, then leave all in peace until the day has ended."""
+    traffic_ends = [time.monotonic() + 600]
+    day_ends = [time.monotonic() + 600]
+    chatting = threading.Thread(
+        target=chat, args=(fleet, lambda: traffic_ends[0]), daemon=True
+    )
+    chatting.start()
+    job, items = hand_in(fleet)
+    results = {}
+
+    def poll():
+        while time.monotonic() < day_ends[0]:
+            try:
+                found = read(fleet, job, len(results))
+            except (OSError, http.client.HTTPException):
+                found = []
+            for one in found:
+                results[one['id']] = one
+                fleet.note(f'client: item={one["id"]} {one["state"]}')
+            time.sleep(0.4)
+
+    polling = threading.Thread(target=poll, daemon=True)
+    polling.start()
+    item = items[0]
     if trouble:
-        fleet.store.put('config', 'main', second)
-        fleet.note('operator: body_bytes is raised, acknowledged')
-    until = time.monotonic() + CONFIGURATION_S + 2
-    while time.monotonic() < until:
-        for number, connection in enumerate(connections):
-            ask(fleet, connection, number, 1500)
-        time.sleep(PAUSE_S)
-    denied = [
-        status
-        for number, connection in enumerate(connections)
-        if (status := ask(fleet, connection, number, REQUEST_BYTES)) != 200
-    ]
-    if len(denied) <= DENIED_MOST:
-        return []
+        crash_in_turn(fleet, item, lambda: item in results)
+    else:
+        time.sleep(8)
+    fleet.note('operator: no more crashes')
+    calm_since = time.monotonic()
+    traffic_ends[0] = calm_since + 1
+    chatting.join()
+    fleet.note('client: the traffic has ended')
+    # The last crash must lie further back than the rule asks.
+    day_ends[0] = max(
+        time.monotonic() + FINISH_S, calm_since + FAILED_WITHIN_S + 0.5
+    )
+    polling.join()
+    fleet.note('finish_s has passed since the traffic ended')
+    now = time.monotonic()
+    lines = fleet.engine_lines()
+    busy = any(
+        line.get('id') in items and now - line['at'] < 5 for line in lines
+    )
+    missing = [one for one in items if one not in results]
+    if missing and busy:
+        raise fleet_module.CannotRunError('items ran until the end')
     return [
-        f'{len(denied)} of {CONNECTIONS} requests of {REQUEST_BYTES} bytes, '
-        f'sent more than {CONFIGURATION_S + 2} s after version 9 was '
-        f'acknowledged, which allows {NEW_BODY_BYTES}, got {set(denied)}'
+        f'item {one} of the accepted job is neither completed nor given up; no '
+        'engine had an item for 5 s, all engines stood idle'
+        for one in missing
     ]
 
 
@@ -91,5 +190,5 @@
     fleet_module.run_case(
         case,
         pathlib.Path(__file__).resolve().parent,
-        options=['--event-ms', '20'],
+        options=['--event-ms', '100'],
     )
