Log the cause for which a batch item is held back

An item that waits because of crashes left no line of its own: the metric bendlead_gateway_quarantined_total counts items and requests together.

Change: one line item-quarantined with item, digest, part and the seconds left, at each look (every 0.5 s for a held item). No decision changes.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
@@ -10,6 +10,7 @@
 from bendlead_gateway._jobs.owned_job import OwnedJob, Progress
 from bendlead_gateway._jobs.owned_shard import OwnedShard
 from bendlead_gateway._jobs.shard_manager import ShardManager
+from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._scheduling.deferral import ItemTiming, item_timing
 from bendlead_gateway._scheduling.fair_order import FairOrder, ItemCost
@@ -66,6 +67,7 @@
         manager: ShardManager,
         fleet: Fleet,
         durations: ItemDurations,
+        log: Log,
         metrics: Metrics,
         give_up: GiveUp,
         dialect: Dialect,
@@ -73,6 +75,7 @@
         self._manager = manager
         self._fleet = fleet
         self._durations = durations
+        self._log = log
         self._metrics = metrics
         self._give_up = give_up
         self._dialect = dialect
@@ -89,7 +92,8 @@
                 self._give_up_unrouted(shard, job, progress)
             elif _expired(job, route):
                 self._give_up(shard, job, progress)
-            elif self._quarantined(job, progress):
+            elif seconds := self._quarantine_left(job, progress):
+                self._log_quarantined(job, progress, seconds)
                 self._postpone_quarantined(shard, job, progress, route)
             else:
                 urgency = self.urgency(job, progress, route)
@@ -155,13 +159,27 @@
         ):
             self._give_up(shard, job, progress)
 
-    def _quarantined(self, job: OwnedJob, progress: Progress) -> bool:
-        remaining_seconds = self._fleet.suspects.remaining_quarantine(
+    def _quarantine_left(self, job: OwnedJob, progress: Progress) -> float:
+        return self._fleet.suspects.remaining_quarantine(
             lambda: job.digest(progress),
             ITEM_QUARANTINE_SECONDS,
             progress.read_shared_parts(self._dialect),
         )
-        return remaining_seconds > 0
+
+    def _log_quarantined(
+        self, job: OwnedJob, progress: Progress, seconds: float
+    ) -> None:
+        part = self._fleet.suspects.quarantined_part(
+            progress.read_shared_parts(self._dialect)
+        )
+        self._log.event(
+            'item-quarantined',
+            job=job.job,
+            item=progress.item.item,
+            digest=job.digest(progress),
+            part=part or '-',
+            seconds=round(seconds, 1),
+        )
 
     def _postpone_quarantined(
         self, shard: OwnedShard, job: OwnedJob, progress: Progress, route: Route
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -74,6 +74,7 @@
             manager,
             fleet,
             self._durations,
+            log,
             metrics,
             self._give_up,
             dialect,
