Run items that were present at engine crashes

An item whose engine crashes is sent on at once, so in a series of crashes it is placed again and again: the count measures that. Only its own whole answer cleared it, and a held item has none. Items with a part of prompts that was quarantined waited an hour in the same way.

Ruled out by the line item-quarantined: parts of prompts (part=-, no part-quarantined line), retry pauses and runs still counted as running.

Change: items are suspects under names of their own (item-DIGEST), told to peers, not stored, never quarantined; from the third crash on they pause for 2 s behind each, which does not grow. Items with a quarantined part run one at a time for each owner; a whole answer clears the part. A whole answer also clears what processes with a clock ahead have noted. No item is given up for its crashes.

--- a/packages/bendlead-cli/src/bendlead_cli/_suspects.py
+++ b/packages/bendlead-cli/src/bendlead_cli/_suspects.py
@@ -11,7 +11,7 @@
 
     Addresses are the internal ones of gateway processes, IP:PORT. The log
     lines of a request have its digest. From the third crash on, a request is
-    in quarantine: it is sent to no engine.
+    in quarantine: it is sent to no engine. Batch items (item-) only pause.
     """
     reports = [
         Connection(address, '').send('GET', '/debug/state').get('suspects', {})
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
@@ -1,7 +1,7 @@
 """Rank the batch items that are ready to start."""
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from bendlead_store import clock
 from msgspec import Struct
@@ -15,13 +15,12 @@
 from bendlead_gateway._scheduling.deferral import ItemTiming, item_timing
 from bendlead_gateway._scheduling.fair_order import FairOrder, ItemCost
 from bendlead_gateway._scheduling.urgency import ItemDurations, Urgency
-from bendlead_gateway._suspects.crash_history import ITEM_QUARANTINE_SECONDS
 from bendlead_gateway.dialect import Dialect
-from bendlead_gateway.types import Route
+from bendlead_gateway.types import PromptPart, Route
 
 #: Tolerance for clock skew: another process may have accepted the job.
 _RETENTION_SLACK_SECONDS = 4.0
-_QUARANTINE_RECHECK_SECONDS = 0.5
+_PAUSE_RECHECK_SECONDS = 0.5
 
 #: Record an item as given up; it does not run again.
 GiveUp = Callable[[OwnedShard, OwnedJob, Progress], None]
@@ -92,18 +91,22 @@
                 self._give_up_unrouted(shard, job, progress)
             elif _expired(job, route):
                 self._give_up(shard, job, progress)
-            elif seconds := self._quarantine_left(job, progress):
-                self._log_quarantined(job, progress, seconds)
-                self._postpone_quarantined(shard, job, progress, route)
-            else:
+            elif not self._postponed(job, progress):
                 urgency = self.urgency(job, progress, route)
                 found.append(Candidate(urgency, shard, job, progress, route))
-        if not self._fleet.configuration.requires_key:
+        if self._fleet.configuration.requires_key:
+            costs = [candidate.cost for candidate in found]
+            order = self._fair_order.order(costs, clock.uptime())
+            found = [found[number] for number in order]
+        else:
             found.sort(key=_urgency_of)
-            return found
-        costs = [candidate.cost for candidate in found]
-        order = self._fair_order.order(costs, clock.uptime())
-        return [found[number] for number in order]
+        return list(self._one_trial_each(found))
+
+    def quarantined_parts(self, progress: Progress) -> Sequence[PromptPart]:
+        """Return the parts that an item tries if it starts now."""
+        return self._fleet.suspects.quarantined_parts(
+            progress.read_shared_parts(self._dialect)
+        )
 
     def record_start(self, candidate: Candidate) -> None:
         """Charge an item that starts to its team."""
@@ -137,6 +140,17 @@
             route.run_target,
         )
 
+    def _one_trial_each(
+        self, candidates: Iterable[Candidate]
+    ) -> Iterator[Candidate]:
+        """Yield the candidates, one of those with the same quarantined part."""
+        tried: set[PromptPart] = set()
+        for candidate in candidates:
+            parts = self.quarantined_parts(candidate.progress)
+            if tried.isdisjoint(parts):
+                tried.update(parts)
+                yield candidate
+
     def _waiting(self) -> Iterator[_Waiting]:
         """Yield the items of owned jobs that wait for a slot."""
         now = clock.uptime()
@@ -159,37 +173,28 @@
         ):
             self._give_up(shard, job, progress)
 
-    def _quarantine_left(self, job: OwnedJob, progress: Progress) -> float:
-        return self._fleet.suspects.remaining_quarantine(
+    def _postponed(self, job: OwnedJob, progress: Progress) -> bool:
+        """Postpone an item that engines crashed under a moment ago."""
+        seconds = self._fleet.suspects.remaining_pause(
             lambda: job.digest(progress),
-            ITEM_QUARANTINE_SECONDS,
             progress.read_shared_parts(self._dialect),
         )
-
-    def _log_quarantined(
-        self, job: OwnedJob, progress: Progress, seconds: float
-    ) -> None:
-        part = self._fleet.suspects.quarantined_part(
-            progress.read_shared_parts(self._dialect)
-        )
+        if not seconds:
+            return False
+        self._metrics.load.paused_items += 1
         self._log.event(
-            'item-quarantined',
+            'item-paused',
             job=job.job,
             item=progress.item.item,
             digest=job.digest(progress),
-            part=part or '-',
+            parts=','.join(self.quarantined_parts(progress)) or '-',
             seconds=round(seconds, 1),
         )
-
-    def _postpone_quarantined(
-        self, shard: OwnedShard, job: OwnedJob, progress: Progress, route: Route
-    ) -> None:
-        """Postpone a quarantined item; give it up if it has no retention."""
-        self._metrics.quarantined += 1
-        if route.retention:
-            progress.not_before = clock.uptime() + _QUARANTINE_RECHECK_SECONDS
-        else:
-            self._give_up(shard, job, progress)
+        # A complete answer to another item may end the pause sooner.
+        progress.not_before = clock.uptime() + min(
+            seconds, _PAUSE_RECHECK_SECONDS
+        )
+        return True
 
 
 def job_age_seconds(job: OwnedJob) -> float:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -54,7 +54,7 @@
 
     @property
     def digest(self) -> RequestDigest:
-        """Return the digest of the request, equal for all runs of the item."""
+        """Return the name of the item as a suspect, equal for all its runs."""
         return self.job.digest(self.progress)
 
     @property
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owned_job.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owned_job.py
@@ -12,7 +12,11 @@
 from gevent.event import Event
 from msgspec import Struct, field
 
-from bendlead_gateway._suspects.digest import RequestDigest, digest_request
+from bendlead_gateway._suspects.digest import (
+    RequestDigest,
+    digest_request,
+    name_item,
+)
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import (
     EngineVersion,
@@ -247,12 +251,13 @@
                 yield progress
 
     def digest(self, progress: Progress) -> RequestDigest:
-        """Return the digest of the item's request to engines."""
+        """Return the name of the item as a suspect."""
         if progress.digest is None:
             item = progress.item
-            progress.digest = digest_request(
+            digest = digest_request(
                 self.team, ITEM_METHOD, self.host, item.path, item.body
             )
+            progress.digest = name_item(digest)
         return progress.digest
 
     def body(self, item: ItemId) -> bytes | None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -188,6 +188,9 @@
         )
         run.progress.begin_run(engine.version)
         self._candidates.record_start(candidate)
+        self._fleet.suspects.part_trials.begin(
+            run, self._candidates.quarantined_parts(run.progress)
+        )
         self._runs.add(run)
         self._loads.own.batch[engine.engine] += 1
         gevent.spawn(self._run_item, run)
@@ -200,6 +203,7 @@
             self._record_failure(run, error)
         finally:
             self._release_slot(run)
+            self._fleet.suspects.part_trials.end(run)
         progress = run.progress
         if outcome is None and progress.failures >= run.route.max_attempts:
             outcome = ItemOutcome.GIVEN_UP
@@ -248,6 +252,7 @@
                     run.suspected_parts,
                 )
                 self._fleet.suspects.record_broken(run.engine, broken)
+            self._fleet.suspects.part_trials.record_failure(run)
             self._fleet.health.record_failure(run.engine.engine)
             self._report_failure(run, error)
             run.progress.not_before = clock.uptime() + _RETRY_PAUSE_SECONDS
--- a/packages/bendlead-gateway/src/bendlead_gateway/_metrics.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_metrics.py
@@ -67,6 +67,8 @@
         self.item_stops: Counter[str] = Counter()
         #: Times that items were held back because requests had been refused.
         self.items_held_back = 0
+        #: Times that an item paused because engines had crashed under it.
+        self.paused_items = 0
 
 
 class StreamMetrics:
@@ -152,6 +154,7 @@
             ('engine_trials', self.load.engine_trials),
             ('items_held_back', self.load.items_held_back),
             ('origins_dropped', self.streams.origins_dropped),
+            ('paused_items', self.load.paused_items),
             ('quarantined', self.quarantined),
             ('store_calls', self.store_calls),
         )
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -41,7 +41,6 @@
 from bendlead_gateway._streams.origin import StreamOrigin
 from bendlead_gateway._streams.origins import StreamOrigins
 from bendlead_gateway._streams.resumption import resume_refusal
-from bendlead_gateway._suspects.crash_history import REQUEST_QUARANTINE_SECONDS
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import (
     EngineId,
@@ -235,7 +234,6 @@
     def _quarantine_left(self, exchange: Exchange) -> float:
         return self._fleet.suspects.remaining_quarantine(
             lambda: exchange.digest,
-            REQUEST_QUARANTINE_SECONDS,
             exchange.facts.shared_parts,
         )
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/digest.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/digest.py
@@ -6,9 +6,10 @@
 from bendlead_gateway.types import PromptPart, TeamName
 
 #: Digest of a request's team, method, host, target and body; the same for each
-#: attempt. Parts of prompts are suspected under names of the same type.
+#: attempt. Batch items and parts of prompts have names of the same type.
 RequestDigest = NewType('RequestDigest', str)
 
+_ITEM_PREFIX = 'item-'
 _PART_PREFIX = 'part-'
 
 #: 128 bits, so that neither accidental nor forged collisions are practical.
@@ -27,6 +28,16 @@
     return RequestDigest(hasher.hexdigest()[:_DIGEST_HEX_DIGITS])
 
 
+def name_item(digest: RequestDigest) -> RequestDigest:
+    """Return the name of a batch item with the digest of its request."""
+    return RequestDigest(f'{_ITEM_PREFIX}{digest}')
+
+
+def names_item(digest: RequestDigest) -> bool:
+    """Return whether a name is that of a batch item."""
+    return digest.startswith(_ITEM_PREFIX)
+
+
 def name_part(part: PromptPart) -> RequestDigest:
     """Return the name under which a part of prompts is suspected."""
     return RequestDigest(f'{_PART_PREFIX}{part}')
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspect_store.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspect_store.py
@@ -18,7 +18,11 @@
 
 from bendlead_gateway._log import Log
 from bendlead_gateway._suspects.crash_history import CrashHistory
-from bendlead_gateway._suspects.digest import RequestDigest, names_part
+from bendlead_gateway._suspects.digest import (
+    RequestDigest,
+    names_item,
+    names_part,
+)
 
 #: Crashes from which on a suspect is stored. Most requests with a single crash
 #: only ran beside the one that caused it, and writes cost money.
@@ -64,7 +68,12 @@
         self._load(Entry(change.key, change.version, change.body))
 
     def save(self, digest: RequestDigest) -> None:
-        """Queue a changed record for writing if it has enough crashes."""
+        """Queue a changed record for writing if it has enough crashes.
+
+        Those of batch items end sooner than a process starts.
+        """
+        if names_item(digest):
+            return
         least = CRASHES_UNTIL_STORED
         if names_part(digest):
             least = PART_CRASHES_UNTIL_STORED
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -24,8 +24,10 @@
     names_part,
     part_of,
 )
+from bendlead_gateway._suspects.item_pause import remaining_pause
 from bendlead_gateway._suspects.part_search import PartSearch
 from bendlead_gateway._suspects.part_shares import PartShares
+from bendlead_gateway._suspects.part_trials import PartTrials
 from bendlead_gateway._suspects.suspect_store import SuspectStore
 from bendlead_gateway.types import Engine, EngineId, PromptPart
 
@@ -59,6 +61,7 @@
         self._shares = PartShares()
         self._search = PartSearch(self._history, self._crashes, self._shares)
         self._searching: gevent.Greenlet | None = None
+        self.part_trials = PartTrials()
         self.crash_detector = CrashDetector(
             takes_requests, last_response_at, log, metrics
         )
@@ -72,23 +75,53 @@
     def remaining_quarantine(
         self,
         digest_of: Callable[[], RequestDigest],
-        first: float,
         parts: Sequence[PromptPart] = (),
     ) -> float:
         """Return the seconds until a request may be sent to an engine.
 
-        ``first`` is the length of its first quarantine (s). The digest is only
-        computed while some suspect is quarantined.
+        The digest is only computed while some suspect is quarantined.
         """
         if not self._history.any_quarantined:
             return 0
         now = time.time()
         suspects = [digest_of(), *map(name_part, parts)]
         return max(
-            self._history.remaining_quarantine(suspect, first, now)
+            self._history.remaining_quarantine(suspect, now)
             for suspect in suspects
         )
 
+    def remaining_pause(
+        self,
+        item_of: Callable[[], RequestDigest],
+        parts: Sequence[PromptPart] = (),
+    ) -> float:
+        """Return the seconds until a batch item may be sent to an engine.
+
+        Infinite while another item tries one of its parts.
+        """
+        if not self._history.any_suspects:
+            return 0
+        now = time.time()
+        pauses = [remaining_pause(self._history.record(item_of()), now)]
+        for part in self.quarantined_parts(parts):
+            found_ms = self._history.record(name_part(part)).found_ms
+            found_seconds = now - found_ms / _MS_PER_SECOND
+            pauses.append(self.part_trials.remaining_pause(part, found_seconds))
+        return max(pauses)
+
+    def quarantined_parts(
+        self, parts: Sequence[PromptPart]
+    ) -> Sequence[PromptPart]:
+        """Return the parts whose quarantine has not ended."""
+        if not self._history.any_quarantined:
+            return ()
+        now = time.time()
+        return [
+            part
+            for part in parts
+            if self._history.remaining_quarantine(name_part(part), now)
+        ]
+
     def quarantined_part(self, parts: Sequence[PromptPart]) -> str:
         """Return the first quarantined part, or an empty string."""
         for part in parts:
--- a/packages/bendlead-gateway/src/bendlead_gateway/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/suspects.py
@@ -3,14 +3,12 @@
 from bendlead_gateway._fleet.probe import refuses_connections
 from bendlead_gateway._suspects.crash_history import (
     CRASHES_UNTIL_QUARANTINE,
-    REQUEST_QUARANTINE_SECONDS,
     CrashHistory,
 )
 from bendlead_gateway._suspects.digest import RequestDigest, digest_request
 
 __all__ = (
     'CRASHES_UNTIL_QUARANTINE',
-    'REQUEST_QUARANTINE_SECONDS',
     'CrashHistory',
     'RequestDigest',
     'digest_request',
--- a/packages/bendlead-node/src/bendlead_node/_entry/suspects.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/suspects.py
@@ -7,7 +7,6 @@
 import msgspec
 from bendlead_gateway.suspects import (
     CRASHES_UNTIL_QUARANTINE,
-    REQUEST_QUARANTINE_SECONDS,
     CrashHistory,
     RequestDigest,
     digest_request,
@@ -75,7 +74,7 @@
         """Refuse a request that must reach no engine."""
         self._merge()
         left = self._history.remaining_quarantine(
-            self.digest(request), REQUEST_QUARANTINE_SECONDS, time.time()
+            self.digest(request), time.time()
         )
         if not left:
             return
--- a/testing/src/bendlead_testing/crash_replay.py
+++ b/testing/src/bendlead_testing/crash_replay.py
@@ -8,10 +8,7 @@
 from collections.abc import Callable
 from random import Random
 
-from bendlead_gateway._suspects.crash_history import (
-    REQUEST_QUARANTINE_SECONDS,
-    CrashHistory,
-)
+from bendlead_gateway._suspects.crash_history import CrashHistory
 from bendlead_gateway._suspects.digest import RequestDigest
 from msgspec import Struct, field
 
@@ -174,7 +171,5 @@
             return False
         if self._bound != 3:
             return self._history.crash_count(digest) >= self._bound
-        left = self._history.remaining_quarantine(
-            digest, REQUEST_QUARANTINE_SECONDS, self._now
-        )
+        left = self._history.remaining_quarantine(digest, self._now)
         return left > 0
--- /dev/null
+++ b/tests/test_gateway_owed_items.py
@@ -0,0 +1,191 @@
+"""Items under which engines crashed are still run.
+
+Guards against accepted items that wait or are given up beside idle engines.
+"""
+
+import time
+import unittest
+
+import gevent
+from bendlead_gateway._suspects.digest import digest_request, name_part
+from bendlead_gateway.types import PromptPart
+from parameterized import parameterized
+
+from tests.gateway_standins import SimulatedProcess, eventually, route
+from tests.test_gateway_crashes import CrashCase
+from tests.test_gateway_crashing_part import submit_items
+
+_ITEM = b'sound item'
+_RUNS_SECONDS = 0.25
+#: Far below the time that jobs have to finish once all is calm (18 s).
+_CALM_SECONDS = 5
+_PART = 'c0ffee:100'
+_MINUTE = 60
+
+
+class OwedItemCase(CrashCase):
+    """Start an owner whose items run long enough to be crashed under."""
+
+    def start(self, engines=9, **changed):
+        """Start engines and an owner."""
+        self.configure(
+            route('batch', max_attempts=3, **changed),
+            engines=engines,
+            runs_seconds=_RUNS_SECONDS,
+        )
+        return self.owner()
+
+    def crash_under_item(self, times, body=_ITEM):
+        """Crash each engine that runs the item, this many times."""
+        for number in range(times):
+            running = eventually(lambda: self.running(body), 20)
+            gevent.sleep(_RUNS_SECONDS / 4)
+            running.close()
+            self.store.remove('servers', f'i-{self.engines.index(running)}')
+            if number < times - 1:
+                self.add_engine(_RUNS_SECONDS)
+
+    def running(self, body):
+        """Return an engine that got the item and lives."""
+        for engine in self.engines:
+            if body in engine.bodies and not engine.crashed:
+                return engine
+        return None
+
+    def suspect(self, owner, digest, crashes, now):
+        """Hold crashes against a suspect, as reports of others do."""
+        history = owner.fleet.suspects._history
+        for number in range(crashes):
+            history.add_crash(digest, f'i-old{number}@0', now)
+
+    def assert_completed(self, owner, count=1, within=_CALM_SECONDS):
+        """Check that all items are completed in time."""
+        results = eventually(
+            lambda: len(self.results(owner)) == count and self.results(owner),
+            within,
+        )
+        self.assertEqual({'completed'}, {one['state'] for one in results})
+
+
+class CrashedItemTest(OwedItemCase):
+    """Engines crash while the same sound item runs."""
+
+    @parameterized.expand(
+        [
+            ('three', 3, {}),
+            ('four', 4, {}),
+            ('six', 6, {}),
+            ('without_retention', 3, {'retention_s': 0}),
+        ]
+    )
+    def test_item_is_done_in_the_calm(self, _name, crashes, changed):
+        owner = self.start(**changed)
+        self.submit(owner, _ITEM)
+        self.crash_under_item(crashes)
+        self.assert_completed(owner)
+
+    def test_new_owner_runs_the_item(self):
+        self.configure(route('batch'), runs_seconds=_RUNS_SECONDS)
+        life = SimulatedProcess()
+        first = life.start(self.owner)
+        self.submit(first, _ITEM)
+        self.crash_under_item(4)
+        # The crash is known, and stored if it ever is.
+        gevent.sleep(1)
+        life.end()
+        second = self.owner()
+        self.assert_completed(second, within=2 * _CALM_SECONDS)
+
+    def test_record_of_an_earlier_version(self):
+        """Records of a day, stored before an upgrade, hold no item back."""
+        owner = self.start()
+        digest = digest_request('', 'POST', 'a.example', '/x/1', _ITEM)
+        self.suspect(owner, digest, 6, time.time())
+        self.submit(owner, _ITEM)
+        self.assert_completed(owner)
+
+    def test_crashes_are_no_failed_attempts(self):
+        owner = self.start()
+        self.submit(owner, _ITEM)
+        self.crash_under_item(5)
+        self.assert_completed(owner)
+        finished = [
+            line for line in owner.log.recent if 'event=item-run' in line
+        ]
+        self.assertNotIn('failures=1', ' '.join(finished))
+
+    def test_large_batch(self):
+        """40 of 1,000 items that were present at crashes are done too."""
+        owner = self.start()
+        for engine in self.engines:
+            engine._runs_seconds = 0.01
+        bodies = [b'item %d' % number for number in range(200)]
+        for job in range(5):
+            self.submit(owner, *bodies, job=f'j{job}')
+        jobs = [
+            job
+            for shard in owner._shard_manager.owned.values()
+            for job in shard.jobs.values()
+        ]
+        for job in jobs:
+            for progress in list(job.progress.values())[:8]:
+                self.suspect(owner, job.digest(progress), 5, time.time())
+        for job in range(5):
+            eventually(
+                lambda job=job: len(self.results(owner, f'j{job}')) == 200, 18
+            )
+        self.assertEqual(0, owner.metrics.items['dead_lettered'])
+
+
+class ItemOfFoundPartTest(OwedItemCase):
+    """Items with a part of prompts that is quarantined."""
+
+    def found(self, owner, age):
+        """Quarantine the part, as a peer that found it does."""
+        owner.fleet.suspects._history.record_found(
+            name_part(PromptPart(_PART.partition(':')[0])), time.time() - age
+        )
+
+    @parameterized.expand(
+        [
+            ('now', 0, {}),
+            ('a_minute_ago', _MINUTE, {}),
+            ('clock_ahead', -_MINUTE, {}),
+            ('without_retention', 0, {'retention_s': 0}),
+        ]
+    )
+    def test_sound_part_is_cleared(self, _name, age, changed):
+        """One whole answer releases all items and requests with the part."""
+        owner = self.start(**changed)
+        self.found(owner, age)
+        items = [(f'{_PART},{number}:9', _ITEM) for number in range(6)]
+        submit_items(self, owner, '/x/', *items)
+        self.assert_completed(owner, 6)
+        self.assertFalse(
+            list(owner.fleet.suspects._history.quarantined_parts(time.time()))
+        )
+
+    def test_one_trial_at_a_time(self):
+        owner = self.start()
+        self.found(owner, _MINUTE)
+        items = [(f'{_PART},{number}:9', _ITEM) for number in range(6)]
+        submit_items(self, owner, '/x/', *items)
+        eventually(lambda: self.reached)
+        gevent.sleep(_RUNS_SECONDS / 2)
+        self.assertEqual(1, self.reached)
+
+    def test_bad_part_costs_one_engine_at_a_time(self):
+        owner = self.start()
+        self.found(owner, _MINUTE)
+        items = [
+            (f'{_PART},{number}:9', b'deadly prompt') for number in range(6)
+        ]
+        submit_items(self, owner, '/x/', *items)
+        eventually(lambda: self.crashed)
+        gevent.sleep(3)
+        # One at once, and one behind the pause.
+        self.assertLessEqual(self.crashed, 2)
+
+
+if __name__ == '__main__':
+    unittest.main()
