Items that have just failed are no trials of engines

Callers would see: an accepted item that waits for seconds beside idle engines.

Cause: a waiting item without failed attempts is the trial of an engine that is out of rotation before a sound engine is looked for. A trial that cannot connect is no failed attempt, so the same item was the trial of one dead engine after another, ten times in 3 s, with eight sound engines idle.

Change: an item whose run failed less than 5 s ago is no trial. After that it may be one again, so that a fleet with all engines out of rotation is still tried.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owned_job.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owned_job.py
@@ -1,5 +1,6 @@
 """An owned job and the progress of its items."""
 
+import math
 from collections.abc import Iterator, Sequence
 
 from bendlead_ledger import BEFORE_FIRST, DirectJobState, SavedProgress
@@ -47,6 +48,8 @@
     failures: int = 0
     finished: bool = False
     not_before: float = 0
+    #: When a run last failed for any reason (uptime, s).
+    failed_at: float = -math.inf
     #: Computed on first use: the scheduler checks waiting items often.
     digest: RequestDigest | None = None
     #: Parts of the prompt that other requests may share, ``None`` if not read.
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -45,6 +45,8 @@
 _ROUND_INTERVAL_SECONDS = 0.025
 #: Pause before an item is run again after a failure.
 _RETRY_PAUSE_SECONDS = 0.3
+#: Time for which an item that has failed is no trial of an engine.
+_TRIAL_INTERVAL_SECONDS = 5.0
 
 
 class ItemRunner:
@@ -166,12 +168,15 @@
         """Start an item as the trial of an engine that is out of rotation.
 
         Only an item without failures: a failed trial counts towards giving it
-        up. Nor one with events, which that engine may be unable to continue.
-        Each service is checked once a round, as thousands may wait.
+        up. Nor one with events, which that engine may be unable to continue,
+        nor one that has just failed: it could meet one such engine after the
+        other. Each service is checked once a round, as thousands may wait.
         """
         progress = candidate.progress
         if progress.failures or progress.texts or service in tried_services:
             return False
+        if clock.uptime() - progress.failed_at < _TRIAL_INTERVAL_SECONDS:
+            return False
         tried_services.add(service)
         view = self._fleet.balancer.start_trial(service)
         if view is not None:
@@ -255,7 +260,10 @@
             self._fleet.suspects.part_trials.record_failure(run)
             self._fleet.health.record_failure(run.engine.engine)
             self._report_failure(run, error)
-            run.progress.not_before = clock.uptime() + _RETRY_PAUSE_SECONDS
+            run.progress.failed_at = clock.uptime()
+            run.progress.not_before = (
+                run.progress.failed_at + _RETRY_PAUSE_SECONDS
+            )
 
     def _report_failure(self, run: ItemRun, error: Exception) -> None:
         """Report an engine's failure, unless this process caused it."""
--- a/tests/test_gateway_owed_items.py
+++ b/tests/test_gateway_owed_items.py
@@ -35,13 +35,18 @@
         )
         return self.owner()
 
-    def crash_under_item(self, times, body=_ITEM):
-        """Crash each engine that runs the item, this many times."""
+    def crash_under_item(self, times, body=_ITEM, *, listed=False):
+        """Crash each engine that runs the item, this many times.
+
+        Crashed engines leave the list at once, or stay ``listed``.
+        """
         for number in range(times):
             running = eventually(lambda: self.running(body), 20)
             gevent.sleep(_RUNS_SECONDS / 4)
             running.close()
-            self.store.remove('servers', f'i-{self.engines.index(running)}')
+            if not listed:
+                name = f'i-{self.engines.index(running)}'
+                self.store.remove('servers', name)
             if number < times - 1:
                 self.add_engine(_RUNS_SECONDS)
 
@@ -104,6 +109,13 @@
         self.submit(owner, _ITEM)
         self.assert_completed(owner)
 
+    def test_item_is_not_the_trial_of_one_engine_after_another(self):
+        """Guards against an item that only meets engines known to fail."""
+        owner = self.start()
+        self.submit(owner, _ITEM)
+        self.crash_under_item(5, listed=True)
+        self.assert_completed(owner)
+
     def test_crashes_are_no_failed_attempts(self):
         owner = self.start()
         self.submit(owner, _ITEM)
