Limit the bytes and the time of heads and bodies that have no end

Callers would see: requests that hang, items that are never finished, processes out of memory, while a peer writes into a head or a body until we close.

Cause: every timeout of the HTTP client was for one read, and nothing limited what a response may take. Interim responses were skipped by recursion.

Change: limits of bytes and time in _http/limits.py, kept by the one reader that online requests, items, the object service and own processes share; one event of a stream is limited, a stream is not. Header lines, trailers and chunk extensions of clients' requests are counted as they arrive. Trailers are no longer appended to the headers of a response.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
@@ -1,13 +1,21 @@
 """HTTP/1.1 client connection for one request at a time."""
 
+import math
 import select
 from collections import deque
 from collections.abc import Iterator
 
 import httptools
+from bendlead_store import clock
 from msgspec import Struct, field
 
 from bendlead_gateway._http.framing import Framing, find_framing
+from bendlead_gateway._http.limits import (
+    MAX_BODY_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_OVERHEAD_BYTES,
+    MAX_OVERHEAD_SECONDS,
+)
 from bendlead_gateway._http.sockets import connect, is_ready, receive
 from bendlead_gateway.types import Headers
 
@@ -25,7 +33,11 @@
 
 
 class ResponseTimeoutError(ResponseError):
-    """The peer sent nothing within the timeout."""
+    """The peer sent nothing, or no end, within the timeout."""
+
+
+class ResponseTooLargeError(ResponseError):
+    """The peer sent more bytes than a limit allows."""
 
 
 class CloseDelimitedError(ResponseError):
@@ -119,9 +131,11 @@
         self._responses[-1].reason += status.decode('latin-1')
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Store one header."""
-        decoded = (name.decode('latin-1'), text.decode('latin-1'))
-        self._responses[-1].headers.append(decoded)
+        """Store one header; a trailer is dropped."""
+        latest = self._responses[-1]
+        if latest.head is None:
+            decoded = (name.decode('latin-1'), text.decode('latin-1'))
+            latest.headers.append(decoded)
 
     def on_headers_complete(self) -> None:
         """Store the status line and the headers."""
@@ -140,6 +154,38 @@
         self._responses[-1].complete = True
 
 
+class _Overhead:
+    """Bytes that are no part of a body, and how long they take."""
+
+    def __init__(self, name: str, limit: int, until: float) -> None:
+        self._name = name
+        self._limit = limit
+        self._bytes = 0
+        #: End of the time for the first byte (uptime, s).
+        self.until = until
+        self.began_at = math.inf
+
+    def add(self, received: int) -> None:
+        """Count received bytes."""
+        self._bytes += received
+        self.began_at = min(self.began_at, clock.uptime())
+
+    def check(self) -> None:
+        """Raise ``ResponseError`` if the bytes so far are too many or too late.
+
+        Called before further ones are read: a silent peer may end in time.
+        """
+        if self._bytes > self._limit:
+            raise ResponseTooLargeError(
+                f'{self._name} of more than {self._limit} bytes'
+            )
+        if not self._bytes:
+            return
+        until = min(self.until, self.began_at + MAX_OVERHEAD_SECONDS)
+        if clock.uptime() > until:
+            raise ResponseTimeoutError(f'no end of {self._name} in time')
+
+
 class HttpConnection:
     """Client connection to one peer.
 
@@ -195,22 +241,25 @@
     def read_head(self, timeout: float) -> ResponseHead:
         """Read the head of the next final response; skip 1xx responses.
 
-        The timeout is for each read, in seconds.
+        The timeout is for all of it, in seconds.
         """
-        response = self._response_parser.current
-        while response.head is None:
-            if not self._receive(timeout):
-                raise ResponseError(
-                    'peer closed the connection before sending a response'
-                )
-        if response.head.status < _MIN_FINAL_STATUS:
-            self._response_parser.drop_current()
-            return self.read_head(timeout)
-        return response.head
-
-    def read_parts(self, head: ResponseHead, timeout: float) -> Iterator[bytes]:
-        """Yield the body as it arrives; the timeout (s) is for each part.
-
+        overhead = _Overhead('head', MAX_HEAD_BYTES, clock.uptime() + timeout)
+        while True:
+            head = self._response_parser.current.head
+            if head is None:
+                self._receive_head(overhead)
+            elif head.status < _MIN_FINAL_STATUS:
+                self._response_parser.drop_current()
+                overhead.began_at = clock.uptime()
+            else:
+                return head
+
+    def read_parts(
+        self, head: ResponseHead, timeout: float, within: float = math.inf
+    ) -> Iterator[bytes]:
+        """Yield the body as it arrives.
+
+        The timeout (s) is for each part; ``within`` is for all of them (s).
         Ends normally where the body is complete by its framing. Raises
         ``CloseDelimitedError`` where it can't be told whether it is.
         """
@@ -218,6 +267,7 @@
         if head.framing is Framing.NO_BODY:
             # The parser would wait for the body of an answer to HEAD.
             response.complete = True
+        end = clock.uptime() + within
         while True:
             if response.body:
                 part = b''.join(response.body)
@@ -225,18 +275,35 @@
                 yield part
             if response.complete:
                 return
-            if not self._receive(timeout):
+            until = min(end, clock.uptime() + timeout)
+            if not self._receive_part(response, until):
                 self._handle_end_of_stream(head)
                 return
+            if clock.uptime() > end and not response.complete:
+                self._reusable = False
+                raise ResponseTimeoutError(f'no end of body in {within:.3f} s')
 
     def skip_response(self, head: ResponseHead, timeout: float) -> None:
         """Discard a response that belongs to an earlier request."""
-        self.read_body(head, timeout)
+        deque(self.read_parts(head, timeout, timeout), maxlen=0)
         self._response_parser.drop_current()
 
-    def read_body(self, head: ResponseHead, timeout: float) -> bytes:
-        """Read the remaining body of a response."""
-        return b''.join(self.read_parts(head, timeout))
+    def read_body(
+        self, head: ResponseHead, timeout: float, limit: int = MAX_BODY_BYTES
+    ) -> bytes:
+        """Read the remaining body of a response.
+
+        The timeout (s) and the limit (bytes) are for all of it.
+        """
+        parts = []
+        size = 0
+        for part in self.read_parts(head, timeout, timeout):
+            size += len(part)
+            if size > limit:
+                self._reusable = False
+                raise ResponseTooLargeError(f'body of more than {limit} bytes')
+            parts.append(part)
+        return b''.join(parts)
 
     def request(
         self,
@@ -268,7 +335,35 @@
             'peer closed the connection before the response was complete'
         )
 
-    def _receive(self, timeout: float) -> bool:
+    def _receive_head(self, overhead: _Overhead) -> None:
+        if not self._receive_overhead(overhead):
+            raise ResponseError(
+                'peer closed the connection before sending a response'
+            )
+
+    def _receive_part(self, response: _PartialResponse, until: float) -> bool:
+        """Receive until there is a part of the body, or its end.
+
+        Return False if the peer closed the connection.
+        """
+        overhead = _Overhead('chunk', MAX_OVERHEAD_BYTES, until)
+        while not response.body and not response.complete:
+            if not self._receive_overhead(overhead):
+                return False
+        return True
+
+    def _receive_overhead(self, overhead: _Overhead) -> bool:
+        try:
+            overhead.check()
+        except ResponseError:
+            self._reusable = False
+            raise
+        received = self._receive(overhead.until - clock.uptime())
+        overhead.add(received)
+        return received > 0
+
+    def _receive(self, timeout: float) -> int:
+        """Receive and parse bytes; return their number, 0 at the end."""
         self._sock.settimeout(max(timeout, _MIN_TIMEOUT_SECONDS))
         try:
             received = receive(self._sock, _READ_BYTES)
@@ -284,7 +379,7 @@
             ) from error
         if not received:
             self._reusable = False
-            return False
+            return 0
         try:
             self._response_parser.feed(received)
         except httptools.HttpParserError as error:
@@ -293,4 +388,4 @@
                 raise ResponseError(
                     f'invalid HTTP response: {error}'
                 ) from error
-        return True
+        return len(received)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/parsing.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/parsing.py
@@ -10,6 +10,9 @@
 from bendlead_gateway._http.messages import Request
 from bendlead_gateway.types import ClientLimits
 
+#: Bytes of a head that the limit of headers does not count, as its first line.
+_SLACK_BYTES = 1024
+
 
 class InvalidRequestError(Exception):
     """A client sent an invalid request or exceeded a size limit.
@@ -40,6 +43,9 @@
         self._now = now
         self._parser = httptools.HttpRequestParser(self)
         self._partial = _PartialRequest()
+        #: Bytes since the last part of a body or end of a request.
+        self._overhead_bytes = 0
+        self._has_progress = False
         #: Arrival time of the first byte of an incomplete request, or 0.
         self.started_at = 0.0
         self.complete_requests: deque[Request] = deque()
@@ -55,16 +61,15 @@
         """Parse received bytes, or raise InvalidRequestError."""
         if not self.started_at:
             self.started_at = self._now()
-        try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserUpgrade as error:
-            raise InvalidRequestError(HTTPStatus.BAD_REQUEST) from error
-        except httptools.HttpParserError as error:
-            # httptools replaces an exception of a callback by its own.
-            cause = error.__context__
-            if isinstance(cause, InvalidRequestError):
-                raise cause from error
-            raise InvalidRequestError(HTTPStatus.BAD_REQUEST) from error
+        self._has_progress = False
+        self._parse(received)
+        self._overhead_bytes += len(received)
+        if self._has_progress:
+            self._overhead_bytes = 0
+        if self._overhead_bytes > self._limits.header_bytes + _SLACK_BYTES:
+            raise InvalidRequestError(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            )
 
     def on_message_begin(self) -> None:
         """Start a new request."""
@@ -83,6 +88,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Store a part of the body; raise if it exceeds the size limit."""
+        self._has_progress = True
         self._partial.body_bytes += len(part)
         if self._partial.body_bytes > self._limits.body_bytes:
             raise InvalidRequestError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -90,6 +96,7 @@
 
     def on_message_complete(self) -> None:
         """Append the complete request to the queue."""
+        self._has_progress = True
         partial = self._partial
         self._partial = _PartialRequest()
         self.started_at = 0
@@ -103,6 +110,18 @@
         )
         self.complete_requests.append(request)
 
+    def _parse(self, received: bytes) -> None:
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade as error:
+            raise InvalidRequestError(HTTPStatus.BAD_REQUEST) from error
+        except httptools.HttpParserError as error:
+            # httptools replaces an exception of a callback by its own.
+            cause = error.__context__
+            if isinstance(cause, InvalidRequestError):
+                raise cause from error
+            raise InvalidRequestError(HTTPStatus.BAD_REQUEST) from error
+
     def _count_header(self, size: int) -> None:
         self._partial.header_bytes += size
         if self._partial.header_bytes > self._limits.header_bytes:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -139,14 +139,15 @@
         connection.send(
             ITEM_METHOD, item.path, headers, item.body, _IO_TIMEOUT_SECONDS
         )
+        until = clock.uptime() + _IO_TIMEOUT_SECONDS
         while True:
-            head = connection.read_head(_IO_TIMEOUT_SECONDS)
+            head = connection.read_head(until - clock.uptime())
             answer = self._dialect.engine_answer(head.status, head.headers)
             if answer.request in {None, item.item}:
                 run.response_started = True
                 run.response_started_at = clock.uptime()
                 return head
-            connection.skip_response(head, _IO_TIMEOUT_SECONDS)
+            connection.skip_response(head, until - clock.uptime())
             connection.disable_reuse()
 
     def _read_response(
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/answer_body.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/answer_body.py
@@ -1,5 +1,6 @@
 """Bodies of engines' answers, and whether they arrived completely."""
 
+import math
 from collections.abc import Iterator
 from typing import Protocol
 
@@ -53,14 +54,19 @@
         self._events = events
         self._empty = True
 
-    def parts(self, timeout: float) -> Iterator[bytes]:
-        """Yield the body as it arrives; the timeout (s) is for each part.
+    def parts(
+        self, timeout: float, within: float = math.inf
+    ) -> Iterator[bytes]:
+        """Yield the body as it arrives.
 
+        The timeout (s) is for each part; ``within`` is for all of them (s).
         Raises ``ResponseError`` if the answer broke off. Can be called again
         after ``ResponseTimeoutError``.
         """
         try:
-            for part in self._connection.read_parts(self._head, timeout):
+            for part in self._connection.read_parts(
+                self._head, timeout, within
+            ):
                 self._empty = False
                 yield part
         except CloseDelimitedError as closed:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -18,6 +18,7 @@
     ResponseHead,
     ResponseTimeoutError,
 )
+from bendlead_gateway._http.limits import MAX_REFUSAL_BYTES
 from bendlead_gateway._http.messages import (
     ClientDisconnectedError,
     ServerShutdownError,
@@ -231,9 +232,13 @@
         connection: HttpConnection,
         timeout: float | None,
     ) -> ResponseHead:
-        """Read the head of this request, skipping late ones of others."""
+        """Read the head of this request, skipping late ones of others.
+
+        The timeout (s) is for all of them.
+        """
+        until = clock.uptime() + (timeout or exchange.read_timeout)
         while True:
-            head = connection.read_head(timeout or exchange.read_timeout)
+            head = connection.read_head(until - clock.uptime())
             answer = self._dialect.engine_answer(head.status, head.headers)
             if answer.request in {None, exchange.facts.request}:
                 return head
@@ -242,14 +247,14 @@
                 request=exchange.facts.request,
                 belongs_to=answer.request,
             )
-            connection.skip_response(head, exchange.read_timeout)
+            connection.skip_response(head, until - clock.uptime())
             connection.disable_reuse()
 
     def _read_refusal(
         self, connection: HttpConnection, head: ResponseHead
     ) -> None:
         try:
-            connection.read_body(head, _REFUSAL_READ_SECONDS)
+            connection.read_body(head, _REFUSAL_READ_SECONDS, MAX_REFUSAL_BYTES)
         except ResponseError:
             # The refusal is valid; only the connection cannot be reused.
             connection.disable_reuse()
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -123,7 +123,9 @@
 
     @property
     def may_run_again(self) -> bool:
-        """Return whether the route allows one more run."""
+        """Return whether the route and what was sent allow one more run."""
+        if self.responder.started and not self.route.resumable:
+            return False
         return self.route.repeatable and self.runs < self.route.max_attempts
 
     @property
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -1,5 +1,6 @@
 """Relay the response of an engine to the client."""
 
+import math
 from collections.abc import Iterator
 from http import HTTPStatus
 
@@ -11,8 +12,10 @@
     ResponseError,
     ResponseHead,
     ResponseTimeoutError,
+    ResponseTooLargeError,
 )
 from bendlead_gateway._http.framing import Framing
+from bendlead_gateway._http.limits import MAX_RETRIED_BYTES, MAX_UNFRAMED_BYTES
 from bendlead_gateway._log import Log
 from bendlead_gateway._online.answer_body import AnswerBody, EventPosition
 from bendlead_gateway._online.events import (
@@ -103,7 +106,7 @@
         elif stream:
             self._relay_bytes(head)
         else:
-            self._relay_buffered(head)
+            self._relay_plain(head)
         if head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             self._health.record_success(self._engine.engine)
             if self._first_part_at:
@@ -125,19 +128,43 @@
             raise BrokenStreamError(str(error)) from error
         exchange.responder.finish()
 
-    def _relay_buffered(self, head: ResponseHead) -> None:
-        """Buffer a plain response, so that a broken one can be retried."""
-        exchange = self._exchange
-        parts = self._parts(self._body(head), exchange.read_timeout)
+    def _relay_plain(self, head: ResponseHead) -> None:
+        """Buffer a plain response, so that a broken one can be retried.
+
+        One that is too large for that is passed on as it arrives.
+        """
+        timeout = self._exchange.read_timeout
+        parts = self._parts(self._body(head), timeout, timeout)
         try:
-            body = b''.join(parts)
+            body, whole = _read_start(parts, head.framing)
         except ResponseError as error:
             raise UnknownOutcomeError(
                 f'incomplete response: {error}'
             ) from error
-        exchange.status = head.status
+        self._exchange.status = head.status
+        if whole:
+            self._answer(head, body)
+        else:
+            self._relay_large(head, body, parts)
+
+    def _relay_large(
+        self, head: ResponseHead, start: bytes, parts: Iterator[bytes]
+    ) -> None:
+        responder = self._exchange.responder
+        headers = end_to_end_headers(head.headers)
+        responder.start(head.status, head.reason, headers, length=None)
+        responder.write(start)
+        try:
+            for part in parts:
+                responder.write(part)
+        except ResponseError as error:
+            raise BrokenStreamError(str(error)) from error
+        responder.finish()
+
+    def _answer(self, head: ResponseHead, body: bytes) -> None:
+        """Send a whole plain response."""
         headers = end_to_end_headers(head.headers)
-        responder = exchange.responder
+        responder = self._exchange.responder
         if head.framing is Framing.NO_BODY:
             length = head.find('content-length')
             if length is not None:
@@ -215,8 +242,10 @@
             retention_seconds(exchange.route, exchange.facts.timeout),
         )
 
-    def _parts(self, body: AnswerBody, timeout: float) -> Iterator[bytes]:
-        for part in body.parts(timeout):
+    def _parts(
+        self, body: AnswerBody, timeout: float, within: float = math.inf
+    ) -> Iterator[bytes]:
+        for part in body.parts(timeout, within):
             self._observe(part)
             yield part
 
@@ -246,3 +275,24 @@
             end_to_end_headers(head.headers),
             length=None,
         )
+
+
+def _read_start(parts: Iterator[bytes], framing: Framing) -> tuple[bytes, bool]:
+    """Read what is kept of a plain response; return whether that is all.
+
+    Raises ``ResponseTooLargeError`` if a larger one can't be passed on.
+    """
+    unframed = framing is Framing.CONNECTION
+    limit = MAX_UNFRAMED_BYTES if unframed else MAX_RETRIED_BYTES
+    read = []
+    size = 0
+    for part in parts:
+        read.append(part)
+        size += len(part)
+        if size > limit and unframed:
+            raise ResponseTooLargeError(
+                f'response without length of more than {limit} bytes'
+            )
+        if size > limit:
+            return b''.join(read), False
+    return b''.join(read), True
