Judge parts by their share where they are sent

Cause: crashes of the whole fleet were compared with a part's share among the requests of the judging process only. Entries send no items, so a part of all items seemed to be one that nobody uses, and three crashes found it.

Change: the record of a part carries, for each crash, the share that the process which sent the request counts; it is judged by the greater of that and the own share. Crashes without a share say nothing where the process has sent none, and neither do complete answers without the part.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
@@ -7,7 +7,7 @@
 Batch items are never quarantined (see ``item_pause``).
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from bendlead_schema.gateway import SuspectRecord
 from msgspec import Struct
@@ -111,11 +111,22 @@
         return max(0, latest + _quarantine_seconds(len(crashes)) - now)
 
     def add_crash(
-        self, digest: RequestDigest, incarnation: str, now: float
+        self,
+        digest: RequestDigest,
+        incarnation: str,
+        now: float,
+        share: float = 0,
     ) -> bool:
-        """Add an engine crash to a request; return whether it was unknown."""
+        """Add an engine crash to a request; return whether it was unknown.
+
+        ``share`` is that of a part of prompts among the requests of the
+        process that sent it.
+        """
         crashes = {incarnation: round(now * _MS_PER_SECOND)}
-        return self.merge(SuspectRecord(digest=digest, ends=crashes), now)
+        record = SuspectRecord(digest=digest, ends=crashes)
+        if share:
+            record.shares[incarnation] = share
+        return self.merge(record, now)
 
     def record_found(self, suspect: RequestDigest, now: float) -> bool:
         """Quarantine a part of prompts; return whether it was unknown."""
@@ -212,16 +223,33 @@
         crashes[incarnation] = min(
             crashed_ms, crashes.get(incarnation, crashed_ms)
         )
-    newest = sorted(crashes.items(), key=_time_of)[-_MAX_CRASHES:]
+    newest = dict(sorted(crashes.items(), key=_time_of)[-_MAX_CRASHES:])
     found = max(known.found_ms, received.found_ms)
     return replace(
         known,
-        ends=dict(newest),
+        ends=newest,
+        shares=_merge_shares(known.shares, received.shares, newest),
         cleared_ms=cleared,
         found_ms=found if found > cleared else 0,
     )
 
 
+def _merge_shares(
+    known: Mapping[str, float],
+    received: Mapping[str, float],
+    incarnations: Iterable[str],
+) -> dict[str, float]:
+    merged = {
+        incarnation: max(
+            known.get(incarnation, 0), received.get(incarnation, 0)
+        )
+        for incarnation in incarnations
+    }
+    return {
+        incarnation: share for incarnation, share in merged.items() if share
+    }
+
+
 def _after_clear(
     crashes: Mapping[str, int], cleared: int
 ) -> Iterator[tuple[str, int]]:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
@@ -17,7 +17,9 @@
     Sequence,
 )
 
+from bendlead_schema.gateway import SuspectRecord
 from msgspec import Struct
+from msgspec.structs import replace
 
 from bendlead_gateway._suspects.crash_history import CrashHistory
 from bendlead_gateway._suspects.crash_table import CrashTable, Incident
@@ -99,17 +101,27 @@
     def _test(
         self, suspect: RequestDigest, incidents: Sequence[Incident]
     ) -> FoundPart:
-        part = part_of(suspect)
-        ends = self._history.record(suspect).ends
+        record = self._history.record(suspect)
         at_crashes = {
-            incarnation: self._shares.at_crash(part, incarnation)
-            for incarnation in ends
+            incarnation: self._at_crash(record, incarnation)
+            for incarnation in record.ends
         }
         evidence, count = _weigh(incidents, at_crashes)
         if count < _MIN_INCIDENTS:
             evidence = 0
         return FoundPart(suspect, evidence, count)
 
+    def _at_crash(self, record: SuspectRecord, incarnation: str) -> PartAtCrash:
+        """Return a part's share at a crash, as the process that sent it knows.
+
+        This process may send no request with the part, but many others do.
+        """
+        part = part_of(RequestDigest(record.digest))
+        own = self._shares.at_crash(part, incarnation)
+        unknown = 0 if own.sent else 1
+        told = record.shares.get(incarnation, unknown)
+        return replace(own, share=max(own.share, told))
+
     def _explained_by(self, found: Iterable[RequestDigest]) -> Iterator[str]:
         for suspect in found:
             yield from self._history.record(suspect).ends
@@ -129,7 +141,7 @@
         present = incident.incarnations.intersection(at_crashes)
         if present:
             part = max(map(at_crashes.__getitem__, present), key=_share_of)
-            if count:
+            if count and part.sent:
                 missing = part.answers - answers
                 evidence -= missing * math.log1p(-part.share)
             evidence += _evidence_of_presence(part.share, incident.running)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_shares.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_shares.py
@@ -12,12 +12,15 @@
 
 
 class PartAtCrash(Struct, frozen=True):
-    """A part's share of the requests as of a crash.
+    """A part's share of the requests of this process as of a crash.
 
-    ``answers`` counts the complete answers of this process until then.
+    ``share`` is above 0 also where the process has sent no request with it;
+    ``sent`` is whether it has. ``answers`` counts its complete answers until
+    then.
     """
 
     share: float
+    sent: bool
     answers: int
 
 
@@ -66,4 +69,6 @@
         return found or self._now(part)
 
     def _now(self, part: PromptPart) -> PartAtCrash:
-        return PartAtCrash(self.share(part), self._answers)
+        return PartAtCrash(
+            self.share(part), self._counts[part] > 0, self._answers
+        )
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -200,12 +200,13 @@
     ) -> None:
         incarnation = f'{engine.engine}@{engine.born}'
         now = time.time()
-        suspects = [digest]
+        shares = {digest: 0.0}
         if not self._history.crash_count(digest):
             # One that is repeated is no further evidence against its parts.
-            suspects.extend(map(name_part, parts))
-        for suspect in suspects:
-            if self._history.add_crash(suspect, incarnation, now):
+            for part in parts:
+                shares[name_part(part)] = self._shares.share(part)
+        for suspect, share in shares.items():
+            if self._history.add_crash(suspect, incarnation, now, share):
                 self._log_suspect(suspect, engine.engine)
                 self.store.save(suspect)
             ends = {incarnation: round(now * _MS_PER_SECOND)}
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
@@ -106,6 +106,15 @@
         ]
         | UnsetType
     ) = field(default_factory=dict)
+    shares: (
+        Annotated[
+            dict[str, float],
+            Meta(
+                description='Greatest share of a part among the requests of a process that sent it, by the life of the engine that ended; 0 to 1.'
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=dict)
     cleared_ms: (
         Annotated[
             int,
--- a/testing/src/bendlead_testing/part_replay.py
+++ b/testing/src/bendlead_testing/part_replay.py
@@ -1,8 +1,9 @@
 """Simulate engines that crash, some of them on one part of prompts.
 
 Requests have a first part of few, a second one of many by Zipf, and interrupted
-ones are retried. ``PartSearch`` and what it reads are the production code;
-processes are one here, and news of crashes and answers is late.
+ones are retried. Items have a first part of their own. ``PartSearch`` and what
+it reads are the production code. All entries are one process here and all
+owners another, which know of all crashes; news of crashes and answers is late.
 """
 
 import heapq
@@ -21,6 +22,7 @@
 BAD_PART = PromptPart('bad')
 BAD_FIRST = PromptPart('first-3')
 _RETRY_SECONDS = 0.3
+_ITEM_RETRIES = 100
 _SEARCH_SECONDS = 0.25
 #: Sheet of the users: crashes until the part must be known, and the time after
 #: them from which on few requests may reach engines.
@@ -50,6 +52,11 @@
     unreported: float = 0.05
     #: Processes that share the requests; each counts its own answers.
     entries: int = 6
+    #: Processes that send items, none if 0.
+    owners: int = 0
+    items_per_second: float = 0.0
+    item_seconds: float = 5.0
+    item_parts: int = 8
     seconds: float = 40.0
 
 
@@ -72,6 +79,17 @@
     digest: RequestDigest
     bad: bool
     retries: int
+    process: '_Process'
+    seconds: float
+
+
+class _Process(Struct, eq=False):
+    """Processes of one role, with what each of them counts."""
+
+    count: int
+    shares: PartShares
+    search: PartSearch
+    served: int = 0
 
 
 class _Engine(Struct, eq=False):
@@ -89,8 +107,8 @@
         self._random = Random(seed)
         self._history = CrashHistory()
         self._crashes = CrashTable()
-        self._shares = PartShares()
-        self._search = PartSearch(self._history, self._crashes, self._shares)
+        self._entries = self._add_process(load.entries)
+        self._owners = self._add_process(load.owners)
         self._engines = [_Engine(number) for number in range(load.engines)]
         self._weights = [1 / (at + 1) for at in range(load.second_parts)]
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -102,6 +120,8 @@
     def play(self) -> PartOutcome:
         """Simulate the whole load."""
         self._arrive()
+        if self._load.owners:
+            self._arrive_item()
         if self._load.bad_per_second:
             self._schedule(3, self._arrive_bad)
         for at, count in self._load.kills:
@@ -111,6 +131,11 @@
             action()
         return self.outcome
 
+    def _add_process(self, count: int) -> _Process:
+        shares = PartShares()
+        search = PartSearch(self._history, self._crashes, shares)
+        return _Process(count, shares, search)
+
     def _schedule(self, at: float, action: Callable[[], None]) -> None:
         self._count += 1
         heapq.heappush(self._events, (at, self._count, action))
@@ -125,7 +150,7 @@
     def _arrive(self) -> None:
         self.outcome.sound += 1
         digest = RequestDigest(f'sound-{self.outcome.sound}')
-        self._send(_Run(self._draw_parts(), digest, bad=False, retries=1))
+        self._send(self._run(self._draw_parts(), digest))
         pause = self._random.expovariate(self._load.per_second)
         self._schedule(self._now + pause, self._arrive)
 
@@ -134,13 +159,39 @@
         if self._load.bad_first:
             parts = (BAD_PART, self._draw_parts()[1])
         digest = RequestDigest(f'bad-{self._count}')
-        self._send(_Run(parts, digest, bad=True, retries=0))
+        self._send(self._run(parts, digest, bad=True))
         pause = self._random.expovariate(self._load.bad_per_second)
         self._schedule(self._now + pause, self._arrive_bad)
 
+    def _run(
+        self,
+        parts: tuple[PromptPart, ...],
+        digest: RequestDigest,
+        *,
+        bad: bool = False,
+    ) -> _Run:
+        seconds = self._load.run_seconds
+        return _Run(parts, digest, bad, int(not bad), self._entries, seconds)
+
+    def _arrive_item(self) -> None:
+        self.outcome.sound += 1
+        part = self._random.randrange(self._load.item_parts)
+        self._send(
+            _Run(
+                (PromptPart(f'item-{part}'),),
+                RequestDigest(f'sound-{self.outcome.sound}'),
+                bad=False,
+                retries=_ITEM_RETRIES,
+                process=self._owners,
+                seconds=self._load.item_seconds,
+            )
+        )
+        pause = self._random.expovariate(self._load.items_per_second)
+        self._schedule(self._now + pause, self._arrive_item)
+
     def _send(self, run: _Run, *, again: bool = False) -> None:
         if not again:
-            self._shares.add(run.parts)
+            run.process.shares.add(run.parts)
         if any(
             self._history.is_quarantined(name_part(part)) for part in run.parts
         ):
@@ -167,7 +218,7 @@
             self._schedule(self._now + self._load.crash_after * spread, crash)
         else:
             finish = self._finish_of(engine, run)
-            self._schedule(self._now + self._load.run_seconds * spread, finish)
+            self._schedule(self._now + run.seconds * spread, finish)
 
     def _note_bad(self) -> None:
         if len(self._bad_crashes) >= _KNOWN_CRASHES:
@@ -187,8 +238,10 @@
                 return
             engine.runs.remove(run)
             self.outcome.served += 1
-            if self.outcome.served % self._load.entries == 0:
-                self._shares.record_answer()
+            process = run.process
+            process.served += 1
+            if process.served % process.count == 0:
+                process.shares.record_answer()
             at = self._now
             self._schedule(
                 at + self._load.report_delay, lambda: self._clear(run, at)
@@ -241,14 +294,21 @@
                 again = self._history.crash_count(run.digest)
                 self._history.add_crash(run.digest, incarnation, at)
                 for part in () if again else run.parts:
-                    self._shares.record_crashes(part, [incarnation])
-                    self._history.add_crash(name_part(part), incarnation, at)
+                    for process in (self._entries, self._owners):
+                        process.shares.record_crashes(part, [incarnation])
+                    self._history.add_crash(
+                        name_part(part),
+                        incarnation,
+                        at,
+                        run.process.shares.share(part),
+                    )
 
         self._schedule(at + self._load.report_delay, learn)
         searched = at + self._load.report_delay + _SEARCH_SECONDS
         self._schedule(searched, self._find)
 
     def _find(self) -> None:
-        while found := self._search.find(round(self._now * _MS)):
-            self._history.record_found(found.suspect, self._now)
-            self.outcome.found.append(found.suspect)
+        for process in (self._entries, self._owners):
+            while found := process.search.find(round(self._now * _MS)):
+                self._history.record_found(found.suspect, self._now)
+                self.outcome.found.append(found.suspect)
--- a/tests/test_gateway_owed_items.py
+++ b/tests/test_gateway_owed_items.py
@@ -177,6 +177,32 @@
             list(owner.fleet.suspects._history.quarantined_parts(time.time()))
         )
 
+    def test_part_that_only_items_have_is_not_rare(self):
+        """Guards against an entry that finds it, as it sends none itself."""
+        self.configure(
+            route('batch', max_attempts=3),
+            route('streaming', name='s', path_prefix='/s/'),
+            engines=8,
+            # No answer clears the part between two crashes.
+            runs_seconds=1.6,
+        )
+        entry = self.entry()
+        for _request in range(200):
+            entry.fleet.suspects.record_sent(('other',))
+        owner = self.owner()
+        items = [
+            (f'{_PART},{number}:9', b'%d' % number) for number in range(30)
+        ]
+        submit_items(self, owner, '/x/', *items)
+        for number in range(4):
+            eventually(lambda number=number: self.engines[number].bodies)
+            self.engines[number].close()
+            self.store.remove('servers', f'i-{number}')
+            gevent.sleep(0.35)
+        self.assert_completed(owner, 30, within=15)
+        for node in (entry, owner):
+            self.assertNotIn('part-quarantined', ' '.join(node.log.recent))
+
     def test_one_trial_at_a_time(self):
         owner = self.start()
         self.found(owner, _MINUTE)
--- a/tests/test_gateway_part_search.py
+++ b/tests/test_gateway_part_search.py
@@ -88,6 +88,55 @@
             self.assertEqual([], outcome.found, outcome)
 
 
+_ITEMS = {
+    'engines': 6,
+    'per_second': 20.0,
+    'run_seconds': 1.0,
+    'restart_seconds': 0.5,
+    'owners': 3,
+    'items_per_second': 4.0,
+    'seconds': 25.0,
+}
+
+
+class TwoRolesTest(unittest.TestCase):
+    """Entries and owners send requests with different parts.
+
+    Guards against a process that takes parts which only others send for rare.
+    """
+
+    @parameterized.expand(
+        [
+            ('one_by_one', kills(12, 0.5, 1), {}),
+            ('slowly', kills(18, 1.5, 1), {}),
+            ('half_at_once', kills(18, 4, 3), {}),
+            ('crash_loop', kills(12, 0.7, 6), {}),
+            ('few_items', kills(12, 0.5, 1), {'items_per_second': 1.0}),
+            ('one_part', kills(12, 0.5, 1), {'item_parts': 1}),
+            ('many_parts', kills(12, 0.5, 1), {'item_parts': 60}),
+            ('items_only', kills(12, 0.5, 1), {'per_second': 0.2}),
+            ('many_slots', kills(12, 0.5, 1), {'slots': 32, 'per_second': 90}),
+        ]
+    )
+    def test_sound_parts(self, _name, crashes, fields):
+        for outcome in replay(PartLoad(kills=crashes, **(_ITEMS | fields))):
+            self.assertEqual([], outcome.found, outcome)
+
+    @parameterized.expand(
+        [
+            ('beside_items', {}),
+            ('often', {'bad_per_second': 3.0}),
+            ('first_part', {'bad_first': True}),
+            ('other_crashes', {'kills': kills(15, 2, 1)}),
+        ]
+    )
+    def test_bad_part_of_requests(self, _name, fields):
+        load = {'bad_per_second': 1.0, 'restart_seconds': 2.0, 'engines': 12}
+        for outcome in replay(PartLoad(**(_ITEMS | load | fields))):
+            self.assertEqual([name_part(BAD_PART)], outcome.found, outcome)
+            self.assertLessEqual(outcome.late, _LATE)
+
+
 class PartSearchTest(unittest.TestCase):
     """The search on given crashes; each second one, at each two requests."""
 
@@ -100,11 +149,17 @@
             self.shares.add((f'f{number % 20}', f's{number % 100}'))
 
     def crash(self, second, *parts, engine=None):
-        """Record a crash while one request with these parts was running."""
+        """Record a crash while one request with these parts was running.
+
+        This process has sent it, or another one with the same requests.
+        """
         incarnation = f'{engine or second}@0'
         digest = RequestDigest(f'd{second}')
-        for suspect in (digest, *map(name_part, parts)):
-            self.history.add_crash(suspect, incarnation, _NOW + second)
+        self.history.add_crash(digest, incarnation, _NOW + second)
+        for part in parts:
+            share = self.shares.share(part)
+            suspect = name_part(part)
+            self.history.add_crash(suspect, incarnation, _NOW + second, share)
         ends = {incarnation: round((_NOW + second) * _MS)}
         self.crashes.add(digest, ends)
         for part in parts:
@@ -119,6 +174,20 @@
             self.crash(second, 'f1', 'bad')
         self.assertEqual('part-bad', self.find())
 
+    def test_part_that_only_another_process_sends(self):
+        """Its share there counts; without it the crashes tell nothing."""
+        for share, found in ((0, None), (0.9, None), (0.001, 'part-other')):
+            self.setUp()
+            for second in range(3):
+                self.crash(second)
+                self.history.add_crash(
+                    RequestDigest('part-other'),
+                    f'{second}@0',
+                    _NOW + second,
+                    share,
+                )
+            self.assertEqual(found, self.find())
+
     def test_the_rarer_of_two_at_the_same_crashes(self):
         for second in range(6):
             self.crash(second, 'f1', 'bad')
@@ -180,7 +249,7 @@
         for after, left in ((0, PART_QUARANTINE_SECONDS), (4000, 0)):
             self.assertEqual(
                 left,
-                self.history.remaining_quarantine(suspect, 1, _NOW + after),
+                self.history.remaining_quarantine(suspect, _NOW + after),
             )
 
     def test_one_more_crash_after_the_quarantine(self):
