Check leaving engines at the end of answers without a length

Cause: an answer without length or chunks ends with its connection. The engine is asked whether it still accepts connections, but not if it drains or has left the list.

Change: every engine is asked; has_crashed is has_ended. An answer whose engine has ended counts as broken: resumable streams and items go on behind their last event, others are not framed as complete.

Ruled out: the event splitter (the cut lies between events) and moves of items (runs that end soon stay, as meant).

--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/answer_body.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/answer_body.py
@@ -21,10 +21,10 @@
         """Whether the bytes read so far stop inside an event."""
 
 
-class CrashDetection(Protocol):
-    """Detection of engine crashes."""
+class EndDetection(Protocol):
+    """Detection of engines that have ended."""
 
-    def has_crashed(self, engine: Engine) -> bool:
+    def has_ended(self, engine: Engine) -> bool:
         """Return whether an engine refuses connections, after a pause."""
 
 
@@ -33,9 +33,9 @@
 
     Its parts end normally only if the answer is complete. A stream must not
     stop inside an event. An answer without a length or chunks ends with its
-    connection, which also happens when its engine crashes; such an answer
-    counts as complete if its engine still accepts connections afterwards, and
-    a stream only if it has an event.
+    connection, which also happens when its engine crashes or stops; such an
+    answer counts as complete if its engine still accepts connections
+    afterwards, and a stream only if it has an event.
     """
 
     def __init__(
@@ -43,14 +43,14 @@
         engine: Engine,
         connection: HttpConnection,
         head: ResponseHead,
-        crashes: CrashDetection,
+        ends: EndDetection,
         events: EventPosition | None = None,
     ) -> None:
         """Make a body; ``events`` is None where it is no event stream."""
         self._engine = engine
         self._connection = connection
         self._head = head
-        self._crashes = crashes
+        self._ends = ends
         self._events = events
         self._empty = True
 
@@ -77,5 +77,5 @@
     def _confirm_end(self, closed: CloseDelimitedError) -> None:
         if self._events is not None and self._empty:
             raise ResponseError('response ended before an event') from closed
-        if self._crashes.has_crashed(self._engine):
-            raise ResponseError('engine crashed as it responded') from closed
+        if self._ends.has_ended(self._engine):
+            raise ResponseError('engine ended as it responded') from closed
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -86,7 +86,7 @@
         self._origins = origins
         self._engine = engine
         self._connection = connection
-        self._crashes = fleet.suspects.crash_detector
+        self._ends = fleet.suspects.crash_detector
         self._health = fleet.health
         self._silence = SilenceWatch(exchange, engine, fleet, log)
         self._pace = fleet.pace
@@ -196,7 +196,7 @@
         self, head: ResponseHead, events: EventPosition | None = None
     ) -> AnswerBody:
         return AnswerBody(
-            self._engine, self._connection, head, self._crashes, events
+            self._engine, self._connection, head, self._ends, events
         )
 
     def _parts_until_given_up(self, body: AnswerBody) -> Iterator[bytes]:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_detector.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_detector.py
@@ -15,8 +15,8 @@
 from bendlead_gateway._fleet.probe import refuses_connections
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
-from bendlead_gateway._suspects.crash_check import CrashCheck
 from bendlead_gateway._suspects.digest import RequestDigest
+from bendlead_gateway._suspects.end_check import EndCheck
 from bendlead_gateway.types import (
     Engine,
     EngineId,
@@ -101,7 +101,7 @@
         self._abandoned: dict[
             _Incarnation, dict[RequestDigest, tuple[float, _Parts]]
         ] = {}
-        self._check = CrashCheck()
+        self._check = EndCheck()
         self.on_crash: OnCrash = ignore_crash
 
     def record_broken(self, engine: Engine, broken: BrokenResponse) -> None:
@@ -148,18 +148,15 @@
             if digest in crash.digests:
                 crash.probed.wait(_AWAIT_PROBE_SECONDS)
 
-    def has_crashed(self, engine: Engine) -> bool:
+    def has_ended(self, engine: Engine) -> bool:
         """Return whether an engine refuses connections, after a pause.
 
-        An engine that is leaving may stop behind a complete response, so it
-        is not checked.
+        It may have crashed, or stopped as planned in the middle of a response.
         """
         crash = self._possible.get(_incarnation(engine))
         if crash is not None and crash.confirmed:
             return True
-        if not self._takes_requests(engine):
-            return False
-        return self._check.has_crashed(engine)
+        return self._check.has_ended(engine)
 
     def _is_running(
         self, crash: _PossibleCrash, broken: BrokenResponse
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_check.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/end_check.py
@@ -10,13 +10,13 @@
 _PROBE_TIMEOUT_SECONDS = 0.15
 
 
-class CrashCheck:
+class EndCheck:
     """Ask for each engine at most one probe at a time."""
 
     def __init__(self) -> None:
         self._running: dict[EngineId, gevent.Greenlet] = {}
 
-    def has_crashed(self, engine: Engine) -> bool:
+    def has_ended(self, engine: Engine) -> bool:
         """Return whether an engine refuses connections after a pause."""
         probe = self._running.get(engine.engine)
         if probe is None:
--- a/tests/test_gateway_broken_answers.py
+++ b/tests/test_gateway_broken_answers.py
@@ -10,6 +10,7 @@
     HttpConnection,
     ResponseError,
 )
+from bendlead_gateway.types import EngineId, EngineState
 from parameterized import parameterized
 
 from tests.gateway_cases import EntryCase, OwnerCase
@@ -49,6 +50,17 @@
     sock.sendall(_TAIL if resumed else chunked(_WHOLE))
 
 
+def leave(store, name, peer, how):
+    """Have an engine say that it drains, or leave the list."""
+    if how == 'gone':
+        store.remove('servers', name)
+    else:
+        store.set('servers', name, engine(peer.address, state='draining'))
+
+
+_LEAVING = [('draining',), ('gone',)]
+
+
 class BrokenAnswerCase(EntryCase):
     """Starts engines that close connections, and some that then crash."""
 
@@ -62,6 +74,36 @@
 
         return script
 
+    def leaving(self, how, *parts, stops=True):
+        """Return a script that sends the parts while its engine leaves.
+
+        With ``stops`` the engine has ended when its connection closes.
+        """
+
+        def script(sock, request):
+            number = next(
+                number
+                for number, peer in enumerate(self.engines)
+                if peer.requests
+            )
+            peer = self.engines[number]
+            sock.sendall(_HEAD + parts[0])
+            leave(self.store, f'i-{number}', peer, how)
+            eventually(lambda: self.is_known(f'i-{number}', how))
+            for part in parts[1:]:
+                sock.sendall(part)
+            if stops:
+                peer.close()
+
+        return script
+
+    def is_known(self, name, how):
+        """Return whether the entry knows that an engine leaves."""
+        known = self.entry.fleet.engines.find(EngineId(name))
+        if how == 'gone':
+            return known is None
+        return known.state is EngineState.DRAINING
+
     def start_preferring_first(self, changed, answers):
         """Start the engines and have the entry ask the first one first."""
         self.start(changed, answers=answers)
@@ -100,6 +142,19 @@
             self.read(self.send_request())
         self.assertEqual(1, self.failures)
 
+    @parameterized.expand(_LEAVING)
+    def test_planned_end_behind_event_looks_broken(self, how):
+        """Guards against a check of engines that are listed as ready only."""
+        self.start(route('streaming'), answers=[self.leaving(how, _FIRST)])
+        with self.assertRaises(ResponseError):
+            self.read(self.send_request())
+
+    @parameterized.expand(_LEAVING)
+    def test_stream_of_a_leaving_engine_that_runs_on_is_complete(self, how):
+        script = self.leaving(how, _FIRST, event(2, 'b'), stops=False)
+        self.start(route('streaming'), answers=[script])
+        self.assertEqual(_WHOLE, self.read(self.send_request())[1])
+
     @parameterized.expand(
         [
             ('lf', [_WHOLE]),
@@ -173,6 +228,13 @@
         self.start_preferring_first(changed, answers)
         self.assertEqual(_WHOLE, self.read(self.send_request())[1])
 
+    @parameterized.expand(_LEAVING)
+    def test_goes_on_after_a_planned_end_behind_an_event(self, how):
+        changed = route('streaming', resumable=True)
+        answers = [self.leaving(how, _FIRST), _TAIL]
+        self.start_preferring_first(changed, answers)
+        self.assertEqual(_WHOLE, self.read(self.send_request())[1])
+
     def test_goes_on_without_any_event(self):
         changed = route('streaming', resumable=True)
         whole = chunked(_WHOLE)
@@ -223,6 +285,13 @@
         self.start_preferring_first(route('safe'), answers)
         self.assertEqual(b'ok', self.read(self.send_request())[1])
 
+    @parameterized.expand(_LEAVING)
+    def test_engine_that_stops_as_planned_is_replaced(self, how):
+        sound = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+        answers = [self.leaving(how, b'bo'), sound]
+        self.start_preferring_first(route('safe'), answers)
+        self.assertEqual(b'ok', self.read(self.send_request())[1])
+
     def test_unsafe_request_of_a_crashed_engine_has_no_known_outcome(self):
         self.start(route('unsafe'), answers=[self.crashing(b'bo')])
         head, _body = self.read(self.send_request())
@@ -262,7 +331,11 @@
         self.assertIn(b'Last-Event-Id: 1', self.requests[-1])
         self.assertEqual(3, len(self.requests))
 
-    def check_text(self, answers, *, crashes=False):
+    @parameterized.expand(_LEAVING)
+    def test_text_of_a_leaving_engine_that_stops_is_whole(self, how):
+        self.check_text([closing(_FIRST)], crashes=True, leaves=how)
+
+    def check_text(self, answers, *, crashes=False, leaves=None):
         """Have an item answered so, and at last by a sound engine."""
         config = configuration(1, route('batch', max_attempts=3))
         self.store.set('config', 'main', config)
@@ -274,6 +347,9 @@
                 request = peer.read_request(sock)
                 if request:
                     self.requests.append(request)
+                    if leaves and len(self.requests) == 1:
+                        leave(self.store, 'i-1', peer, leaves)
+                        gevent.sleep(0.1)
                     answers.pop(0)(sock, request)
                 if crashes and len(self.requests) == 1:
                     peer.close()
