--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/parsing.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/parsing.py
@@ -38,8 +38,14 @@
 class RequestParser:
     """Parser for the requests of one connection."""
 
-    def __init__(self, limits: ClientLimits, now: Callable[[], float]) -> None:
-        self._limits = limits
+    def __init__(
+        self,
+        limits: Callable[[], ClientLimits],
+        now: Callable[[], float],
+    ) -> None:
+        """Make a parser that asks for the limits at the start of a request."""
+        self._find_limits = limits
+        self._limits = limits()
         self._now = now
         self._parser = httptools.HttpRequestParser(self)
         self._partial = _PartialRequest()
@@ -73,6 +79,7 @@
 
     def on_message_begin(self) -> None:
         """Start a new request."""
+        self._limits = self._find_limits()
         self._partial = _PartialRequest()
 
     def on_url(self, part: bytes) -> None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
@@ -44,7 +44,7 @@
         self,
         sock: socket.socket,
         handler: Handler,
-        limits: ClientLimits,
+        limits: Callable[[], ClientLimits],
         now: Callable[[], float],
         body_budget: BodyBudget,
         events: ServerEvents,
@@ -170,13 +170,13 @@
 
     def _read_timeout(self) -> float:
         if self._task is not None:
-            return self._limits.idle_seconds
+            return self._limits().idle_seconds
         if self._parser.started_at:
-            return self._limits.header_seconds
+            return self._limits().header_seconds
         return max(self._idle_seconds_left(), _MIN_TIMEOUT_SECONDS)
 
     def _idle_seconds_left(self) -> float:
-        return self.idle_since + self._limits.idle_seconds - self._now()
+        return self.idle_since + self._limits().idle_seconds - self._now()
 
     def _reject(self, status: int) -> None:
         if self._task is None:
@@ -309,7 +309,7 @@
         connection = _Connection(
             sock,
             self._handler,
-            self._limits(),
+            self._limits,
             self._now,
             self.body_budget,
             self.events,
--- a/tests/test_gateway_bad_input.py
+++ b/tests/test_gateway_bad_input.py
@@ -4,7 +4,12 @@
 from parameterized import parameterized
 
 from tests.gateway_cases import EntryCase
-from tests.gateway_standins import engine, eventually, route
+from tests.gateway_standins import (
+    configuration,
+    engine,
+    eventually,
+    route,
+)
 
 PLAIN = b'HTTP/1.1 200 x\r\nX-Response-Seal: s1\r\nContent-Length: 2\r\n\r\nok'
 
@@ -51,6 +56,30 @@
             self.assertTrue(head.find('retry-after'))
             self.assertEqual(0, self.count_engine_requests())
 
+    @parameterized.expand(
+        [
+            ('body_allowed', 1000, 9000, 5000, 200),
+            ('body_forbidden', 9000, 1000, 5000, 413),
+        ]
+    )
+    def test_kept_connection_learns_new_limits(
+        self, _name, before, after, size, status
+    ):
+        """Guards against limits that hold for the life of a connection."""
+        config = configuration(1, route('safe'))
+        config['limits'] = {'body_bytes': before}
+        self._start_engine(0, PLAIN)
+        self.start_configured(config, 1)
+        connection = self.send_request()
+        self.read(connection)
+        config = configuration(2, route('safe'))
+        config['limits'] = {'body_bytes': after}
+        self.store.set('config', 'main', config)
+        eventually(lambda: self.entry.fleet.configuration.version == 2)
+        headers = [('Host', 'a.example'), ('X-Attempt-Id', 'id2')]
+        connection.send('POST', '/x/1', headers, b'a' * size, 1)
+        self.assertEqual(status, connection.read_head(2).status)
+
     def test_reported_load_of_an_unknown_engine(self):
         """Loads that a peer reports for it leave other engines unchanged."""
         self.start(route('safe'), answers=[PLAIN, PLAIN])
--- a/tests/test_gateway_endless_answers.py
+++ b/tests/test_gateway_endless_answers.py
@@ -196,7 +196,7 @@
         ]
     )
     def test_request_is_rejected(self, _name, first, unit):
-        parser = RequestParser(ClientLimits(), lambda: 1)
+        parser = RequestParser(ClientLimits, lambda: 1)
         many = unit * (16_384 // len(unit))
 
         def call():
@@ -208,7 +208,7 @@
             self.assert_bounded(call)
 
     def test_long_body_in_small_parts_is_read(self):
-        parser = RequestParser(ClientLimits(), lambda: 1)
+        parser = RequestParser(ClientLimits, lambda: 1)
         parser.feed(b'POST / HTTP/1.1\r\nContent-Length: 900000\r\n\r\n')
         for _part in range(900):
             parser.feed(b'a' * 1000)
--- a/tests/test_gateway_fuzz.py
+++ b/tests/test_gateway_fuzz.py
@@ -293,7 +293,7 @@
 
 def _parse(sent, size):
     """Return the requests parsed from bytes and the error status, if any."""
-    parser = RequestParser(ClientLimits(header_bytes=400), lambda: 1.0)
+    parser = RequestParser(lambda: ClientLimits(header_bytes=400), lambda: 1.0)
     status = None
     for start in range(0, len(sent), size):
         try:
