Own face: count attempts of items that were cut off apart from failed ones

Callers would see: a sound batch item under which three engines crashed fails with item_attempts_exhausted.

Cause: the shard counted an attempt whose answer broke off, or whose endpoint process was lost, as one that an engine failed; `attempts` (3) of them gave the item up.

From the third on an item pauses for 2 s, which does not grow and bounds what an item that crashes engines costs.

Ruled out: the lease (expired runs are granted again at once).

The gateway and platform are unchanged.

--- a/packages/bendlead-ledger/src/bendlead_ledger/_jobs.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_jobs.py
@@ -33,7 +33,7 @@
     ResultLine,
 )
 from bendlead_schema.settings import LedgerSettings
-from bendlead_store import Failure, FailureKind
+from bendlead_store import Failure, FailureKind, clock
 from msgspec import Struct, field
 from result import Err
 
@@ -49,13 +49,17 @@
 NOT_OWNER = 'not_owner'
 _COMMIT_SECONDS = 5.0
 _ITEM_FAILED = 500
+#: Cut attempts from which on an item pauses, and for how long. It bounds how
+#: many engines an item costs that does crash them.
+_CUTS_UNTIL_PAUSE = 3
+_CUT_PAUSE_SECONDS = 2.0
 _REFUSAL_CODES = {
     FailureKind.CONFLICT: NOT_OWNER,
     FailureKind.UNKNOWN: 'unknown',
 }
 _ITEM_FAILED_BODY = (
-    '{"error": {"message": "the item was given up after %d attempts whose '
-    'endpoint failed or was lost", "type": "server_error", '
+    '{"error": {"message": "the item was given up after %d attempts that '
+    'engines failed", "type": "server_error", '
     '"code": "item_attempts_exhausted"}}'
 )
 
@@ -65,6 +69,8 @@
 
     position: int = 0
     returned: list[int] = field(default_factory=list)
+    #: End of the pause of returned items that were cut off often (uptime, s).
+    paused_until: dict[int, float] = field(default_factory=dict)
 
 
 class JobCommands:
@@ -195,8 +201,10 @@
             self._order.charge(job, len(lines))
         if command.failed:
             self._count_failed(job, command.failed)
+        if command.cut:
+            self._count_cut(job, command.cut)
         reported = [report.position for report in command.reports]
-        released = (*command.returned, *command.failed)
+        released = (*command.returned, *command.failed, *command.cut)
         self._runs.release(command.run, (*reported, *released))
         self._cursors[command.job].returned.extend(released)
         if not job.active:
@@ -205,7 +213,7 @@
         return Acknowledged()
 
     def expire(self) -> int:
-        """Release expired runs, count a failed attempt for each of their items.
+        """Release expired runs, count a cut attempt for each of their items.
 
         Returns the number of expired runs.
         """
@@ -214,7 +222,7 @@
             job = self._state.jobs.get(run.job)
             if job and job.active:
                 positions = sorted(run.positions)
-                self._count_failed(job, positions)
+                self._count_cut(job, positions)
                 self._cursors[run.job].returned.extend(positions)
         return len(expired)
 
@@ -255,8 +263,12 @@
     def _candidates(self, job: JobState) -> Iterator[int]:
         leased = self._runs.leased(job.accepted.job)
         cursor = self._cursors[job.accepted.job]
-        while cursor.returned:
-            position = cursor.returned.pop(0)
+        now = clock.uptime()
+        for position in list(cursor.returned):
+            if cursor.paused_until.get(position, 0) > now:
+                continue
+            cursor.returned.remove(position)
+            cursor.paused_until.pop(position, None)
             if job.is_waiting(position) and position not in leased:
                 yield position
         while cursor.position < len(job.status):
@@ -296,7 +308,7 @@
         record = AttemptFailed(job=job_id, positions=list(positions))
         self._committer.commit([record])
         limit = self._settings.attempts
-        exhausted = [at for at in positions if job.attempts.get(at, 0) >= limit]
+        exhausted = [at for at in positions if job.failures(at) >= limit]
         if exhausted:
             body = _ITEM_FAILED_BODY % limit
             self._packer.record(
@@ -312,6 +324,16 @@
                 ]
             )
 
+    def _count_cut(self, job: JobState, positions: Sequence[int]) -> None:
+        """Count attempts that were cut off; the items are still owed."""
+        job_id = job.accepted.job
+        record = AttemptFailed(job=job_id, positions=list(positions), cut=True)
+        self._committer.commit([record])
+        paused_until = clock.uptime() + _CUT_PAUSE_SECONDS
+        for position in positions:
+            if job.cuts.get(position, 0) >= _CUTS_UNTIL_PAUSE:
+                self._cursors[job_id].paused_until[position] = paused_until
+
 
 def view(job: JobState) -> JobView:
     """Return the view of a job that callers receive."""
--- a/packages/bendlead-ledger/src/bendlead_ledger/_state.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_state.py
@@ -49,11 +49,17 @@
     accepted: JobAccepted
     status: bytearray
     attempts: dict[int, int] = field(default_factory=dict)
+    #: Those of the attempts that were cut off.
+    cuts: dict[int, int] = field(default_factory=dict)
     packs: list[PackRef] = field(default_factory=list)
     cancelled_at: float = 0
     finished_at: float = 0
     remaining: int = 0
 
+    def failures(self, position: int) -> int:
+        """Count the attempts that an engine failed, none of them cut off."""
+        return self.attempts.get(position, 0) - self.cuts.get(position, 0)
+
     @classmethod
     def create(cls, accepted: JobAccepted) -> 'JobState':
         """Return the state of a new job; its rejected lines count as failed."""
@@ -91,6 +97,7 @@
                 status = ItemStatus.FAILED
             self.status[position] = status
             self.attempts.pop(position, None)
+            self.cuts.pop(position, None)
         self.packs.append(PackRef(key=recorded.pack, positions=new))
         self.remaining -= len(new)
         if not self.remaining:
@@ -181,6 +188,8 @@
             return False
         for position in filter(job.is_waiting, record.positions):
             job.attempts[position] = job.attempts.get(position, 0) + 1
+            if record.cut:
+                job.cuts[position] = job.cuts.get(position, 0) + 1
         return True
 
     def cancel_job(self, record: JobCancelled) -> bool:
@@ -190,6 +199,7 @@
             return False
         job.cancelled_at = record.at
         job.attempts.clear()
+        job.cuts.clear()
         return True
 
     def remove_job(self, record: JobRemoved) -> bool:
@@ -249,6 +259,7 @@
         accepted=job.accepted,
         status=base64.b64encode(job.status).decode(),
         attempts={str(at): count for at, count in job.attempts.items()},
+        cuts={str(at): count for at, count in job.cuts.items()},
         packs=list(job.packs),
         cancelled_at=job.cancelled_at,
         finished_at=job.finished_at,
@@ -261,6 +272,7 @@
         accepted=snapshot.accepted,
         status=status,
         attempts={int(at): count for at, count in snapshot.attempts.items()},
+        cuts={int(at): count for at, count in snapshot.cuts.items()},
         packs=list(snapshot.packs),
         cancelled_at=snapshot.cancelled_at,
         finished_at=snapshot.finished_at,
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/batch.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/batch.py
@@ -110,16 +110,22 @@
             held.reports.append(item.report)
             held.open.discard(position)
         else:
-            self._journal.decide(
-                'item-failed',
-                job=held.grant.job,
-                position=position,
-                reason='the engine failed or was lost',
-            )
-            held.failed.append(position)
-            held.open.discard(position)
+            self._note_failed(held, position, state)
         self._wake.set()
 
+    def _note_failed(
+        self, held: HeldRun, position: int, state: ItemState
+    ) -> None:
+        self._journal.decide(
+            'item-failed',
+            job=held.grant.job,
+            position=position,
+            reason=state.value,
+        )
+        positions = held.cut if state is ItemState.CUT else held.failed
+        positions.append(position)
+        held.open.discard(position)
+
     def _note_engine_away(self) -> None:
         self._away_until = clock.uptime() + _AWAY_SECONDS
         self.hand_back()
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/item.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/item.py
@@ -31,6 +31,8 @@
     PREEMPTED = 'preempted'
     FINISHED = 'finished'
     FAILED = 'failed'
+    #: Its answer broke off, as when the engine crashes.
+    CUT = 'cut'
     UNREACHED = 'unreached'
     DROPPED = 'dropped'
 
@@ -96,7 +98,7 @@
         )
         if isinstance(sent, Err):
             unreached = sent.err_value.had_no_effect
-            state = ItemState.UNREACHED if unreached else ItemState.FAILED
+            state = ItemState.UNREACHED if unreached else ItemState.CUT
             return self._ended(state)
         self._response = sent.ok_value
         if self.state is not ItemState.RUNNING:
@@ -124,7 +126,7 @@
         if self._finished:
             # Every token is here; only the closing event is not.
             return self._completed()
-        return self._ended(ItemState.FAILED)
+        return self._ended(ItemState.CUT)
 
     def _ended(self, state: ItemState) -> ItemState:
         # A stop closes the stream, which looks like a failure here.
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/runs.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/runs.py
@@ -40,10 +40,11 @@
     reports: list[ItemReport] = field(default_factory=list)
     returned: list[int] = field(default_factory=list)
     failed: list[int] = field(default_factory=list)
+    cut: list[int] = field(default_factory=list)
 
     def take_due(self) -> ReportRun | None:
         """Take what is to be reported, or nothing."""
-        if not (self.reports or self.returned or self.failed):
+        if not (self.reports or self.returned or self.failed or self.cut):
             return None
         report = ReportRun(
             run=self.grant.run,
@@ -52,8 +53,10 @@
             reports=self.reports,
             returned=self.returned,
             failed=self.failed,
+            cut=self.cut,
         )
-        self.reports, self.returned, self.failed = [], [], []
+        self.reports, self.returned = [], []
+        self.failed, self.cut = [], []
         return report
 
 
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/messages.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/messages.py
@@ -121,6 +121,9 @@
 FailedItem: TypeAlias = Annotated[int, Meta(ge=0)]
 
 
+CutItem: TypeAlias = Annotated[int, Meta(ge=0)]
+
+
 class ReportRun(Struct, kw_only=True, tag_field='kind', tag='report-run'):
     """
     Report finished and returned items of a run.
@@ -133,8 +136,19 @@
     returned: list[ReturnedItem] = field(default_factory=list)
     failed: Annotated[
         list[FailedItem],
-        Meta(description='Positions whose attempt failed without an answer.'),
+        Meta(
+            description='Positions that an engine failed to answer, as with a status of 500.'
+        ),
     ] = field(default_factory=list)
+    cut: (
+        Annotated[
+            list[CutItem],
+            Meta(
+                description='Positions whose answer broke off, as when the engine crashes.'
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=list)
 
 
 class AcceptRequest(Struct, kw_only=True, tag_field='kind', tag='accept-request'):
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/records.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/records.py
@@ -75,6 +75,15 @@
 
     job: str
     positions: list[Position]
+    cut: (
+        Annotated[
+            bool,
+            Meta(
+                description='Whether the answers broke off or the endpoint was lost, which no item is to blame for.'
+            ),
+        ]
+        | UnsetType
+    ) = False
 
 
 class JobCancelled(Struct, kw_only=True, tag_field='kind', tag='job-cancelled'):
@@ -167,6 +176,12 @@
     status: Annotated[str, Meta(description='Base64 of one byte for each item.')]
     attempts: dict[str, int]
     packs: list[PackRef]
+    cuts: (
+        Annotated[
+            dict[str, int], Meta(description='Those of the attempts that were cut off.')
+        ]
+        | UnsetType
+    ) = field(default_factory=dict)
     cancelled_at: Annotated[float, Meta(ge=0.0)] = 0
     finished_at: Annotated[float, Meta(ge=0.0)] = 0
 
