Try a quarantined part at each route, and log a pause of items once

Callers would see: an item with a quarantined part waits beside idle engines as long as a more urgent one with that part belongs to a route without engines.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
@@ -143,10 +143,16 @@
     def _one_trial_each(
         self, candidates: Iterable[Candidate]
     ) -> Iterator[Candidate]:
-        """Yield the candidates, one of those with the same quarantined part."""
-        tried: set[PromptPart] = set()
+        """Yield the candidates, one of a route with the same quarantined part.
+
+        Another route may have free slots.
+        """
+        tried: set[tuple[str, PromptPart]] = set()
         for candidate in candidates:
-            parts = self.quarantined_parts(candidate.progress)
+            parts = [
+                (candidate.route.name, part)
+                for part in self.quarantined_parts(candidate.progress)
+            ]
             if tried.isdisjoint(parts):
                 tried.update(parts)
                 yield candidate
@@ -179,8 +185,20 @@
             lambda: job.digest(progress),
             progress.read_shared_parts(self._dialect),
         )
-        if not seconds:
-            return False
+        if seconds:
+            self._postpone(job, progress, seconds)
+        progress.paused = seconds > 0
+        return progress.paused
+
+    def _postpone(
+        self, job: OwnedJob, progress: Progress, seconds: float
+    ) -> None:
+        # A complete answer to another item may end the pause sooner.
+        progress.not_before = clock.uptime() + min(
+            seconds, _PAUSE_RECHECK_SECONDS
+        )
+        if progress.paused:
+            return
         self._metrics.load.paused_items += 1
         self._log.event(
             'item-paused',
@@ -190,11 +208,6 @@
             parts=','.join(self.quarantined_parts(progress)) or '-',
             seconds=round(seconds, 1),
         )
-        # A complete answer to another item may end the pause sooner.
-        progress.not_before = clock.uptime() + min(
-            seconds, _PAUSE_RECHECK_SECONDS
-        )
-        return True
 
 
 def job_age_seconds(job: OwnedJob) -> float:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owned_job.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owned_job.py
@@ -48,6 +48,8 @@
     failures: int = 0
     finished: bool = False
     not_before: float = 0
+    #: Whether it pauses because engines crashed, since the last look.
+    paused: bool = False
     #: When a run last failed for any reason (uptime, s).
     failed_at: float = -math.inf
     #: Computed on first use: the scheduler checks waiting items often.
--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -24,13 +24,13 @@
 _APART_SECONDS = 0.35
 
 
-def submit_items(case, owner, prefix, *prompts):
+def submit_items(case, owner, prefix, *prompts, job='j1'):
     """Submit a job to a route; its items have these parts and bodies."""
     connection = HttpConnection(owner.record.address, 1)
     case.addCleanup(connection.close)
     items = [
         {
-            'id': f'i{number}',
+            'id': f'{job}-{number}',
             'path': f'{prefix}1',
             'headers': {'X-Prompt-Prefix': prompt},
             'body': base64.b64encode(body).decode(),
@@ -39,8 +39,8 @@
         for number, (prompt, body) in enumerate(prompts)
     ]
     told = json.dumps({'items': items}).encode()
-    named = [('Host', 'a.example'), ('X-Attempt-Id', 'j1')]
-    answer = connection.request('POST', f'{prefix}j1', named, told, 4)
+    named = [('Host', 'a.example'), ('X-Attempt-Id', job)]
+    answer = connection.request('POST', f'{prefix}{job}', named, told, 4)
     case.assertEqual(202, answer.head.status)
 
 
--- a/tests/test_gateway_owed_items.py
+++ b/tests/test_gateway_owed_items.py
@@ -203,6 +203,19 @@
         for node in (entry, owner):
             self.assertNotIn('part-quarantined', ' '.join(node.log.recent))
 
+    def test_route_without_engines_holds_no_other_back(self):
+        """Its item, the more urgent one, is no reason for others to wait."""
+        self.configure(
+            route('batch', name='a', path_prefix='/a/', service='s9'),
+            route('batch', name='x', run_target_ms=60_000),
+            runs_seconds=_RUNS_SECONDS,
+        )
+        owner = self.owner()
+        self.found(owner, _MINUTE)
+        submit_items(self, owner, '/a/', (f'{_PART},1:9', _ITEM), job='j0')
+        submit_items(self, owner, '/x/', (f'{_PART},2:9', _ITEM))
+        self.assert_completed(owner)
+
     def test_one_trial_at_a_time(self):
         owner = self.start()
         self.found(owner, _MINUTE)
