--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
@@ -118,6 +118,7 @@
         """
         part = part_of(RequestDigest(record.digest))
         own = self._shares.at_crash(part, incarnation)
+        # A part of all requests: its presence at a crash is no evidence.
         unknown = 0 if own.sent else 1
         told = record.shares.get(incarnation, unknown)
         return replace(own, share=max(own.share, told))
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_shares.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_shares.py
@@ -69,6 +69,5 @@
         return found or self._now(part)
 
     def _now(self, part: PromptPart) -> PartAtCrash:
-        return PartAtCrash(
-            self.share(part), self._counts[part] > 0, self._answers
-        )
+        sent = self._counts[part] > 0
+        return PartAtCrash(self.share(part), sent, self._answers)
