Let any item with a quarantined part be its trial

Callers would see: accepted items with a quarantined part wait beside idle engines as long as the most urgent of them has no slot.

Cause: one item of each part and route was chosen before a slot was looked for. An item that waits for a full version kept its place in each round.

Ruled out by reading: a trial that is refused by its engine (the run ends, the next item may be the trial 0 s later); a route without engines (mended in by a choice for each route, which this replaces).

Change: the choice is made where an item gets its slot.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
@@ -1,7 +1,7 @@
 """Rank the batch items that are ready to start."""
 
 import time
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 from bendlead_store import clock
 from msgspec import Struct
@@ -100,7 +100,7 @@
             found = [found[number] for number in order]
         else:
             found.sort(key=_urgency_of)
-        return list(self._one_trial_each(found))
+        return found
 
     def quarantined_parts(self, progress: Progress) -> Sequence[PromptPart]:
         """Return the parts that an item tries if it starts now."""
@@ -108,6 +108,11 @@
             progress.read_shared_parts(self._dialect)
         )
 
+    def is_in_trial(self, candidate: Candidate) -> bool:
+        """Return whether another item tries one of its parts by now."""
+        parts = self.quarantined_parts(candidate.progress)
+        return self._fleet.suspects.part_trials.any_running(parts)
+
     def record_start(self, candidate: Candidate) -> None:
         """Charge an item that starts to its team."""
         self._fair_order.record_start(candidate.cost, clock.uptime())
@@ -140,23 +145,6 @@
             route.run_target,
         )
 
-    def _one_trial_each(
-        self, candidates: Iterable[Candidate]
-    ) -> Iterator[Candidate]:
-        """Yield the candidates, one of a route with the same quarantined part.
-
-        Another route may have free slots.
-        """
-        tried: set[tuple[str, PromptPart]] = set()
-        for candidate in candidates:
-            parts = [
-                (candidate.route.name, part)
-                for part in self.quarantined_parts(candidate.progress)
-            ]
-            if tried.isdisjoint(parts):
-                tried.update(parts)
-                yield candidate
-
     def _waiting(self) -> Iterator[_Waiting]:
         """Yield the items of owned jobs that wait for a slot."""
         now = clock.uptime()
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -124,6 +124,8 @@
         for candidate in self._candidates.ranked():
             if candidate.route.name in full_routes:
                 continue
+            if self._candidates.is_in_trial(candidate):
+                continue
             service = pick_service(candidate.route)
             if self._start_trial(candidate, service, tried_services):
                 running[service] += 1
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_trials.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_trials.py
@@ -32,13 +32,19 @@
         ``found_seconds`` is how long ago it was found (s), below 0 if the clock
         of the process that found it is ahead.
         """
-        if any(part in parts for parts in self._running.values()):
+        if self.any_running([part]):
             return math.inf
         elapsed = clock.uptime() - self._failed_at.get(part, -math.inf)
         if found_seconds >= 0:
             elapsed = min(elapsed, found_seconds)
         return max(0, TRIAL_PAUSE_SECONDS - elapsed)
 
+    def any_running(self, parts: Sequence[PromptPart]) -> bool:
+        """Return whether a run tries one of the parts."""
+        return any(
+            part in tried for tried in self._running.values() for part in parts
+        )
+
     def begin(self, run: Hashable, parts: Sequence[PromptPart]) -> None:
         """Record that a run with quarantined parts has begun."""
         if parts:
--- a/tests/test_gateway_owed_items.py
+++ b/tests/test_gateway_owed_items.py
@@ -19,7 +19,8 @@
 _RUNS_SECONDS = 0.25
 #: Far below the time that jobs have to finish once all is calm (18 s).
 _CALM_SECONDS = 5
-_PART = 'c0ffee:100'
+#: As callers name it, with its tokens.
+PART = 'c0ffee:100'
 _MINUTE = 60
 
 
@@ -149,15 +150,19 @@
         self.assertEqual(0, owner.metrics.items['dead_lettered'])
 
 
-class ItemOfFoundPartTest(OwedItemCase):
-    """Items with a part of prompts that is quarantined."""
+class FoundPartCase(OwedItemCase):
+    """Quarantine a part of prompts."""
 
     def found(self, owner, age):
         """Quarantine the part, as a peer that found it does."""
         owner.fleet.suspects._history.record_found(
-            name_part(PromptPart(_PART.partition(':')[0])), time.time() - age
+            name_part(PromptPart(PART.partition(':')[0])), time.time() - age
         )
 
+
+class ItemOfFoundPartTest(FoundPartCase):
+    """Items with a part of prompts that is quarantined."""
+
     @parameterized.expand(
         [
             ('now', 0, {}),
@@ -170,7 +175,7 @@
         """One whole answer releases all items and requests with the part."""
         owner = self.start(**changed)
         self.found(owner, age)
-        items = [(f'{_PART},{number}:9', _ITEM) for number in range(6)]
+        items = [(f'{PART},{number}:9', _ITEM) for number in range(6)]
         submit_items(self, owner, '/x/', *items)
         self.assert_completed(owner, 6)
         self.assertFalse(
@@ -191,7 +196,7 @@
             entry.fleet.suspects.record_sent(('other',))
         owner = self.owner()
         items = [
-            (f'{_PART},{number}:9', b'%d' % number) for number in range(30)
+            (f'{PART},{number}:9', b'%d' % number) for number in range(30)
         ]
         submit_items(self, owner, '/x/', *items)
         for number in range(4):
@@ -212,14 +217,14 @@
         )
         owner = self.owner()
         self.found(owner, _MINUTE)
-        submit_items(self, owner, '/a/', (f'{_PART},1:9', _ITEM), job='j0')
-        submit_items(self, owner, '/x/', (f'{_PART},2:9', _ITEM))
+        submit_items(self, owner, '/a/', (f'{PART},1:9', _ITEM), job='j0')
+        submit_items(self, owner, '/x/', (f'{PART},2:9', _ITEM))
         self.assert_completed(owner)
 
     def test_one_trial_at_a_time(self):
         owner = self.start()
         self.found(owner, _MINUTE)
-        items = [(f'{_PART},{number}:9', _ITEM) for number in range(6)]
+        items = [(f'{PART},{number}:9', _ITEM) for number in range(6)]
         submit_items(self, owner, '/x/', *items)
         eventually(lambda: self.reached)
         gevent.sleep(_RUNS_SECONDS / 2)
@@ -229,7 +234,7 @@
         owner = self.start()
         self.found(owner, _MINUTE)
         items = [
-            (f'{_PART},{number}:9', b'deadly prompt') for number in range(6)
+            (f'{PART},{number}:9', b'deadly prompt') for number in range(6)
         ]
         submit_items(self, owner, '/x/', *items)
         eventually(lambda: self.crashed)
