Pause parts of prompts only for trials that reached an engine

Callers would see: items with a quarantined part wait 2 s for each engine that crashed and is still listed.

Cause: every run that ended with an error was a failed trial, also a failed connect and an engine's own error answer.

Ruled out by reading: refusals (not run, 421) end a run without an error.

Change: only a connection that breaks behind the send pauses the parts.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -259,7 +259,7 @@
                     run.suspected_parts,
                 )
                 self._fleet.suspects.record_broken(run.engine, broken)
-            self._fleet.suspects.part_trials.record_failure(run)
+                self._fleet.suspects.part_trials.record_failure(run)
             self._fleet.health.record_failure(run.engine.engine)
             self._report_failure(run, error)
             run.progress.failed_at = clock.uptime()
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_trials.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_trials.py
@@ -51,7 +51,11 @@
             self._running[run] = parts
 
     def record_failure(self, run: Hashable) -> None:
-        """Record that a run has failed; one that was stopped has not."""
+        """Record that the connection of a run broke.
+
+        Not for one that was stopped, that no engine got, or that an engine
+        answered: no engine can have crashed on its parts.
+        """
         for part in self._running.get(run, ()):
             self._failed_at.pop(part, None)
             self._failed_at[part] = clock.uptime()
--- a/tests/test_gateway_part_trials.py
+++ b/tests/test_gateway_part_trials.py
@@ -12,6 +12,8 @@
 
 _MINUTE = 60
 _FULL = 100
+#: Far below the pauses of three failed trials.
+_PAUSE_SECONDS = 3
 
 
 class UnplaceableTrialTest(FoundPartCase):
@@ -51,5 +53,20 @@
         return []
 
 
+class FailedTrialTest(FoundPartCase):
+    """What costs the part a pause, and what does not."""
+
+    def test_failed_connect_is_no_failed_trial(self):
+        """Guards against pauses for engines that never got the item."""
+        owner = self.start(engines=4)
+        self.found(owner, _MINUTE)
+        # The sound engine is the last to be chosen.
+        owner.fleet.loads.own.online['i-3'] += 2
+        for dead in self.engines[:3]:
+            dead.close()
+        submit_items(self, owner, '/x/', (f'{PART},1:9', b'1'))
+        self.assert_completed(owner, within=_PAUSE_SECONDS)
+
+
 if __name__ == '__main__':
     unittest.main()
