Clear parts of prompts by answers that go on

Callers would see: long items with a part quarantined by chance wait until one of them is complete, behind each other while engines crash.

Cause: only complete answers cleared a part, though crashes count against parts for 1 s after the begin of a response only.

Change: a response that brings bytes 1 s after its begin clears the parts of its request. The replay of parts does the same, and holds no crash against a part after that second, as the product.

Test: LongTrialTest failed before in both rows (6 items of 4 s not done in 6.8 s), passes. test_gateway_part_search (its known row fails as before), test_gateway_owed_items, test_gateway_crashing_part, test_gateway_entry and test_gateway_broken_answers pass.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -13,7 +13,10 @@
 from bendlead_gateway._online.answer_body import AnswerBody
 from bendlead_gateway._online.events import EventSplitter, StreamEvent
 from bendlead_gateway._suspects.digest import RequestDigest
-from bendlead_gateway._suspects.suspected_parts import find_suspected_parts
+from bendlead_gateway._suspects.suspected_parts import (
+    find_suspected_parts,
+    outlasts_suspicion,
+)
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import Engine, ItemOutcome, PromptPart, Route
 
@@ -49,6 +52,8 @@
     sent_at: float = 0
     response_started: bool = False
     response_started_at: float = 0
+    #: Whether the response has gone on for long enough to clear its parts.
+    parts_cleared: bool = False
     #: When output last arrived (uptime, s), 0 for never.
     last_output_at: float = 0
 
@@ -206,11 +211,20 @@
             if run.stopped:
                 raise RunFailedError('run was stopped')
             run.last_output_at = clock.uptime()
+            self._check_progress(run)
             for event in splitter.feed(part):
                 _append_event(run.progress, event)
         if not run.progress.texts:
             raise RunFailedError('response has no events')
 
+    def _check_progress(self, run: ItemRun) -> None:
+        if not run.parts_cleared:
+            if outlasts_suspicion(run.response_started_at):
+                run.parts_cleared = True
+                self._fleet.suspects.record_progress(
+                    run.progress.shared_parts or ()
+                )
+
 
 def _append_event(progress: Progress, event: StreamEvent) -> None:
     previous = progress.last_event
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -32,6 +32,7 @@
 from bendlead_gateway._streams.origin import StreamOrigin
 from bendlead_gateway._streams.origins import StreamOrigins
 from bendlead_gateway._streams.resumption import retention_seconds
+from bendlead_gateway._suspects.suspected_parts import outlasts_suspicion
 from bendlead_gateway.types import Engine, Headers, RouteKind
 
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -86,7 +87,9 @@
         self._origins = origins
         self._engine = engine
         self._connection = connection
+        self._suspects = fleet.suspects
         self._ends = fleet.suspects.crash_detector
+        self._parts_cleared = False
         self._health = fleet.health
         self._silence = SilenceWatch(exchange, engine, fleet, log)
         self._pace = fleet.pace
@@ -98,6 +101,7 @@
         """Relay the body by event, by chunk or buffered, by kind of route."""
         exchange = self._exchange
         exchange.framing = head.framing
+        self._parts_cleared = head.status >= HTTPStatus.MULTIPLE_CHOICES
         stream = exchange.route.kind is RouteKind.STREAM and _has_events(head)
         if stream and exchange.route.resumable:
             self._relay_events(head)
@@ -253,6 +257,7 @@
         now = clock.uptime()
         if self._exchange.route.kind is RouteKind.STREAM:
             self._stream.add_chunk(part, now)
+        self._check_progress()
         name = self._engine.engine
         self._health.record_activity(name)
         self._silence.record_byte(now)
@@ -264,6 +269,12 @@
             self._pace.observe_gap(name, now - self._last_part_at)
         self._last_part_at = now
 
+    def _check_progress(self) -> None:
+        exchange = self._exchange
+        if not self._parts_cleared and outlasts_suspicion(exchange.head_at):
+            self._parts_cleared = True
+            self._suspects.record_progress(exchange.facts.shared_parts)
+
     def _start_stream(self, head: ResponseHead) -> None:
         exchange = self._exchange
         if exchange.responder.started:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspected_parts.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspected_parts.py
@@ -18,5 +18,12 @@
     """
     if not response_started_at:
         return parts
-    elapsed = clock.uptime() - response_started_at
-    return parts if elapsed <= _SUSPECTED_SECONDS else ()
+    return () if outlasts_suspicion(response_started_at) else parts
+
+
+def outlasts_suspicion(response_started_at: float) -> bool:
+    """Return whether a response has gone on for longer than a part may take.
+
+    Its parts do not crash engines then, whether or not it is completed.
+    """
+    return clock.uptime() - response_started_at > _SUSPECTED_SECONDS
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -162,12 +162,13 @@
     ) -> None:
         """Clear a request that was answered completely, and its parts."""
         self._shares.record_answer()
-        if not self._history.any_suspects:
-            return
-        for suspect in (digest_of(), *map(name_part, parts)):
-            if self._history.clear(suspect, time.time()):
-                self._log.event('suspect-cleared', digest=suspect)
-                self.store.save(suspect)
+        if self._history.any_suspects:
+            self._clear([digest_of(), *map(name_part, parts)])
+
+    def record_progress(self, parts: Sequence[PromptPart]) -> None:
+        """Clear the parts of a request whose answer outlasts suspicion."""
+        if self._history.any_suspects:
+            self._clear(map(name_part, parts))
 
     def receive(self, records: Iterable[SuspectRecord]) -> None:
         """Merge the records of a peer."""
@@ -192,6 +193,12 @@
         """Count the crashes of each suspect, for the state dump."""
         return self._history.summary()
 
+    def _clear(self, suspects: Iterable[RequestDigest]) -> None:
+        for suspect in suspects:
+            if self._history.clear(suspect, time.time()):
+                self._log.event('suspect-cleared', digest=suspect)
+                self.store.save(suspect)
+
     def _add_crash(
         self,
         engine: Engine,
--- a/testing/src/bendlead_testing/part_replay.py
+++ b/testing/src/bendlead_testing/part_replay.py
@@ -21,6 +21,8 @@
 #: The bad part, and the first part of the requests with it.
 BAD_PART = PromptPart('bad')
 BAD_FIRST = PromptPart('first-3')
+#: A part crashes engines as they begin to answer, as in the product.
+_SUSPECTED_SECONDS = 1.0
 _RETRY_SECONDS = 0.3
 _ITEM_RETRIES = 100
 _SEARCH_SECONDS = 0.25
@@ -81,6 +83,7 @@
     retries: int
     process: '_Process'
     seconds: float
+    began: float = 0
 
 
 class _Process(Struct, eq=False):
@@ -211,6 +214,10 @@
             [engine for engine in free if len(engine.runs) == fewest]
         )
         engine.runs.append(run)
+        run.began = self._now
+        self._schedule(
+            self._now + _SUSPECTED_SECONDS, self._progress_of(engine, run)
+        )
         spread = 0.5 + self._random.random()
         if run.bad:
             self._note_bad()
@@ -249,9 +256,27 @@
 
         return finish
 
+    def _progress_of(self, engine: _Engine, run: _Run) -> Callable[[], None]:
+        began = self._now
+
+        def progress() -> None:
+            if run not in engine.runs or run.began != began:
+                return
+            at = self._now
+            self._schedule(
+                at + self._load.report_delay,
+                lambda: self._clear_parts(run, at),
+            )
+
+        return progress
+
+    def _clear_parts(self, run: _Run, at: float) -> None:
+        for part in run.parts:
+            self._history.clear(name_part(part), at)
+
     def _clear(self, run: _Run, at: float) -> None:
-        for suspect in (run.digest, *map(name_part, run.parts)):
-            self._history.clear(suspect, at)
+        self._history.clear(run.digest, at)
+        self._clear_parts(run, at)
 
     def _kill_of(self, count: int) -> Callable[[], None]:
         def kill() -> None:
@@ -285,15 +310,19 @@
     def _report(self, runs: Sequence[_Run], incarnation: str) -> None:
         at = self._now
         reported = [
-            run for run in runs if self._random.random() > self._load.unreported
+            (run, run.began)
+            for run in runs
+            if self._random.random() > self._load.unreported
         ]
 
         def learn() -> None:
-            for run in reported:
+            for run, began in reported:
                 self._crashes.add(run.digest, {incarnation: round(at * _MS)})
-                again = self._history.crash_count(run.digest)
+                known = self._history.crash_count(run.digest) > 0
+                begun_long_ago = at - began > _SUSPECTED_SECONDS
                 self._history.add_crash(run.digest, incarnation, at)
-                for part in () if again else run.parts:
+                parts = () if known or begun_long_ago else run.parts
+                for part in parts:
                     for process in (self._entries, self._owners):
                         process.shares.record_crashes(part, [incarnation])
                     self._history.add_crash(
--- a/tests/test_gateway_part_trials.py
+++ b/tests/test_gateway_part_trials.py
@@ -6,7 +6,17 @@
 import unittest
 
 
-from tests.gateway_standins import engine, eventually
+import gevent
+from bendlead_gateway.http import HttpConnection
+from parameterized import parameterized
+
+from tests.gateway_standins import (
+    CrashingEngine,
+    engine,
+    event,
+    eventually,
+    route,
+)
 from tests.test_gateway_crashing_part import submit_items
 from tests.test_gateway_owed_items import PART, FoundPartCase
 
@@ -14,6 +24,9 @@
 _FULL = 100
 #: Far below the pauses of three failed trials.
 _PAUSE_SECONDS = 3
+#: Longer than engines live in a dense series of crashes.
+_LONG_SECONDS = 4.0
+_EVENT_SECONDS = 0.1
 
 
 class UnplaceableTrialTest(FoundPartCase):
@@ -68,5 +81,64 @@
         self.assert_completed(owner, within=_PAUSE_SECONDS)
 
 
+class LongTrialTest(FoundPartCase):
+    """Answers that take longer than engines live."""
+
+    @parameterized.expand([('items', 'batch'), ('requests', 'streaming')])
+    def test_answer_that_goes_on_clears_the_part(self, _name, kind):
+        """Guards against a part held until an answer is complete."""
+        self.configure(
+            route('batch', max_attempts=3),
+            route('streaming', name='s', path_prefix='/s/', timeout_ms=9000),
+            engines=0,
+        )
+        for _number in range(4):
+            self.add_long_engine()
+        owner = self.owner()
+        entry = self.entry()
+        if kind == 'streaming':
+            self.ask_long(entry)
+        self.found(owner, _MINUTE)
+        self.found(entry, _MINUTE)
+        items = [(f'{PART},{number}:9', b'%d' % number) for number in range(6)]
+        submit_items(self, owner, '/x/', *items)
+        # One behind the other, these would take twice as long.
+        self.assert_completed(owner, 6, within=1.7 * _LONG_SECONDS)
+
+    def add_long_engine(self):
+        """Add an engine that writes an event now and then."""
+        started = LongEngine(b'unused', _LONG_SECONDS)
+        self.addCleanup(started.close)
+        self.store.set(
+            'servers', f'i-{len(self.engines)}', engine(started.address)
+        )
+        self.engines.append(started)
+
+    def ask_long(self, entry):
+        """Have an entry relay a long answer to a request with the part."""
+        connection = HttpConnection(entry.settings.clients_address, 1)
+        self.addCleanup(connection.close)
+        headers = [
+            ('Host', 'a.example'),
+            ('X-Attempt-Id', 'long'),
+            ('X-Prompt-Prefix', f'{PART},0:9'),
+        ]
+        connection.send('POST', '/s/1', headers, b'long', 1)
+        self.assertEqual(200, connection.read_head(1).status)
+
+
+class LongEngine(CrashingEngine):
+    """Engine that writes events all the time that it runs a request."""
+
+    def _answer(self, sock, body):
+        self.bodies.append(body)
+        sock.sendall(self.HEAD)
+        for number in range(1, round(self._runs_seconds / _EVENT_SECONDS) + 1):
+            gevent.sleep(_EVENT_SECONDS)
+            text = event(number, 'ok')
+            sock.sendall(b'%x\r\n%b\r\n' % (len(text), text))
+        sock.sendall(b'0\r\n\r\n')
+
+
 if __name__ == '__main__':
     unittest.main()
