Try quarantined requests again once engines have calmed down

Callers saw (soak, real processes): engines crash one each 0.5 s for 12 s; a request that three callers send alike gets 503 with an hour to wait after it.

Cause: three crashes without a whole answer between quarantine a request.

Change: one request is sent 5 s behind the latest crash, a second 30 s behind a first failed trial, only where no engine crashed for 2 s, entries in turn. One that crashes engines costs two more in the first hour; three are allowed.

Ruled out: weighing crashes by how often it runs (an entry knows its own only); clearing it by answers that go on (it may crash engines late).

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/processes.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/processes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+import xxhash
 from bendlead_schema.gateway import NodeReport
 
 from bendlead_gateway._fleet.loads import LoadTable
@@ -35,6 +36,29 @@
                     nodes.append(TrialNode(node, items))
         return nodes
 
+    def by_role(self, role: NodeRole) -> list[NodeName]:
+        """List the processes of a role that are heard, and this one."""
+        nodes = [
+            node
+            for node, peer in self._peers.items()
+            if peer.record.role is role and self._loads.latest(node) is not None
+        ]
+        if self._own.role is role:
+            nodes.append(self._own.node)
+        return nodes
+
+    def rank(self, role: NodeRole, key: str) -> int:
+        """Return the rank of this process in a role, by a hash with a key."""
+        own = _rank(self._own.node, key)
+        return sum(_rank(node, key) < own for node in self.by_role(role))
+
+    def turn(self, role: NodeRole, key: str) -> tuple[int, int]:
+        """Return the rank of this process in a role, and the size of that.
+
+        One that knows none of the role has the only turn.
+        """
+        return self.rank(role, key), max(1, len(self.by_role(role)))
+
     def with_store_access(self) -> list[PeerRecord]:
         """List live peers that the object service answers.
 
@@ -56,6 +80,10 @@
         return halls
 
 
+def _rank(node: NodeName, key: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{key}/{node}'.encode())
+
+
 def _reaches_store(report: NodeReport | None) -> bool:
     """Return whether the last call of the object service succeeded."""
     if report is None or report.answered_ms < 0:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -1,6 +1,7 @@
 """Run the items of owned jobs in slots that online requests do not need."""
 
 from collections import Counter
+from collections.abc import Container, Iterator
 
 import gevent
 from bendlead_store import clock
@@ -121,11 +122,7 @@
         running = Counter(run.engine.service for run in self._runs)
         full_routes: set[str] = set()
         tried_services: set[ServiceName] = set()
-        for candidate in self._candidates.ranked():
-            if candidate.route.name in full_routes:
-                continue
-            if self._candidates.is_in_trial(candidate):
-                continue
+        for candidate in self._startable(full_routes):
             service = pick_service(candidate.route)
             if self._start_trial(candidate, service, tried_services):
                 running[service] += 1
@@ -137,6 +134,16 @@
             if self._start_in_free_slot(candidate, slots, full_routes):
                 running[service] += 1
 
+    def _startable(self, full_routes: Container[str]) -> Iterator[Candidate]:
+        """Yield the ranked items that no full route or trial holds up.
+
+        Both may change while the items before are started.
+        """
+        for candidate in self._candidates.ranked():
+            if candidate.route.name not in full_routes:
+                if not self._candidates.is_in_trial(candidate):
+                    yield candidate
+
     def _start_in_free_slot(
         self, candidate: Candidate, slots: ItemSlots, full_routes: set[str]
     ) -> bool:
@@ -258,7 +265,9 @@
                     run.response_started,
                     run.suspected_parts,
                 )
-                self._fleet.suspects.record_broken(run.engine, broken)
+                self._fleet.suspects.crash_detector.record_broken(
+                    run.engine, broken
+                )
                 self._fleet.suspects.part_trials.record_failure(run)
             self._fleet.health.record_failure(run.engine.engine)
             self._report_failure(run, error)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -37,6 +37,7 @@
 from bendlead_gateway.types import (
     ClientLimits,
     NodeName,
+    NodeRole,
     NodeSettings,
     PeerRecord,
 )
@@ -106,6 +107,9 @@
         self.fleet.shared_health.configure_peers(
             self.peers.processes.trial_nodes, self.peers.processes.halls
         )
+        self.fleet.suspects.request_trials.configure_peers(
+            partial(self.peers.processes.turn, NodeRole.ENTRY)
+        )
         self.peers_watch = self.fleet.watcher(
             dialect.peers_prefix, self.peers, _PEER_CHANGES_DELAY_SECONDS
         )
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -300,7 +300,7 @@
         self, exchange: Exchange, engine: Engine, *, response_started: bool
     ) -> None:
         broken = _broken(exchange, response_started=response_started)
-        self._fleet.suspects.record_broken(engine, broken)
+        self._fleet.suspects.crash_detector.record_broken(engine, broken)
 
     def _log_failure(
         self, engine: Engine, step: Step, error: object, paused: bool
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -68,6 +68,8 @@
     framing: Framing | None = None
     failure: str = '-'
     quarantined: bool = False
+    #: Whether it is quarantined and sent as a trial.
+    in_trial: bool = False
     #: The team's use of its share at the latest admission check.
     share_use: ShareUse = UNCONTESTED
     #: Time spent in the request queue.
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -34,6 +34,7 @@
     UnknownOutcomeError,
     UnreachableError,
 )
+from bendlead_gateway._online.quarantine import Quarantine
 from bendlead_gateway._online.request_queue import FairShares, RequestQueue
 from bendlead_gateway._online.resume_choice import ResumeChoice
 from bendlead_gateway._scheduling import retry
@@ -87,6 +88,7 @@
     ) -> None:
         self._fleet = fleet
         self._attempts = Attempts(dialect, fleet, log, metrics, origins)
+        self._quarantine = Quarantine(fleet.suspects)
         self._resume_choice = ResumeChoice(fleet.balancer)
         self._origins = origins
         self._log = log
@@ -133,6 +135,7 @@
                 responder.certainty = Certainty.UNKNOWN
             raise
         finally:
+            self._quarantine.end_trial(exchange)
             self._record_outcome(exchange, outcome)
         return outcome
 
@@ -181,7 +184,7 @@
                 return self._refuse_resume(exchange, _describe_lack(exchange))
         if placement is None or exchange.seconds_left < _MIN_SECONDS_LEFT:
             return self._give_up(exchange, _describe_lack(exchange))
-        seconds_left = self._quarantine_left(exchange)
+        seconds_left = self._quarantine.begin_trial(exchange)
         if seconds_left:
             return self._refuse_quarantined(exchange, seconds_left)
         dequeued = exchange.dequeued
@@ -209,7 +212,7 @@
             # It was refused; the slots may be as scarce elsewhere.
             gevent.sleep(_RESUME_POLL_SECONDS)
         while exchange.seconds_left >= _MIN_SECONDS_LEFT:
-            if self._quarantine_left(exchange):
+            if self._quarantine.seconds_left(exchange):
                 return self._refuse_quarantined(exchange, 0)
             view = self._resume_choice.find(exchange, service)
             if view is not None:
@@ -231,12 +234,6 @@
         exchange.answer(HTTPStatus.SERVICE_UNAVAILABLE)
         return REFUSED
 
-    def _quarantine_left(self, exchange: Exchange) -> float:
-        return self._fleet.suspects.remaining_quarantine(
-            lambda: exchange.digest,
-            exchange.facts.shared_parts,
-        )
-
     def _refuse_quarantined(
         self, exchange: Exchange, seconds_left: float
     ) -> str:
@@ -246,12 +243,7 @@
         """
         self._metrics.quarantined += 1
         exchange.quarantined = True
-        reason = 'quarantined: engines crashed while running it'
-        part = self._fleet.suspects.quarantined_part(
-            exchange.facts.shared_parts
-        )
-        if part:
-            reason = f'quarantined: engines crashed on part {part}'
+        reason = self._quarantine.reason(exchange)
         if exchange.runs or exchange.responder.started:
             return self._give_up(exchange, reason)
         return self._refuse(exchange, reason, seconds_left)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -28,6 +28,7 @@
 from bendlead_gateway._suspects.part_search import PartSearch
 from bendlead_gateway._suspects.part_shares import PartShares
 from bendlead_gateway._suspects.part_trials import PartTrials
+from bendlead_gateway._suspects.request_trials import RequestTrials
 from bendlead_gateway._suspects.suspect_store import SuspectStore
 from bendlead_gateway.types import Engine, EngineId, PromptPart
 
@@ -62,6 +63,7 @@
         self._search = PartSearch(self._history, self._crashes, self._shares)
         self._searching: gevent.Greenlet | None = None
         self.part_trials = PartTrials()
+        self.request_trials = RequestTrials()
         self.crash_detector = CrashDetector(
             takes_requests, last_response_at, log, metrics
         )
@@ -90,6 +92,21 @@
             for suspect in suspects
         )
 
+    def begin_trial(
+        self, digest: RequestDigest, parts: Sequence[PromptPart]
+    ) -> float:
+        """Begin the trial of a quarantined request, if it is due.
+
+        Return 0, or the seconds until the request may be sent.
+        """
+        quarantine = self.remaining_quarantine(lambda: digest, parts)
+        if self.quarantined_parts(parts):
+            return quarantine
+        pause = self.request_trials.begin(self._history.record(digest))
+        if not pause:
+            self._log.event('request-tried', digest=digest)
+        return min(quarantine, pause)
+
     def remaining_pause(
         self,
         item_of: Callable[[], RequestDigest],
@@ -122,17 +139,6 @@
             if self._history.remaining_quarantine(name_part(part), now)
         ]
 
-    def quarantined_part(self, parts: Sequence[PromptPart]) -> str:
-        """Return the first quarantined part, or an empty string."""
-        for part in parts:
-            if self._history.is_quarantined(name_part(part)):
-                return part
-        return ''
-
-    def record_broken(self, engine: Engine, broken: BrokenResponse) -> None:
-        """Record that an engine's response to a request broke off."""
-        self.crash_detector.record_broken(engine, broken)
-
     def record_abandoned(self, engine: Engine, broken: BrokenResponse) -> None:
         """Record that the client of a running request disconnected.
 
@@ -225,6 +231,7 @@
         if names_part(suspect):
             self._shares.record_crashes(part_of(suspect), ends)
         else:
+            self.request_trials.record_crashes(ends)
             self._crashes.add(suspect, ends)
         self._search_soon()
 
--- a/testing/src/bendlead_testing/gateway_soak/__main__.py
+++ b/testing/src/bendlead_testing/gateway_soak/__main__.py
@@ -6,9 +6,11 @@
 import json
 import signal
 import sys
+from dataclasses import replace
 
 import gevent
 
+from bendlead_testing.gateway_soak.crash_series import EVERY_SERIES
 from bendlead_testing.gateway_soak.plan import Step
 from bendlead_testing.gateway_soak.run import Size, run
 
@@ -31,6 +33,12 @@
     parser.add_argument('--ends', action='store_true')
     parser.add_argument('--stops', action='store_true')
     parser.add_argument('--attempts', type=int, default=3)
+    parser.add_argument('--slots', type=int, default=4)
+    parser.add_argument(
+        '--series',
+        action='store_true',
+        help='engines crash in a series: the row of the table by the seed',
+    )
     parser.add_argument(
         '--steps',
         type=json.loads,
@@ -51,11 +59,16 @@
         asked.deadly_part,
         asked.stops,
         asked.attempts,
+        slots=asked.slots,
     )
     # Told to stop, the soak still ends every process that it started.
     gevent.signal_handler(signal.SIGTERM, sys.exit, 1)
     broken = 0
     for seed in range(asked.seed, asked.seed + asked.seeds):
+        if asked.series:
+            row = EVERY_SERIES[seed % len(EVERY_SERIES)]
+            sys.stderr.write(f'{row}\n')
+            size = replace(size, series=row)
         outcome = run(seed, asked.seconds, size, steps)
         broken += bool(outcome.breaches)
         shown = {
--- a/testing/src/bendlead_testing/gateway_soak/clients.py
+++ b/testing/src/bendlead_testing/gateway_soak/clients.py
@@ -16,6 +16,7 @@
     DEADLY_PART_MARK,
 )
 from bendlead_testing.gateway_soak.callers import HOST, Callers
+from bendlead_testing.gateway_soak.crash_series import CrashSeries, SeriesJobs
 from bendlead_testing.gateway_soak.deployment import Deployment, NodeSpot
 from bendlead_testing.gateway_soak.job_clients import JobClient
 from bendlead_testing.gateway_soak.sightings import (
@@ -48,6 +49,11 @@
 _RESUMES = 2
 _RESUME_PAUSE = (0.0, 0.3)
 _DEADLY_PAUSE = (0.2, 0.8)
+#: Callers of one request that all send alike, its events (2 s), and the pause
+#: before each.
+_ALIKE_CALLERS = 3
+_ALIKE_EVENTS = 100
+_ALIKE_PAUSE = (0.1, 0.5)
 
 
 class Clients:
@@ -89,6 +95,13 @@
         for _number in range(count):
             self._tasks.append(gevent.spawn(self._send_deadly_part, until))
 
+    def start_series(self, series: CrashSeries) -> None:
+        """Start clients of long jobs, and of requests that are all alike."""
+        jobs = SeriesJobs(self._callers, self._seen, series)
+        self._jobs.extend(jobs.start())
+        for _caller in range(_ALIKE_CALLERS):
+            self._tasks.append(gevent.spawn(self._send_alike))
+
     def _start_online(self, count: int, team: SoakTeam) -> None:
         kinds = itertools.cycle(Kind)
         if self._fleet.versions > 1:
@@ -117,6 +130,29 @@
             self._note_unjudged(name, entry, path)
             self._post(entry, path, name, [self._callers.prompt(DEADLY_PART)])
 
+    def _send_alike(self) -> None:
+        """Send the same request as others, each time with a new id."""
+        body = b'alike'
+        while self._callers.going:
+            gevent.sleep(self._chance.uniform(*_ALIKE_PAUSE))
+            entry = self._callers.entry()
+            connection = self._callers.connect(entry)
+            if connection is None:
+                continue
+            one = Attempt(
+                self._callers.name('a'),
+                Kind.STREAM,
+                entry.name,
+                f'{Kind.STREAM.value}alike',
+                hashlib.sha256(body).hexdigest(),
+                time.monotonic(),
+                _ALIKE_EVENTS,
+                alike=True,
+            )
+            self._seen.attempts.append(one)
+            self._send(one, connection, body, _DEADLINE_SECONDS)
+            connection.close()
+
     def stop(self, within: float) -> int:
         """Let jobs be read to their end; tell how many tasks went on."""
         self._callers.going = False
--- a/testing/src/bendlead_testing/gateway_soak/deployment.py
+++ b/testing/src/bendlead_testing/gateway_soak/deployment.py
@@ -152,6 +152,7 @@
         versions: int = 1,
         ends: bool = False,
         parts: bool = False,
+        slots: int = 4,
     ) -> None:
         """Lay it out; where load is hard, engines differ and teams compete."""
         self.hard = hard
@@ -161,6 +162,8 @@
         self.ends = ends
         #: Whether clients name the parts of their prompts.
         self.parts = parts
+        #: Requests that an engine runs at once.
+        self.slots = slots
         #: Whether a team sends many times its usual now.
         self.hot = False
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='gateway-soak-'))
@@ -295,6 +298,7 @@
             f'--journal={self.journal}',
             '--service=s1',
             f'--hall={hall}',
+            f'--slots={self.slots}',
         ]
         if self.hard:
             command.append(f'--pace={_PACES[number % len(_PACES)]}')
--- a/testing/src/bendlead_testing/gateway_soak/promises.py
+++ b/testing/src/bendlead_testing/gateway_soak/promises.py
@@ -15,6 +15,7 @@
 from bendlead_testing.gateway_soak.sightings import (
     CONTACT_SECONDS,
     ENGINE_ENDED,
+    RELEASED_SECONDS,
     ROUTE_SECONDS,
     Attempt,
     Sightings,
@@ -363,12 +364,31 @@
     """After all is healed requests are served again."""
     # The end of a disruption holds the time it excuses already.
     healed = max((one.ended for one in seen.troubles), default=0)
-    after = [one for one in seen.attempts if one.sent > healed and not one.left]
+    # Those that are sent alike have a promise of their own.
+    after = [
+        one
+        for one in seen.attempts
+        if one.sent > healed and not one.left and not one.alike
+    ]
     served = sum(one.whole and one.status == 200 for one in after)
     if len(after) < _LEAST_AFTER or served < len(after) * _RECOVERED_SHARE:
         yield f'{served} of {len(after)} served after all was healed'
 
 
+def _sound_refused(seen: Sightings, _journal: EngineJournal) -> Iterator[str]:
+    """In the calm nobody is refused for crashes of engines before it."""
+    healed = max((one.ended for one in seen.troubles), default=0)
+    # The end of a disruption holds the time that it excuses already.
+    released = healed - CONTACT_SECONDS + RELEASED_SECONDS
+    refused = [
+        one
+        for one in seen.attempts
+        if one.alike and one.sent > released and one.status == 503
+    ]
+    if refused:
+        yield f'{len(refused)} requests that many callers send alike'
+
+
 def _failing_engines(seen: Sightings, journal: EngineJournal) -> Iterator[str]:
     """An engine that fails all it gets loses few callers their request."""
     for trouble in seen.troubles:
@@ -438,6 +458,7 @@
     'gone': _gone,
     'crashed': _crashed,
     'crashed by part': _crashed_by_part,
+    'sound refused': _sound_refused,
     'recovered': _recovered,
     'failing engines': _failing_engines,
     'fair': _fair,
--- a/testing/src/bendlead_testing/gateway_soak/run.py
+++ b/testing/src/bendlead_testing/gateway_soak/run.py
@@ -13,6 +13,10 @@
 
 from bendlead_testing.gateway_soak.callers import HOST
 from bendlead_testing.gateway_soak.clients import Clients
+from bendlead_testing.gateway_soak.crash_series import (
+    CrashSeries,
+    draw_crashes,
+)
 from bendlead_testing.gateway_soak.deployment import Deployment
 from bendlead_testing.gateway_soak.disruptions import EVERY_DISRUPTION
 from bendlead_testing.gateway_soak.engine_journal import (
@@ -30,6 +34,7 @@
 from bendlead_testing.gateway_soak.sightings import (
     CONTACT_SECONDS,
     ENGINE_ENDED,
+    RELEASED_SECONDS,
     ROUTE_SECONDS,
     Kind,
     Sightings,
@@ -40,12 +45,16 @@
 
 #: Calm at the end, in which everything must be served again (s).
 _CALM_SECONDS = CONTACT_SECONDS + 4.0
+#: The same where engines crash in a series: sound requests are released.
+_SERIES_CALM_SECONDS = RELEASED_SECONDS + 4.0
 #: Clients of a hot team for each other one.
 _HOT_TIMES = 4
 #: Most requests a second of a hot team, in every other configuration.
 _HOT_RATE = 30
 #: Clients of jobs read this long (s) after traffic has ended.
 _DRAIN_SECONDS = 32.0
+#: The same where engines crash in a series (finish_s of the users' sheets).
+_SERIES_DRAIN_SECONDS = 18.0
 _ITEM_ATTEMPTS = 3
 
 
@@ -72,6 +81,10 @@
     stops: bool = False
     #: Engines at which a request of each route may run.
     attempts: int = 3
+    #: Crashes of engines in place of all other steps.
+    series: CrashSeries | None = None
+    #: Requests that an engine runs at once.
+    slots: int = 4
 
 
 @dataclass(frozen=True)
@@ -99,14 +112,22 @@
         hard=size.hard,
         versions=size.versions,
         ends=size.ends,
-        parts=size.deadly_part > 0,
+        parts=size.deadly_part > 0 or size.series is not None,
+        slots=size.slots,
     )
     planned = draw(chance, fleet, seconds) if steps is None else list(steps)
     if size.stops:
         planned = draw_stops(seed, fleet, seconds)
-    silences = draw_silences(
-        seed, size.engines, WARM_SECONDS, WARM_SECONDS + seconds + _CALM_SECONDS
-    )
+    if size.series:
+        planned = draw_crashes(size.series, fleet, seed)
+    silences: Sequence[Silence] = ()
+    if size.series is None:
+        silences = draw_silences(
+            seed,
+            size.engines,
+            WARM_SECONDS,
+            WARM_SECONDS + seconds + _CALM_SECONDS,
+        )
     standing = Group()
     seen = Sightings()
     operator = _Operator(fleet, seen, size.attempts)
@@ -118,11 +139,13 @@
         if size.hard:
             clients.start_hot(size.online * _HOT_TIMES)
         clients.start_deadly(size.deadly, WARM_SECONDS + seconds)
+        if size.series:
+            clients.start_series(size.series)
         clients.start_deadly_part(size.deadly_part, WARM_SECONDS + seconds)
         standing.spawn(_play_silences, fleet, silences, standing)
         _play(fleet, seen, operator, planned, chance)
-        gevent.sleep(_CALM_SECONDS)
-        clients.stop(_DRAIN_SECONDS)
+        gevent.sleep(_SERIES_CALM_SECONDS if size.series else _CALM_SECONDS)
+        clients.stop(_SERIES_DRAIN_SECONDS if size.series else _DRAIN_SECONDS)
         _note_ends(fleet, seen)
     finally:
         standing.kill()
@@ -299,4 +322,5 @@
         'accepted': sum(bool(one.accepted) for one in seen.jobs.values()),
         'items': sum(len(one.results) for one in seen.jobs.values()),
         'versions': len(seen.versions),
+        'alike': sum(one.alike for one in seen.attempts),
     }
--- a/testing/src/bendlead_testing/gateway_soak/sightings.py
+++ b/testing/src/bendlead_testing/gateway_soak/sightings.py
@@ -14,6 +14,10 @@
 #: contact_ms of the users' sheets, and a second for a busy test machine.
 CONTACT_SECONDS = 4.0
 
+#: Time after the last crash of an engine from which on sound requests are
+#: served (s). Source: twice contact_ms of the sheets, and an answer of 2 s.
+RELEASED_SECONDS = 10.0
+
 #: The name of the trouble that an engine's own end is.
 ENGINE_ENDED = 'engine ended'
 
@@ -53,6 +57,8 @@
     #: The request whose stream it takes up, and the events received before.
     resumes: str = ''
     after: int = 0
+    #: Whether several callers send it alike.
+    alike: bool = False
 
     @property
     def went_on(self) -> bool:
--- a/tests/test_gateway_part_trials.py
+++ b/tests/test_gateway_part_trials.py
@@ -5,7 +5,6 @@
 
 import unittest
 
-
 import gevent
 from bendlead_gateway.http import HttpConnection
 from parameterized import parameterized
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -110,6 +110,15 @@
         self.assertEqual([], outcome.get('breaches'), told)
         self.assertGreater(outcome['silences'], 10)
 
+    def test_engines_that_crash_in_a_dense_series(self):
+        """Items that outlive engines were lost, equal requests refused."""
+        outcome, told = self.play(
+            120, None, '--series', '--engines=6', '--slots=8', '--batch=0'
+        )
+        self.assertEqual([], outcome.get('breaches'), told)
+        self.assertEqual(120, outcome['items'])
+        self.assertGreater(outcome['alike'], 20)
+
     def play(self, seed, steps, *options):
         """Run a seed; give its outcome and the end of what it told."""
         ended = subprocess.run(
