Have owners try a quarantined part in turn

Callers would see: a part that crashes engines, held by items of three owners, costs three engines each 2 s.

Cause: the pause behind a failed trial was each owner's own. Crashes of the part were told only for items at their first crash, and nobody paused for them.

Change: a crash with a quarantined part is told each time; all owners pause 2 s behind the latest, and 0.5 s more by their rank.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -110,6 +110,9 @@
         self.fleet.suspects.request_trials.configure_peers(
             partial(self.peers.processes.turn, NodeRole.ENTRY)
         )
+        self.fleet.suspects.part_trials.configure_peers(
+            partial(self.peers.processes.rank, NodeRole.OWNER)
+        )
         self.peers_watch = self.fleet.watcher(
             dialect.peers_prefix, self.peers, _PEER_CHANGES_DELAY_SECONDS
         )
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_trials.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_trials.py
@@ -2,11 +2,12 @@
 
 Items are owed whatever their parts are, and a part may be quarantined though it
 is sound. So one item at a time runs with it: a complete answer clears the part,
-and a crash costs one engine.
+and a crash costs one engine. Owners try it in turn: a crash at one of them has
+all others wait.
 """
 
 import math
-from collections.abc import Hashable, Sequence
+from collections.abc import Callable, Hashable, Sequence
 
 from bendlead_store import clock
 
@@ -14,10 +15,22 @@
 
 #: Pause after a part was found, and after a failed trial.
 TRIAL_PAUSE_SECONDS = 2.0
+#: Time from one owner's turn to the next one's, in which a crash is told.
+_TURN_SECONDS = 0.5
+#: Owners from this one on share a turn, which bounds the pause.
+_MAX_TURNS = 8
+#: Time for which a rank is kept: many items may wait, and there may be many
+#: owners.
+_RANK_SECONDS = 1.0
 #: Bound of memory; a part whose failure is forgotten may be tried at once.
 _MAX_FAILED = 256
 
 
+def _first_rank(part: PromptPart) -> int:
+    """Return the rank of an owner that knows no other."""
+    return 0
+
+
 class PartTrials:
     """Trials by the runs of this process."""
 
@@ -25,19 +38,28 @@
         self._running: dict[Hashable, Sequence[PromptPart]] = {}
         #: Uptime (s) of the last failed trial of each part.
         self._failed_at: dict[PromptPart, float] = {}
+        self._rank_of: Callable[[PromptPart], int] = _first_rank
+        #: Rank for each part, and when it was worked out (uptime, s).
+        self._ranks: dict[PromptPart, tuple[int, float]] = {}
 
-    def remaining_pause(self, part: PromptPart, found_seconds: float) -> float:
+    def configure_peers(self, rank_of: Callable[[PromptPart], int]) -> None:
+        """Set what returns the rank of this owner among all, for a part."""
+        self._rank_of = rank_of
+
+    def remaining_pause(self, part: PromptPart, crash_seconds: float) -> float:
         """Return the seconds until a part may be tried, infinite in a trial.
 
-        ``found_seconds`` is how long ago it was found (s), below 0 if the clock
-        of the process that found it is ahead.
+        ``crash_seconds`` is how long ago it was found, or an engine crashed
+        with it at any process (s); below 0 if a clock there is ahead.
         """
         if self.any_running([part]):
             return math.inf
         elapsed = clock.uptime() - self._failed_at.get(part, -math.inf)
-        if found_seconds >= 0:
-            elapsed = min(elapsed, found_seconds)
-        return max(0, TRIAL_PAUSE_SECONDS - elapsed)
+        if crash_seconds >= 0:
+            elapsed = min(elapsed, crash_seconds)
+        turn = min(self._rank(part), _MAX_TURNS - 1)
+        pause = TRIAL_PAUSE_SECONDS + turn * _TURN_SECONDS
+        return max(0, pause - elapsed)
 
     def any_running(self, parts: Sequence[PromptPart]) -> bool:
         """Return whether a run tries one of the parts."""
@@ -65,3 +87,13 @@
     def end(self, run: Hashable) -> None:
         """Record that a run has ended."""
         self._running.pop(run, None)
+
+    def _rank(self, part: PromptPart) -> int:
+        now = clock.uptime()
+        rank, worked_out_at = self._ranks.get(part, (0, -math.inf))
+        if now - worked_out_at > _RANK_SECONDS:
+            rank = self._rank_of(part)
+            if len(self._ranks) > _MAX_FAILED:
+                self._ranks.clear()
+            self._ranks[part] = (rank, now)
+        return rank
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -121,9 +121,10 @@
         now = time.time()
         pauses = [remaining_pause(self._history.record(item_of()), now)]
         for part in self.quarantined_parts(parts):
-            found_ms = self._history.record(name_part(part)).found_ms
-            found_seconds = now - found_ms / _MS_PER_SECOND
-            pauses.append(self.part_trials.remaining_pause(part, found_seconds))
+            record = self._history.record(name_part(part))
+            latest = max([record.found_ms, *record.ends.values()])
+            crash_seconds = now - latest / _MS_PER_SECOND
+            pauses.append(self.part_trials.remaining_pause(part, crash_seconds))
         return max(pauses)
 
     def quarantined_parts(
@@ -214,9 +215,11 @@
         incarnation = f'{engine.engine}@{engine.born}'
         now = time.time()
         shares = {digest: 0.0}
-        if not self._history.crash_count(digest):
-            # One that is repeated is no further evidence against its parts.
-            for part in parts:
+        repeated = self._history.crash_count(digest) > 0
+        for part in parts:
+            # One that is repeated is no further evidence against its parts,
+            # but the next trial waits for it.
+            if not repeated or part in self.quarantined_parts([part]):
                 shares[name_part(part)] = self._shares.share(part)
         for suspect, share in shares.items():
             if self._history.add_crash(suspect, incarnation, now, share):
--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -24,7 +24,7 @@
 _APART_SECONDS = 0.35
 
 
-def submit_items(case, owner, prefix, *prompts, job='j1'):
+def submit_items(case, owner, prefix, *prompts, job='j1', host='a.example'):
     """Submit a job to a route; its items have these parts and bodies."""
     connection = HttpConnection(owner.record.address, 1)
     case.addCleanup(connection.close)
@@ -39,7 +39,7 @@
         for number, (prompt, body) in enumerate(prompts)
     ]
     told = json.dumps({'items': items}).encode()
-    named = [('Host', 'a.example'), ('X-Attempt-Id', job)]
+    named = [('Host', host), ('X-Attempt-Id', job)]
     answer = connection.request('POST', f'{prefix}{job}', named, told, 4)
     case.assertEqual(202, answer.head.status)
 
--- a/tests/test_gateway_part_trials.py
+++ b/tests/test_gateway_part_trials.py
@@ -3,10 +3,16 @@
 Guards against accepted items that wait for a trial which cannot be made.
 """
 
+import time
 import unittest
 
 import gevent
+from bendlead_gateway._jobs.shards import shard_of
+from bendlead_gateway._owner import OwnerNode
+from bendlead_gateway._suspects.part_trials import TRIAL_PAUSE_SECONDS
 from bendlead_gateway.http import HttpConnection
+from bendlead_gateway.types import NodeRole
+from bendlead_platform import PlatformDialect, PlatformStore
 from parameterized import parameterized
 
 from tests.gateway_standins import (
@@ -15,6 +21,7 @@
     event,
     eventually,
     route,
+    settings,
 )
 from tests.test_gateway_crashing_part import submit_items
 from tests.test_gateway_owed_items import PART, FoundPartCase
@@ -26,6 +33,9 @@
 #: Longer than engines live in a dense series of crashes.
 _LONG_SECONDS = 4.0
 _EVENT_SECONDS = 0.1
+_TURNS_SECONDS = 6
+_APART_SECONDS = 0.7
+_HOSTS = [f'{number}.example' for number in range(40)]
 
 
 class UnplaceableTrialTest(FoundPartCase):
@@ -80,6 +90,59 @@
         self.assert_completed(owner, within=_PAUSE_SECONDS)
 
 
+class OwnersInTurnTest(FoundPartCase):
+    """Several owners have items with the same part."""
+
+    def test_bad_part_costs_one_engine_at_a_time(self):
+        """Guards against as many engines each 2 s as there are owners."""
+        routes = [
+            route('batch', name=f'r{number}', host=host, max_attempts=3)
+            for number, host in enumerate(_HOSTS)
+        ]
+        self.configure(*routes, engines=16)
+        owners = [self.start_owner(number) for number in range(3)]
+        eventually(
+            lambda: all(
+                len(one.peers.processes.by_role(NodeRole.OWNER)) == 3
+                and one._shard_manager.owned
+                for one in owners
+            ),
+            10,
+        )
+        for owner in owners:
+            self.found(owner, _MINUTE)
+        for number, owner in enumerate(owners):
+            self.submit_bad(owner, f'j{number}')
+            # Owners at the same time would take the same engine.
+            gevent.sleep(_APART_SECONDS)
+        crashed = self.crashed
+        began = time.monotonic()
+        gevent.sleep(_TURNS_SECONDS)
+        passed = time.monotonic() - began
+        most = 1 + passed / TRIAL_PAUSE_SECONDS
+        self.assertLessEqual(self.crashed - crashed, most)
+
+    def start_owner(self, number):
+        """Start one of several owners."""
+        made = settings(f'owner-{number}', NodeRole.OWNER, self.store.address)
+        store = PlatformStore(made.store_address)
+        node = OwnerNode(made, store, PlatformDialect())
+        node.serve()
+        return node
+
+    def submit_bad(self, owner, job):
+        """Submit a job of a host whose shard the owner has."""
+        host = next(
+            name
+            for name in _HOSTS
+            if shard_of(name) in owner._shard_manager.owned
+        )
+        items = [
+            (f'{PART},{number}:9', b'deadly prompt') for number in range(6)
+        ]
+        submit_items(self, owner, '/x/', *items, job=job, host=host)
+
+
 class LongTrialTest(FoundPartCase):
     """Answers that take longer than engines live."""
 
