Send the trial of a request to one engine, and to none that is full

Callers would see: nothing; engines would see more than the three arrivals that a request may have which crashes them.

Cause: a trial that an engine refused ("not run") was passed on to the next, as any request, and each arrival counts against the allowance.

Change: a trial is sent once; none begins where the best engine is full, and its caller is told to come back at once then, or when the trial is due.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -184,7 +184,7 @@
                 return self._refuse_resume(exchange, _describe_lack(exchange))
         if placement is None or exchange.seconds_left < _MIN_SECONDS_LEFT:
             return self._give_up(exchange, _describe_lack(exchange))
-        seconds_left = self._quarantine.begin_trial(exchange)
+        seconds_left = self._quarantine.begin_trial(exchange, placement.view)
         if seconds_left:
             return self._refuse_quarantined(exchange, seconds_left)
         dequeued = exchange.dequeued
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/quarantine.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/quarantine.py
@@ -1,6 +1,8 @@
 """Requests that are kept from engines, and their trials."""
 
 from bendlead_gateway._online.exchange import Exchange
+from bendlead_gateway._scheduling.retry import RETRY_AFTER_SECONDS
+from bendlead_gateway._scheduling.view import EngineView
 from bendlead_gateway._suspects.suspects import Suspects
 
 
@@ -17,19 +19,26 @@
             exchange.facts.shared_parts,
         )
 
-    def begin_trial(self, exchange: Exchange) -> float:
+    def begin_trial(self, exchange: Exchange, view: EngineView) -> float:
         """Return 0 if a request may be sent, as a trial if quarantined.
 
-        Else return the seconds until it may be.
+        Else return the seconds until it may be. A trial goes to one engine
+        only, and to none that is full: a refused one reaches engines as well.
         """
         seconds_left = self.seconds_left(exchange)
-        if exchange.in_trial or not seconds_left:
+        if not seconds_left:
             return 0
-        seconds_left = self._suspects.begin_trial(
+        if exchange.in_trial:
+            return seconds_left if exchange.sends else 0
+        pause = self._suspects.trial_pause(
             exchange.digest, exchange.facts.shared_parts
         )
-        exchange.in_trial = not seconds_left
-        return seconds_left
+        if not pause and view.free <= 0:
+            return RETRY_AFTER_SECONDS
+        if not pause:
+            exchange.in_trial = True
+            self._suspects.request_trials.begin(exchange.digest)
+        return pause
 
     def end_trial(self, exchange: Exchange) -> None:
         """End the trial of a request, if it is one."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/request_trials.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/request_trials.py
@@ -12,6 +12,7 @@
 from bendlead_schema.gateway import SuspectRecord
 from bendlead_store import clock
 
+from bendlead_gateway._log import Log
 from bendlead_gateway._suspects.crash_history import CRASHES_UNTIL_QUARANTINE
 from bendlead_gateway._suspects.digest import RequestDigest
 
@@ -37,7 +38,8 @@
 class RequestTrials:
     """Trials by the requests of this entry."""
 
-    def __init__(self) -> None:
+    def __init__(self, log: Log) -> None:
+        self._log = log
         self._running: set[RequestDigest] = set()
         #: Unix time (ms) of the latest crash, and when it was noticed here.
         self._latest_crash = 0
@@ -55,23 +57,26 @@
             self._latest_crash = latest
             self._noticed_at = clock.uptime()
 
-    def begin(self, record: SuspectRecord) -> float:
-        """Begin a trial; return 0, or the seconds until one may begin.
+    def remaining_pause(self, record: SuspectRecord) -> float:
+        """Return the seconds until a trial may begin, 0 if it may now.
 
         Infinite if the request has had its trials.
         """
-        pause = self._remaining_pause(record)
+        pause = self._pause_until_due(record)
         if not pause and record.digest in self._running:
             return _TURN_SECONDS
-        if not pause:
-            self._running.add(RequestDigest(record.digest))
         return pause
 
+    def begin(self, digest: RequestDigest) -> None:
+        """Begin a trial."""
+        self._running.add(digest)
+        self._log.event('request-tried', digest=digest)
+
     def end(self, digest: RequestDigest) -> None:
         """End a trial."""
         self._running.discard(digest)
 
-    def _remaining_pause(self, record: SuspectRecord) -> float:
+    def _pause_until_due(self, record: SuspectRecord) -> float:
         crashes = sorted(record.ends.values())
         pause = _pause_after(crashes)
         due = crashes[-1] / _MS_PER_SECOND + pause
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -63,7 +63,7 @@
         self._search = PartSearch(self._history, self._crashes, self._shares)
         self._searching: gevent.Greenlet | None = None
         self.part_trials = PartTrials()
-        self.request_trials = RequestTrials()
+        self.request_trials = RequestTrials(log)
         self.crash_detector = CrashDetector(
             takes_requests, last_response_at, log, metrics
         )
@@ -92,20 +92,18 @@
             for suspect in suspects
         )
 
-    def begin_trial(
+    def trial_pause(
         self, digest: RequestDigest, parts: Sequence[PromptPart]
     ) -> float:
-        """Begin the trial of a quarantined request, if it is due.
+        """Return the seconds until a quarantined request may be tried or sent.
 
-        Return 0, or the seconds until the request may be sent.
+        There are no trials of parts by requests.
         """
         quarantine = self.remaining_quarantine(lambda: digest, parts)
         if self.quarantined_parts(parts):
             return quarantine
-        pause = self.request_trials.begin(self._history.record(digest))
-        if not pause:
-            self._log.event('request-tried', digest=digest)
-        return min(quarantine, pause)
+        record = self._history.record(digest)
+        return min(quarantine, self.request_trials.remaining_pause(record))
 
     def remaining_pause(
         self,
--- a/tests/test_gateway_request_trials.py
+++ b/tests/test_gateway_request_trials.py
@@ -28,6 +28,10 @@
 #: served again by then.
 _RELEASED_SECONDS = 10
 _FIRST, _SECOND = TRIAL_PAUSES_SECONDS
+_NOT_RUN = (
+    b'HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n'
+    b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+)
 _NOW = 1_000_000.0
 _MS = 1000
 
@@ -63,6 +67,42 @@
                 gevent.sleep(0.15)
         self.assertEqual(_CRASHES + 1, self.crashed)
 
+    def test_trial_that_an_engine_refuses_reaches_no_other(self):
+        """Guards against a trial that full engines pass on."""
+        (entry,) = self.start(1)
+        for _crash in range(_CRASHES):
+            self.ask(entry)
+            gevent.sleep(0.15)
+        for one in self.engines:
+            one.HEAD = _NOT_RUN
+        reached = self.reached
+        until = time.monotonic() + _FIRST + 1
+        while self.reached == reached and time.monotonic() < until:
+            self.assertEqual(503, self.ask(entry))
+            gevent.sleep(0.05)
+        self.assertEqual(reached + 1, self.reached)
+
+    def test_full_engines_get_no_trial(self):
+        """Callers are told to come back soon, once a trial is due."""
+        (entry,) = self.start(1)
+        for _crash in range(_CRASHES):
+            self.ask(entry)
+            gevent.sleep(0.15)
+        for number in range(len(self.engines)):
+            entry.fleet.loads.own.online[f'i-{number}'] += 100
+        reached = self.reached
+        told = self.retry_after(entry)
+        self.assertGreater(told, 1)
+        gevent.sleep(told + 0.1)
+        self.assertLessEqual(self.retry_after(entry), 1)
+        self.assertEqual(reached, self.reached)
+
+    def retry_after(self, entry):
+        """Ask and return the time (s) to come back."""
+        head = self.begin(entry).read_head(3)
+        self.assertEqual(503, head.status)
+        return float(head.find('retry-after'))
+
     def start(self, count):
         """Start entries and engines that run requests for a while."""
         self.configure(route('streaming'), runs_seconds=0.1)
@@ -97,28 +137,29 @@
     def test_pause(self, _name, crashes, due):
         ends = {f'{at}@0': round((_NOW + at) * _MS) for at in crashes}
         record = SuspectRecord(digest='d', ends=ends)
-        trials = RequestTrials()
+        trials = RequestTrials(mock.Mock())
         with mock.patch.object(request_trials, 'time') as clock:
             clock.time.return_value = _NOW + crashes[-1]
             self.assertAlmostEqual(
-                due - crashes[-1], trials.begin(record), places=3
+                due - crashes[-1], trials.remaining_pause(record), places=3
             )
             if due < math.inf:
                 clock.time.return_value = _NOW + due + 0.1
-                self.assertEqual(0, trials.begin(record))
-                self.assertGreater(trials.begin(record), 0)
+                self.assertEqual(0, trials.remaining_pause(record))
+                trials.begin('d')
+                self.assertGreater(trials.remaining_pause(record), 0)
 
     def test_calm_is_awaited(self):
         record = SuspectRecord(digest='d', ends={'a@0': 1, 'b@0': 2, 'c@0': 3})
-        trials = RequestTrials()
+        trials = RequestTrials(mock.Mock())
         for _report in range(2):
             trials.record_crashes({'e@0': 4})
-            self.assertGreater(trials.begin(record), 1)
+            self.assertGreater(trials.remaining_pause(record), 1)
             trials.record_crashes({})
         # Old news, as of a suspect that was cleared, start no new calm.
         trials._noticed_at -= 2
         trials.record_crashes(record.ends)
-        self.assertLessEqual(trials.begin(record), 1)
+        self.assertLessEqual(trials.remaining_pause(record), 1)
 
     def test_entries_take_turns(self):
         count = 5
@@ -129,9 +170,9 @@
             for tenth in range(100):
                 clock.time.return_value = _NOW + 2 + _FIRST + tenth / 10
                 for rank in range(count):
-                    trials = RequestTrials()
+                    trials = RequestTrials(mock.Mock())
                     trials.configure_peers(lambda _key, at=rank: (at, count))
-                    if not trials.begin(record):
+                    if not trials.remaining_pause(record):
                         began.append((tenth, rank))
         times = [tenth for tenth, _rank in began]
         self.assertEqual(sorted(set(times)), times)
