--- a/tests/test_gateway_request_trials.py
+++ b/tests/test_gateway_request_trials.py
@@ -69,10 +69,7 @@
 
     def test_trial_that_an_engine_refuses_reaches_no_other(self):
         """Guards against a trial that full engines pass on."""
-        (entry,) = self.start(1)
-        for _crash in range(_CRASHES):
-            self.ask(entry)
-            gevent.sleep(0.15)
+        entry = self.start_quarantined()
         for one in self.engines:
             one.HEAD = _NOT_RUN
         reached = self.reached
@@ -84,10 +81,7 @@
 
     def test_full_engines_get_no_trial(self):
         """Callers are told to come back soon, once a trial is due."""
-        (entry,) = self.start(1)
-        for _crash in range(_CRASHES):
-            self.ask(entry)
-            gevent.sleep(0.15)
+        entry = self.start_quarantined()
         for number in range(len(self.engines)):
             entry.fleet.loads.own.online[f'i-{number}'] += 100
         reached = self.reached
@@ -97,6 +91,14 @@
         self.assertLessEqual(self.retry_after(entry), 1)
         self.assertEqual(reached, self.reached)
 
+    def start_quarantined(self):
+        """Start an entry and have the request crash engines there."""
+        (entry,) = self.start(1)
+        for _crash in range(_CRASHES):
+            self.ask(entry)
+            gevent.sleep(0.15)
+        return entry
+
     def retry_after(self, entry):
         """Ask and return the time (s) to come back."""
         head = self.begin(entry).read_head(3)
