--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -7,6 +7,8 @@
 from bendlead_testing.gateway_soak.engine_journal import EngineJournal
 from bendlead_testing.gateway_soak.promises import RULE_NAMES, check
 from bendlead_testing.gateway_soak.sightings import (
+    CONTACT_SECONDS,
+    RELEASED_SECONDS,
     Attempt,
     Call,
     JobSeen,
@@ -20,6 +22,7 @@
 
 _BODY = hashlib.sha256(b'').hexdigest()
 _START = 100.0
+_BROKEN = Trouble('kill', 'entry-0', _START - 1, _START + 5)
 
 
 def _attempt(name, kind=Kind.ONCE, **changed):
@@ -54,6 +57,15 @@
     return {'attempts': attempts, 'lines': lines}
 
 
+def _refused_alike(later):
+    """Refuse a request that many send alike, long after a disruption."""
+    sent = _BROKEN.ended - CONTACT_SECONDS + RELEASED_SECONDS + later
+    refused = _attempt(
+        'a', Kind.SAFE, alike=True, status=503, sent=sent, ended=sent, text=''
+    )
+    return {'attempts': [refused], 'troubles': [_BROKEN]}
+
+
 def _job(item='i1', text=None, **changed):
     made = JobSeen('j1', {item: 2}, {item: _BODY})
     made.statuses = [202]
@@ -205,7 +217,6 @@
     Trouble(name, 'entry-0', _START - 1, _START + 2, planned=True)
     for name in ('stop', 'reload', 'change configuration')
 ]
-_BROKEN = Trouble('kill', 'entry-0', _START - 1, _START + 5)
 
 
 class PromiseTest(unittest.TestCase):
@@ -440,6 +451,8 @@
                 },
                 '',
             ),
+            ('alike_refused_in_the_calm', _refused_alike(1), 'sound refused'),
+            ('alike_refused_until_its_trial', _refused_alike(-1), ''),
             ('lost_to_one_engine', _lost(11), 'failing engines'),
             ('lost_a_few_to_one_engine', _lost(10), ''),
             (
@@ -511,6 +524,7 @@
             'gone',
             'crashed',
             'crashed by part',
+            'sound refused',
             'recovered',
             'failing engines',
             'fair',
