Test that the answer of a request alone clears a part

Cause: the row of requests in LongTrialTest passed for another reason.

Change: a test with a request and no item. With the relay undone it fails (not cleared in 2 s), with it it passes; the two rows stay. No product change.

--- a/tests/test_gateway_part_trials.py
+++ b/tests/test_gateway_part_trials.py
@@ -196,6 +196,21 @@
         # One behind the other, these would take twice as long.
         self.assert_completed(owner, 6, within=1.7 * _LONG_SECONDS)
 
+    def test_answer_of_a_request_clears_the_part_alone(self):
+        """Nothing else runs: it must be the answer that a caller reads."""
+        self.configure(
+            route('streaming', name='s', path_prefix='/s/', timeout_ms=9000),
+            engines=0,
+        )
+        self.add_long_engine()
+        entry = self.entry()
+        self.ask_long(entry)
+        self.found(entry, _MINUTE)
+        suspects = entry.fleet.suspects
+        part = PART.partition(':')[0]
+        self.assertEqual([part], suspects.quarantined_parts([part]))
+        eventually(lambda: not suspects.quarantined_parts([part]), 2)
+
     def add_long_engine(self):
         """Add an engine that writes an event now and then."""
         started = LongEngine(b'unused', _LONG_SECONDS)
