Soak: check all five rules named BUDGET, with items that have parts

The soak checked three of the five, and its items told no parts. Engines note the X-Deadline-Ms that they get. New promises, with the bounds of the users' pages: attempts (over three requests run at more engines than their route allows; engines that ended or were cut off are left out by the disruption that did it) and deadlines (over 20, and a fifth).

Runs without them draw what they drew.

Items with the bad part are not missed: by the pages requests with it earn nothing and aren't missed, and each run would end one more engine. Given up they still break the promise of jobs.

No logic of the product is changed.

--- a/testing/src/bendlead_testing/gateway_soak/__main__.py
+++ b/testing/src/bendlead_testing/gateway_soak/__main__.py
@@ -34,6 +34,10 @@
     parser.add_argument('--stops', action='store_true')
     parser.add_argument('--attempts', type=int, default=3)
     parser.add_argument('--slots', type=int, default=4)
+    parser.add_argument('--stream-attempts', type=int, default=0)
+    parser.add_argument('--deadly-items', type=float)
+    parser.add_argument('--retries', type=int, default=0)
+    parser.add_argument('--lanes', type=int, default=1)
     parser.add_argument(
         '--series',
         action='store_true',
@@ -60,6 +64,10 @@
         asked.stops,
         asked.attempts,
         slots=asked.slots,
+        stream_attempts=asked.stream_attempts,
+        deadly_items=asked.deadly_items,
+        retries=asked.retries,
+        lanes=asked.lanes,
     )
     # Told to stop, the soak still ends every process that it started.
     gevent.signal_handler(signal.SIGTERM, sys.exit, 1)
--- a/testing/src/bendlead_testing/gateway_soak/clients.py
+++ b/testing/src/bendlead_testing/gateway_soak/clients.py
@@ -20,6 +20,7 @@
 from bendlead_testing.gateway_soak.deployment import Deployment, NodeSpot
 from bendlead_testing.gateway_soak.job_clients import JobClient
 from bendlead_testing.gateway_soak.sightings import (
+    DEADLINE_SECONDS,
     Attempt,
     Kind,
     Probe,
@@ -27,7 +28,8 @@
 )
 from bendlead_testing.gateway_soak.teams import SoakTeam
 
-_DEADLINE_SECONDS = 4.0
+#: The same for requests that are judged by their status alone.
+_PROBE_SECONDS = 2.0
 _PAUSE = (0.02, 0.25)
 #: A hot team's clients send one request after the other.
 _HOT_PAUSE = (0.0, 0.02)
@@ -69,12 +71,16 @@
         self._tasks: list[gevent.Greenlet] = []
         self._jobs: list[gevent.Greenlet] = []
 
-    def start(self, online: int, batch: int) -> None:
+    def start(
+        self, online: int, batch: int, deadly_items: float | None = None
+    ) -> None:
         """Start clients of requests and of batch jobs."""
         self._callers.balancer.run()
         self._start_online(online, SoakTeam.QUIET)
         for _number in range(batch):
-            jobs = JobClient(self._callers, self._seen, self._chance)
+            jobs = JobClient(
+                self._callers, self._seen, self._chance, deadly_items
+            )
             self._jobs.append(gevent.spawn(jobs.run))
         self._tasks.append(gevent.spawn(self._probe))
 
@@ -89,11 +95,14 @@
             task = gevent.spawn(self._repeat_deadly, number, until)
             self._tasks.append(task)
 
-    def start_deadly_part(self, count: int, seconds: float) -> None:
+    def start_deadly_part(
+        self, count: int, seconds: float, retries: int
+    ) -> None:
         """Start clients of requests with a part on which engines end."""
         until = time.monotonic() + seconds
         for _number in range(count):
-            self._tasks.append(gevent.spawn(self._send_deadly_part, until))
+            task = gevent.spawn(self._send_deadly_part, until, retries)
+            self._tasks.append(task)
 
     def start_series(self, series: CrashSeries) -> None:
         """Start clients of long jobs, and of requests that are all alike."""
@@ -120,15 +129,28 @@
             self._note_unjudged(name, entry, path)
             self._post(entry, path, name)
 
-    def _send_deadly_part(self, until: float) -> None:
-        """Send requests that share a part, each of its own."""
+    def _send_deadly_part(self, until: float, retries: int) -> None:
+        """Send requests that share a part, each of its own.
+
+        Those that are sent again if they fail may run at several engines too.
+        """
+        kind = Kind.RESUMABLE if retries else Kind.STREAM
         while self._callers.going and time.monotonic() < until:
             gevent.sleep(self._chance.uniform(*_DEADLY_PAUSE))
             name = self._callers.name('y') + DEADLY_PART_MARK
-            entry = self._callers.entry()
-            path = f'{Kind.STREAM.value}{name}'
-            self._note_unjudged(name, entry, path)
-            self._post(entry, path, name, [self._callers.prompt(DEADLY_PART)])
+            path = f'{kind.value}{name}'
+            prompt = self._callers.prompt(DEADLY_PART)
+            self._post_unjudged(name, path, prompt)
+            for _retry in range(retries):
+                name = self._callers.name('y') + DEADLY_PART_MARK
+                self._post_unjudged(name, path, prompt)
+
+    def _post_unjudged(
+        self, name: str, path: str, prompt: tuple[str, str]
+    ) -> None:
+        entry = self._callers.entry()
+        self._note_unjudged(name, entry, path)
+        self._post(entry, path, name, [prompt])
 
     def _send_alike(self) -> None:
         """Send the same request as others, each time with a new id."""
@@ -150,7 +172,7 @@
                 alike=True,
             )
             self._seen.attempts.append(one)
-            self._send(one, connection, body, _DEADLINE_SECONDS)
+            self._send(one, connection, body, DEADLINE_SECONDS)
             connection.close()
 
     def stop(self, within: float) -> int:
@@ -206,7 +228,7 @@
             team,
         )
         self._seen.attempts.append(one)
-        patience = _DEADLINE_SECONDS
+        patience = DEADLINE_SECONDS
         if self._chance.random() < _LEFT_SHARE:
             patience = self._chance.uniform(0.05, 0.4)
         self._send(one, connection, body, patience)
@@ -244,7 +266,7 @@
                 after=after,
             )
             self._seen.attempts.append(latest)
-            self._send(latest, connection, body, _DEADLINE_SECONDS)
+            self._send(latest, connection, body, DEADLINE_SECONDS)
             connection.close()
 
     def _send(
@@ -258,7 +280,7 @@
             ('Host', HOST),
             ('X-Attempt-Id', one.request),
             ('X-Token-Usage', f'10,{one.total}'),
-            ('X-Deadline-Ms', str(int(_DEADLINE_SECONDS * 1000))),
+            ('X-Deadline-Ms', str(int(DEADLINE_SECONDS * 1000))),
             one.team.header,
         ]
         if self._fleet.parts:
@@ -269,7 +291,7 @@
         timer = gevent.Timeout(patience)
         timer.start()
         try:
-            connection.send('POST', one.path, headers, body, _DEADLINE_SECONDS)
+            connection.send('POST', one.path, headers, body, DEADLINE_SECONDS)
             self._read(one, connection)
         except OSError:
             # Closed or cut: what came before is judged as it stands.
@@ -282,13 +304,13 @@
             one.ended = time.monotonic()
 
     def _read(self, one: Attempt, connection: HttpConnection) -> None:
-        head = connection.read_head(_DEADLINE_SECONDS)
+        head = connection.read_head(DEADLINE_SECONDS)
         one.status = head.status
         one.seal = head.find('x-response-seal')
         gathered = b''
         slow = self._fleet.hard and self._chance.random() < _SLOW_SHARE
         try:
-            for part in connection.read_parts(head, _DEADLINE_SECONDS):
+            for part in connection.read_parts(head, DEADLINE_SECONDS):
                 gathered += part
                 if slow:
                     gevent.sleep(_SLOW_PAUSE)
@@ -329,7 +351,17 @@
         """Let engines get a request whose answer is judged elsewhere."""
         now = time.monotonic()
         body = hashlib.sha256(b'').hexdigest()
-        one = Attempt(name, Kind.SAFE, entry.name, path, body, now, 1, left=now)
+        one = Attempt(
+            name,
+            Kind.SAFE,
+            entry.name,
+            path,
+            body,
+            now,
+            1,
+            left=now,
+            patience=_PROBE_SECONDS,
+        )
         self._seen.attempts.append(one)
 
     def _post(
@@ -344,11 +376,11 @@
             ('Host', HOST),
             ('X-Attempt-Id', name),
             ('X-Token-Usage', '1,1'),
-            ('X-Deadline-Ms', '2000'),
+            ('X-Deadline-Ms', str(int(_PROBE_SECONDS * 1000))),
             SoakTeam.QUIET.header,
             *extra,
         ]
         status, _body = self._callers.call_at(
-            entry, 'POST', path, b'', headers, 2
+            entry, 'POST', path, b'', headers, _PROBE_SECONDS
         )
         return status
--- a/testing/src/bendlead_testing/gateway_soak/engine_process.py
+++ b/testing/src/bendlead_testing/gateway_soak/engine_process.py
@@ -230,7 +230,10 @@
             self._journal.note('misdirected', **facts)
             responder.answer(421, [('X-Attempt-Id', name)])
             return
-        self._journal.note('arrival', **facts)
+        left_ms = headers.get('x-deadline-ms')
+        self._journal.note(
+            'arrival', **facts, left_ms=float(left_ms) if left_ms else None
+        )
         if self._queued >= _QUEUE or self._bad(EngineTrouble.SHED):
             refused = [('X-Not-Executed', '1'), ('X-Attempt-Id', name)]
             responder.answer(503, refused)
--- a/testing/src/bendlead_testing/gateway_soak/job_clients.py
+++ b/testing/src/bendlead_testing/gateway_soak/job_clients.py
@@ -8,6 +8,10 @@
 
 import gevent
 
+from bendlead_testing.gateway_soak.answers import (
+    DEADLY_PART,
+    DEADLY_PART_MARK,
+)
 from bendlead_testing.gateway_soak.callers import Callers
 from bendlead_testing.gateway_soak.sightings import JobSeen, Sightings
 
@@ -25,11 +29,20 @@
     """Hand jobs in, read their results, and end some of them."""
 
     def __init__(
-        self, callers: Callers, seen: Sightings, chance: random.Random
+        self,
+        callers: Callers,
+        seen: Sightings,
+        chance: random.Random,
+        deadly_items: float | None = None,
     ) -> None:
+        """Take the share of items with a part on which engines end.
+
+        With ``None`` no item tells its parts.
+        """
         self._callers = callers
         self._seen = seen
         self._chance = chance
+        self._deadly_items = deadly_items
 
     def run(self) -> None:
         """Hand jobs in until told to stop."""
@@ -44,6 +57,8 @@
             poison = ''
             if self._chance.random() < _POISON_SHARE:
                 poison = self._chance.choice(('-bad422', '-bad500'))
+            elif self._draws_deadly_part():
+                poison = DEADLY_PART_MARK
             items[self._callers.name('i') + poison] = self._chance.randint(
                 5, 40
             )
@@ -56,7 +71,7 @@
             return
         ends = self._chance.random() < _ENDED_SHARE
         due = time.monotonic() + _JOB_DUE
-        while time.monotonic() < due and len(seen.results) < len(items):
+        while time.monotonic() < due and seen.missing:
             gevent.sleep(_READ_PAUSE)
             if ends and self._end(seen):
                 break
@@ -70,7 +85,10 @@
                     {
                         'id': item,
                         'path': f'/jobs/{item}',
-                        'headers': {'X-Token-Usage': f'10,{total}'},
+                        'headers': {
+                            'X-Token-Usage': f'10,{total}',
+                            **self._prompt(item),
+                        },
                         'body': _base64(item),
                         'tokens': total,
                     }
@@ -91,6 +109,18 @@
             gevent.sleep(self._chance.uniform(*_JOB_PAUSE) / 2)
         return False
 
+    def _draws_deadly_part(self) -> bool:
+        # Runs without parts keep the draws of their seeds.
+        return bool(
+            self._deadly_items and self._chance.random() < self._deadly_items
+        )
+
+    def _prompt(self, item: str) -> dict[str, str]:
+        if self._deadly_items is None:
+            return {}
+        deadly = item.endswith(DEADLY_PART_MARK)
+        return dict([self._callers.prompt(DEADLY_PART if deadly else '')])
+
     def _read_results(self, seen: JobSeen, at: int | None = None) -> None:
         start = at
         if start is None:
--- a/testing/src/bendlead_testing/gateway_soak/plan.py
+++ b/testing/src/bendlead_testing/gateway_soak/plan.py
@@ -11,9 +11,13 @@
     HARD_DISRUPTIONS,
     VERSION_DISRUPTIONS,
 )
+from bendlead_testing.gateway_soak.sightings import CONTACT_SECONDS
 
 _GAP = (0.1, 1.6)
-_LASTS = (0.3, 3.5)
+_SHORTEST = 0.3
+_LONGEST = 3.5
+#: The same of series beside each other: longer than processes keep in touch.
+_LONGEST_BESIDE = CONTACT_SECONDS + 2
 #: Part of the steps that come twice, overlapping, on the same target.
 _TWICE_SHARE = 0.15
 #: Part of the steps that are planned work.
@@ -57,7 +61,10 @@
 
 
 def draw(
-    chance: random.Random, fleet: Deployment, seconds: float
+    chance: random.Random,
+    fleet: Deployment,
+    seconds: float,
+    longest: float = _LONGEST,
 ) -> list[Step]:
     """Draw the steps of a run."""
     steps: list[Step] = []
@@ -72,7 +79,7 @@
         others = [*others, *sorted(END_DISRUPTIONS) * _END_WEIGHT]
     planned_share = 1 if chance.random() < _CALM_RUNS else _PLANNED_SHARE
     while at < WARM_SECONDS + seconds:
-        lasts = chance.uniform(*_LASTS)
+        lasts = chance.uniform(_SHORTEST, longest)
         if chance.random() < _CHANGE_SHARE:
             steps.append(Step(at, CHANGE, 'store', 0))
         else:
@@ -86,6 +93,19 @@
     return sorted(steps, key=lambda step: step.at)
 
 
+def draw_lanes(
+    chance: random.Random, fleet: Deployment, seconds: float, lanes: int
+) -> list[Step]:
+    """Draw series of steps that run beside each other."""
+    longest = _LONGEST if lanes == 1 else _LONGEST_BESIDE
+    steps = [
+        step
+        for _lane in range(lanes)
+        for step in draw(chance, fleet, seconds, longest)
+    ]
+    return sorted(steps, key=lambda step: step.at)
+
+
 def draw_stops(seed: int, fleet: Deployment, seconds: float) -> list[Step]:
     """Draw planned work alone: rounds in which every entry is stopped."""
     chance = random.Random(f'{seed} stops')
--- a/testing/src/bendlead_testing/gateway_soak/promises.py
+++ b/testing/src/bendlead_testing/gateway_soak/promises.py
@@ -11,6 +11,10 @@
     text_of,
     without_versions,
 )
+from bendlead_testing.gateway_soak.budget_promises import (
+    attempts,
+    deadlines,
+)
 from bendlead_testing.gateway_soak.engine_journal import EngineJournal
 from bendlead_testing.gateway_soak.sightings import (
     CONTACT_SECONDS,
@@ -269,9 +273,9 @@
         listed = [name for name, _state, _text in job.results.values()]
         if len(set(listed)) != len(listed):
             yield f'job {job.job}: an item stands twice'
-        missing = set(job.items) - set(listed)
+        missing = len(job.missing)
         if missing and not job.end_answered:
-            yield f'job {job.job}: {len(missing)} of {len(job.items)} missing'
+            yield f'job {job.job}: {missing} of {len(job.items)} missing'
         for item, state, text in job.results.values():
             yield from _judge_item(job.items, item, state, text)
         for item in job.items:
@@ -445,6 +449,8 @@
     'versions': one_version,
     'resumed': resumed,
     'twice': _twice,
+    'attempts': attempts,
+    'deadlines': deadlines,
     'refused': _refused,
     'unasked': _unasked,
     'lost': _lost,
--- a/testing/src/bendlead_testing/gateway_soak/run.py
+++ b/testing/src/bendlead_testing/gateway_soak/run.py
@@ -27,7 +27,7 @@
     CHANGE,
     WARM_SECONDS,
     Step,
-    draw,
+    draw_lanes,
     draw_stops,
 )
 from bendlead_testing.gateway_soak.promises import Breach, check
@@ -85,6 +85,15 @@
     series: CrashSeries | None = None
     #: Requests that an engine runs at once.
     slots: int = 4
+    #: The same for streams that can't be taken up, 0 for as many as others.
+    stream_attempts: int = 0
+    #: Share of items with a part on which engines end; without it items tell
+    #: no parts.
+    deadly_items: float | None = None
+    #: How often clients send requests with that part again.
+    retries: int = 0
+    #: How many series of disruptions run beside each other.
+    lanes: int = 1
 
 
 @dataclass(frozen=True)
@@ -112,10 +121,16 @@
         hard=size.hard,
         versions=size.versions,
         ends=size.ends,
-        parts=size.deadly_part > 0 or size.series is not None,
+        parts=size.deadly_part > 0
+        or size.series is not None
+        or size.deadly_items is not None,
         slots=size.slots,
     )
-    planned = draw(chance, fleet, seconds) if steps is None else list(steps)
+    planned = (
+        draw_lanes(chance, fleet, seconds, size.lanes)
+        if steps is None
+        else list(steps)
+    )
     if size.stops:
         planned = draw_stops(seed, fleet, seconds)
     if size.series:
@@ -130,18 +145,23 @@
         )
     standing = Group()
     seen = Sightings()
-    operator = _Operator(fleet, seen, size.attempts)
+    seen.max_attempts = size.attempts
+    if size.stream_attempts:
+        seen.attempts_of[Kind.STREAM] = size.stream_attempts
+    operator = _Operator(fleet, seen)
     clients = Clients(fleet, seen, chance)
     try:
         operator.change()
         fleet.start()
-        clients.start(size.online, size.batch)
+        clients.start(size.online, size.batch, size.deadly_items)
         if size.hard:
             clients.start_hot(size.online * _HOT_TIMES)
         clients.start_deadly(size.deadly, WARM_SECONDS + seconds)
         if size.series:
             clients.start_series(size.series)
-        clients.start_deadly_part(size.deadly_part, WARM_SECONDS + seconds)
+        clients.start_deadly_part(
+            size.deadly_part, WARM_SECONDS + seconds, size.retries
+        )
         standing.spawn(_play_silences, fleet, silences, standing)
         _play(fleet, seen, operator, planned, chance)
         gevent.sleep(_SERIES_CALM_SECONDS if size.series else _CALM_SECONDS)
@@ -197,11 +217,8 @@
 class _Operator:
     """Write configurations; each version brings a route and drops one."""
 
-    def __init__(
-        self, fleet: Deployment, seen: Sightings, attempts: int
-    ) -> None:
+    def __init__(self, fleet: Deployment, seen: Sightings) -> None:
         self._fleet = fleet
-        self._attempts = attempts
         self._seen = seen
         self._version = 0
 
@@ -232,6 +249,11 @@
         rate = _HOT_RATE if self._version % 2 else 0
         return [SoakTeam.QUIET.configure(0), SoakTeam.HOT.configure(rate)]
 
+    def _attempts(self, kind: Kind | None) -> int:
+        if kind is None:
+            return _ITEM_ATTEMPTS
+        return self._seen.attempts_of.get(kind, self._seen.max_attempts)
+
     def _route(self, prefix: str, kind: Kind | None) -> dict[str, Any]:
         return {
             'name': prefix.strip('/'),
@@ -241,7 +263,7 @@
             'timeout_ms': round(ROUTE_SECONDS * 1000),
             'target_latency_ms': 400,
             'service': 's1',
-            'max_attempts': self._attempts if kind else _ITEM_ATTEMPTS,
+            'max_attempts': self._attempts(kind),
             'resumable': kind is Kind.RESUMABLE,
             'gap_target_ms': 200,
             'run_target_ms': 20_000,
--- a/testing/src/bendlead_testing/gateway_soak/sightings.py
+++ b/testing/src/bendlead_testing/gateway_soak/sightings.py
@@ -5,11 +5,15 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from bendlead_testing.gateway_soak.answers import DEADLY_PART_MARK
 from bendlead_testing.gateway_soak.teams import SoakTeam
 
 #: The time-out of every route of the soak (s).
 ROUTE_SECONDS = 3.5
 
+#: How long clients of requests wait (s).
+DEADLINE_SECONDS = 4.0
+
 #: How long a disruption goes on to excuse what depends on time (s). Source:
 #: contact_ms of the users' sheets, and a second for a busy test machine.
 CONTACT_SECONDS = 4.0
@@ -59,6 +63,8 @@
     after: int = 0
     #: Whether several callers send it alike.
     alike: bool = False
+    #: How long its client waits (s), as it tells the entry.
+    patience: float = DEADLINE_SECONDS
 
     @property
     def went_on(self) -> bool:
@@ -92,6 +98,20 @@
     end_answered: float = 0
     wrongs: list[str] = field(default_factory=list)
 
+    @property
+    def missing(self) -> set[str]:
+        """Give the items that are owed and not listed.
+
+        By the users' pages requests with a part on which engines end aren't
+        missed: each run would end another engine.
+        """
+        listed = {name for name, _state, _text in self.results.values()}
+        return {
+            item
+            for item in self.items
+            if item not in listed and not item.endswith(DEADLY_PART_MARK)
+        }
+
     @property
     def only_refused(self) -> bool:
         """Tell whether every try was answered with a promise."""
@@ -131,10 +151,17 @@
     troubles: list[Trouble] = field(default_factory=list)
     #: When each version of the configuration was acknowledged.
     versions: dict[int, float] = field(default_factory=dict)
+    #: Engines at which a request of each kind may run, where not ``attempts``.
+    attempts_of: dict[Kind, int] = field(default_factory=dict)
+    max_attempts: int = 3
     unasked_ends: list[str] = field(default_factory=list)
     #: Most memory that each process of ours held at a time (MB).
     peaks: dict[str, float] = field(default_factory=dict)
 
+    def may_run(self, one: Attempt) -> int:
+        """Give the number of engines at which a request may run."""
+        return self.attempts_of.get(one.kind, self.max_attempts)
+
     def begin(self, name: str, target: str, *, planned: bool) -> Trouble:
         """Note that a disruption begins."""
         trouble = Trouble(name, target, time.monotonic(), planned=planned)
--- a/testing/src/bendlead_testing/part_replay.py
+++ b/testing/src/bendlead_testing/part_replay.py
@@ -44,6 +44,8 @@
     first_parts: int = 20
     second_parts: int = 400
     bad_per_second: float = 0.0
+    #: How often each request with the bad part is sent again.
+    bad_retries: int = 0
     #: Whether the bad part comes first in prompts.
     bad_first: bool = False
     #: Times of crashes without a cause in requests, and how many at once.
@@ -174,7 +176,8 @@
         bad: bool = False,
     ) -> _Run:
         seconds = self._load.run_seconds
-        return _Run(parts, digest, bad, int(not bad), self._entries, seconds)
+        retries = self._load.bad_retries if bad else 1
+        return _Run(parts, digest, bad, retries, self._entries, seconds)
 
     def _arrive_item(self) -> None:
         self.outcome.sound += 1
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -66,6 +66,36 @@
     return {'attempts': [refused], 'troubles': [_BROKEN]}
 
 
+def _ran_at(requests, engines, *troubles):
+    """Let requests run at so many engines, one after the other."""
+    names = [f'm{at}' for at in range(requests)]
+    lines = [
+        _line(kind, one, path=f'/safe/{one}', engine=f'i-{engine}')
+        for one in names
+        for engine in range(engines)
+        for kind in ('life', 'arrival', 'start')
+    ]
+    lines = [{**one, 'spot': f's-{one["engine"]}'} for one in lines]
+    attempts = [_attempt(one, Kind.SAFE) for one in names]
+    return {'attempts': attempts, 'lines': lines, 'troubles': list(troubles)}
+
+
+def _handed_on(requests, left_ms, later=0.1, *troubles, others=0):
+    """Hand requests of 4 s to an engine, and again some time later."""
+    names = [f'd{at}' for at in range(requests + others)]
+    lines = []
+    for at, one in enumerate(names):
+        path = f'/safe/{one}'
+        again = left_ms if at < requests else 1000
+        sent = _START + 0.1
+        lines.append(_line('arrival', one, sent, path=path, left_ms=3900))
+        lines.append(
+            _line('arrival', one, sent + later, path=path, left_ms=again)
+        )
+    attempts = [_attempt(one, Kind.SAFE) for one in names]
+    return {'attempts': attempts, 'lines': lines, 'troubles': list(troubles)}
+
+
 def _job(item='i1', text=None, **changed):
     made = JobSeen('j1', {item: 2}, {item: _BODY})
     made.statuses = [202]
@@ -483,11 +513,56 @@
                 },
                 '',
             ),
+            (
+                'item_whose_part_crashes_engines',
+                {'jobs': [_job('i1-part', results={})]},
+                '',
+            ),
+            (
+                'item_whose_part_crashes_engines_given_up',
+                {
+                    'jobs': [
+                        _job(
+                            'i1-part',
+                            results={0: ('i1-part', 'dead_lettered', '')},
+                        )
+                    ]
+                },
+                'jobs',
+            ),
             (
                 'item_of_two_versions',
                 {'jobs': [_job(text='i1/1@v1\ni1/2@v2')]},
                 'versions',
             ),
+            ('one_engine_too_many', _ran_at(4, 4), 'attempts'),
+            ('as_many_engines_as_allowed', _ran_at(4, 3), ''),
+            ('three_requests_at_too_many', _ran_at(3, 4), ''),
+            (
+                'too_many_engines_one_of_them_ended',
+                _ran_at(4, 4, Trouble('kill engine', 's-i-2', 99, 120)),
+                '',
+            ),
+            (
+                'too_many_engines_another_ended',
+                _ran_at(4, 4, Trouble('kill engine', 's-i-7', 99, 120)),
+                'attempts',
+            ),
+            ('more_time_than_the_client', _handed_on(21, 4600), 'deadlines'),
+            ('no_deadline', _handed_on(21, None), 'deadlines'),
+            ('twenty_with_more_time', _handed_on(20, 4600), ''),
+            (
+                'time_of_the_first_send_again',
+                _handed_on(21, 3900, 1),
+                'deadlines',
+            ),
+            ('what_is_left_sent_again', _handed_on(21, 2900, 1), ''),
+            ('a_sixth_too_late', _handed_on(21, 3900, 1, others=105), ''),
+            (
+                'more_time_beside_a_troubled_entry',
+                _handed_on(21, 4600, 0.1, _BROKEN),
+                '',
+            ),
             ('most_refused', _taken_up(5, 7), 'resumed'),
             ('half_went_on', _taken_up(6, 6), ''),
             ('few_taken_up', _taken_up(0, 11), ''),
@@ -511,6 +586,8 @@
             'versions',
             'resumed',
             'twice',
+            'attempts',
+            'deadlines',
             'refused',
             'unasked',
             'lost',
