--- a/tests/test_gateway_part_search.py
+++ b/tests/test_gateway_part_search.py
@@ -23,6 +23,15 @@
 
 _SEEDS = 4
 _MANY = {'engines': 6, 'slots': 32, 'per_second': 120.0, 'seconds': 25.0}
+_FEW = {
+    'engines': 9,
+    'per_second': 41.0,
+    'restart_seconds': 3.2,
+    'first_parts': 40,
+    'second_parts': 208,
+    'entries': 4,
+    'seconds': 25.0,
+}
 _LATE = 3
 _NOW = 1_000_000.0
 _MS = 1000
@@ -67,6 +76,28 @@
             self.assertEqual(0, outcome.refused)
 
 
+class RepeatedRequestsTest(unittest.TestCase):
+    """Each request with the bad part runs at several engines."""
+
+    @parameterized.expand(
+        [
+            ('once', 1, {}),
+            ('two_attempts_and_a_retry', 3, {}),
+            ('seldom', 3, {'bad_per_second': 0.3}),
+            ('often', 3, {'bad_per_second': 4.0}),
+            ('first_part', 3, {'bad_first': True}),
+            ('other_crashes', 3, {'kills': kills(30, 2, 1)}),
+            ('low_traffic', 3, {'per_second': 10.0}),
+            ('few_engines', 3, _FEW),
+        ]
+    )
+    def test_repeats_hide_no_bad_part(self, _name, retries, fields):
+        load = {'bad_per_second': 1.0, 'bad_retries': retries}
+        for outcome in replay(PartLoad(**(load | fields))):
+            self.assertEqual([name_part(BAD_PART)], outcome.found, outcome)
+            self.assertLessEqual(outcome.late, _LATE)
+
+
 class NoBadPartTest(unittest.TestCase):
     """Crashes that no part explains quarantine none."""
 
