Count repeats among the evidence of parts that crash engines

Change: repeats are evidence as others are, and counted among what ran. A repeat is sent at once, so in a dense series a sound one is often present again: its part is held to be there by chance at least as likely as the engine is among those of its service, told with the crash.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
@@ -56,6 +56,7 @@
         )
         self.suspects = Suspects(
             self.engines.is_ready,
+            lambda service: len(self.engines.ready(service)),
             self.health.last_activity_at,
             store,
             dialect.suspects_prefix,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
@@ -116,16 +116,20 @@
         incarnation: str,
         now: float,
         share: float = 0,
+        repeat_chance: float = 0,
     ) -> bool:
         """Add an engine crash to a request; return whether it was unknown.
 
         ``share`` is that of a part of prompts among the requests of the
-        process that sent it.
+        process that sent it. ``repeat_chance`` is above 0 if the request was
+        running at an earlier crash: that of it being at this engine.
         """
         crashes = {incarnation: round(now * _MS_PER_SECOND)}
         record = SuspectRecord(digest=digest, ends=crashes)
         if share:
             record.shares[incarnation] = share
+        if repeat_chance:
+            record.repeats[incarnation] = repeat_chance
         return self.merge(record, now)
 
     def record_found(self, suspect: RequestDigest, now: float) -> bool:
@@ -229,6 +233,7 @@
         known,
         ends=newest,
         shares=_merge_shares(known.shares, received.shares, newest),
+        repeats=_merge_repeats(known, received, newest),
         cleared_ms=cleared,
         found_ms=found if found > cleared else 0,
     )
@@ -250,6 +255,24 @@
     }
 
 
+def _merge_repeats(
+    known: SuspectRecord,
+    received: SuspectRecord,
+    incarnations: Iterable[str],
+) -> dict[str, float]:
+    """Return the crashes at which all processes know of repeats only."""
+    merged = {}
+    for incarnation in incarnations:
+        chances = [
+            record.repeats.get(incarnation, 0)
+            for record in (known, received)
+            if incarnation in record.ends
+        ]
+        if all(chances):
+            merged[incarnation] = max(chances)
+    return merged
+
+
 def _after_clear(
     crashes: Mapping[str, int], cleared: int
 ) -> Iterator[tuple[str, int]]:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_table.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_table.py
@@ -30,28 +30,20 @@
 class CrashTable:
     """Crashes by engine incarnation, the latest of them.
 
-    A request counts at its first crash only. Unlike the records of requests it
-    keeps those that were answered since.
+    Unlike the records of requests it keeps those that were answered since.
     """
 
     def __init__(self) -> None:
         self._crashes: dict[str, _Crash] = {}
-        self._counted: dict[RequestDigest, str] = {}
 
     def add(self, digest: RequestDigest, ends: Mapping[str, int]) -> None:
         """Add the crashes at which a request was running."""
-        if not ends:
-            return
-        first = min(ends, key=ends.__getitem__)
-        if self._counted.setdefault(digest, first) != first:
-            return
-        crash = self._crashes.setdefault(first, _Crash(ends[first]))
-        crash.at_ms = min(crash.at_ms, ends[first])
-        crash.requests.add(digest)
+        for incarnation, at_ms in ends.items():
+            crash = self._crashes.setdefault(incarnation, _Crash(at_ms))
+            crash.at_ms = min(crash.at_ms, at_ms)
+            crash.requests.add(digest)
         while len(self._crashes) > _MAX_CRASHES:
-            oldest = min(self._crashes, key=self._time_of)
-            for request in self._crashes.pop(oldest).requests:
-                self._counted.pop(request)
+            self._crashes.pop(min(self._crashes, key=self._time_of))
 
     def incidents(
         self, until_ms: int, explained: Iterable[str]
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
@@ -106,7 +106,7 @@
             incarnation: self._at_crash(record, incarnation)
             for incarnation in record.ends
         }
-        evidence, count = _weigh(incidents, at_crashes)
+        evidence, count = _weigh(incidents, at_crashes, record.repeats)
         if count < _MIN_INCIDENTS:
             evidence = 0
         return FoundPart(suspect, evidence, count)
@@ -129,11 +129,14 @@
 
 
 def _weigh(
-    incidents: Sequence[Incident], at_crashes: Mapping[str, PartAtCrash]
+    incidents: Sequence[Incident],
+    at_crashes: Mapping[str, PartAtCrash],
+    repeats: Mapping[str, float],
 ) -> tuple[float, int]:
     """Return the evidence, and the incidents at which a part was running.
 
-    ``at_crashes`` tells its share at the crashes at which it was.
+    ``at_crashes`` tells its share at the crashes at which it was, ``repeats``
+    the chance of a repeat at those that it was at by repeats alone.
     """
     evidence = 0.0
     count = 0
@@ -145,7 +148,11 @@
             if count and part.sent:
                 missing = part.answers - answers
                 evidence -= missing * math.log1p(-part.share)
-            evidence += _evidence_of_presence(part.share, incident.running)
+            by_chance = max(
+                _chance_of_presence(part.share, incident.running),
+                _chance_of_repeats(present, incident, repeats),
+            )
+            evidence += _evidence_of_presence(by_chance)
             answers = part.answers
             count += 1
         else:
@@ -155,8 +162,25 @@
     return evidence, count
 
 
-def _evidence_of_presence(share: float, running: int) -> float:
-    by_chance = 1 - (1 - share) ** max(1, running)
+def _chance_of_presence(share: float, running: int) -> float:
+    return 1 - (1 - share) ** max(1, running)
+
+
+def _chance_of_repeats(
+    present: Iterable[str], incident: Incident, repeats: Mapping[str, float]
+) -> float:
+    """Return the chance that a repeat met the incident, 0 if others did.
+
+    A repeat is sent at once, so where engines crash in a dense series it is
+    often present again.
+    """
+    chances = [repeats.get(incarnation, 0) for incarnation in present]
+    if not all(chances):
+        return 0
+    return min(1, max(chances) * len(incident.incarnations))
+
+
+def _evidence_of_presence(by_chance: float) -> float:
     explained = _CAUSED_SHARE + (1 - _CAUSED_SHARE) * by_chance
     return math.log(explained / by_chance)
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -30,7 +30,12 @@
 from bendlead_gateway._suspects.part_trials import PartTrials
 from bendlead_gateway._suspects.request_trials import RequestTrials
 from bendlead_gateway._suspects.suspect_store import SuspectStore
-from bendlead_gateway.types import Engine, EngineId, PromptPart
+from bendlead_gateway.types import (
+    Engine,
+    EngineId,
+    PromptPart,
+    ServiceName,
+)
 
 _MS_PER_SECOND = 1000
 #: Age up to which changes are sent to peers. A process that starts reads older
@@ -49,12 +54,14 @@
     def __init__(
         self,
         takes_requests: Callable[[Engine], bool],
+        count_engines: Callable[[ServiceName], int],
         last_response_at: Callable[[EngineId], float],
         store: FollowedStore,
         prefix: str,
         log: Log,
         metrics: Metrics,
     ) -> None:
+        self._count_engines = count_engines
         self._log = log
         self._metrics = metrics
         self._history = CrashHistory()
@@ -213,14 +220,16 @@
         incarnation = f'{engine.engine}@{engine.born}'
         now = time.time()
         shares = {digest: 0.0}
-        repeated = self._history.crash_count(digest) > 0
         for part in parts:
-            # One that is repeated is no further evidence against its parts,
-            # but the next trial waits for it.
-            if not repeated or part in self.quarantined_parts([part]):
-                shares[name_part(part)] = self._shares.share(part)
+            shares[name_part(part)] = self._shares.share(part)
+        repeat_chance = _repeat_chance(
+            self._history.crash_count(digest),
+            self._count_engines(engine.service),
+        )
         for suspect, share in shares.items():
-            if self._history.add_crash(suspect, incarnation, now, share):
+            if self._history.add_crash(
+                suspect, incarnation, now, share, repeat_chance
+            ):
                 self._log_suspect(suspect, engine.engine)
                 self.store.save(suspect)
             ends = {incarnation: round(now * _MS_PER_SECOND)}
@@ -267,3 +276,11 @@
             ends=self._history.crash_count(digest),
             quarantined=self._history.is_quarantined(digest),
         )
+
+
+def _repeat_chance(earlier_crashes: int, engines: int) -> float:
+    """Return the chance that a repeat is at an engine, 0 if it is none.
+
+    Any engine of the service may have got it.
+    """
+    return 1 / max(1, engines) if earlier_crashes else 0
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
@@ -115,6 +115,15 @@
         ]
         | UnsetType
     ) = field(default_factory=dict)
+    repeats: (
+        Annotated[
+            dict[str, float],
+            Meta(
+                description="Ends at which only requests with a part ran that had run at an end before: the share of its service's engines that the engine was; 0 to 1."
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=dict)
     cleared_ms: (
         Annotated[
             int,
--- a/testing/src/bendlead_testing/part_replay.py
+++ b/testing/src/bendlead_testing/part_replay.py
@@ -322,9 +322,10 @@
             for run, began in reported:
                 self._crashes.add(run.digest, {incarnation: round(at * _MS)})
                 known = self._history.crash_count(run.digest) > 0
+                repeat_chance = known / self._load.engines
                 begun_long_ago = at - began > _SUSPECTED_SECONDS
                 self._history.add_crash(run.digest, incarnation, at)
-                parts = () if known or begun_long_ago else run.parts
+                parts = () if begun_long_ago else run.parts
                 for part in parts:
                     for process in (self._entries, self._owners):
                         process.shares.record_crashes(part, [incarnation])
@@ -333,6 +334,7 @@
                         incarnation,
                         at,
                         run.process.shares.share(part),
+                        repeat_chance,
                     )
 
         self._schedule(at + self._load.report_delay, learn)
