Bound the runs of an item that crashes engines

What callers saw: nothing of their own; engines crashed under one accepted item each 2 s for as long as it was owed. By the users' rule a request that crashes engines may reach three more, later than contact_ms after the third crash.

Cause: the same as of parts. From the third crash on an item paused 2 s behind each crash, without end: the pace was bounded, the number was not.

Change: from the third crash on each run of an item is a trial, claimed in the object service before it is sent. Four may be: the first comes within contact_ms, three later. An answer that goes on for a second clears the item, as it clears parts, so that a long sound item gathers no crashes. A trial that no engine ran is given back. Sound items are not held back: all rows of owed items pass as they were, with six crashes aimed at one item, and over a change of owner.

Evidence: test_item_that_crashes_engines_reaches_few_more failed on the code before with 4 runs later than allowed within 16 s, one more each 2 s from there on; it passes now.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
@@ -111,7 +111,7 @@
     def is_in_trial(self, candidate: Candidate) -> bool:
         """Return whether another item tries one of its parts by now."""
         parts = self.quarantined_parts(candidate.progress)
-        return self._fleet.suspects.part_trials.any_running(parts)
+        return self._fleet.suspects.item_trials.any_running(parts)
 
     def record_start(self, candidate: Candidate) -> None:
         """Charge an item that starts to its team."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -108,7 +108,8 @@
         if run.shard.confirm_ownership(_OWNERSHIP_MAX_AGE_SECONDS).is_err():
             run.postpone()
             return None
-        if not self._fleet.suspects.part_trials.claim(run, run.engine.engine):
+        trials = self._fleet.suspects.item_trials
+        if not trials.claim(run, run.digest, run.engine.engine):
             run.postpone()
             return None
         connection = self._connect(run)
@@ -225,7 +226,8 @@
             if outlasts_suspicion(run.response_started_at):
                 run.parts_cleared = True
                 self._fleet.suspects.record_progress(
-                    run.progress.shared_parts or ()
+                    run.progress.shared_parts or (),
+                    lambda: run.digest,
                 )
 
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/run_stopper.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/run_stopper.py
@@ -71,11 +71,11 @@
         return timing is ItemTiming.NOW and running < state.urgent_slots
 
     def _stays(self, run: ItemRun) -> bool:
-        """Return whether a run has been stopped, or is a trial of a part.
+        """Return whether a run has been stopped, or is a trial.
 
-        A part has few trials, and each clears it soon or crashes its engine.
+        Trials are few, and each soon clears its suspects or crashes its engine.
         """
-        is_trial = self._fleet.suspects.part_trials.is_trial(run)
+        is_trial = self._fleet.suspects.item_trials.is_trial(run)
         return run.stopped or (is_trial and not run.parts_cleared)
 
     def _stop_unwanted(self, runs: Sequence[ItemRun]) -> None:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -154,7 +154,7 @@
         view = take_slot(
             slots,
             candidate,
-            self._fleet.suspects.part_trials.tried_engines(
+            self._fleet.suspects.item_trials.tried_engines(
                 self._candidates.quarantined_parts(candidate.progress)
             ),
         )
@@ -211,7 +211,7 @@
         )
         run.progress.begin_run(engine.version)
         self._candidates.record_start(candidate)
-        self._fleet.suspects.part_trials.begin(
+        self._fleet.suspects.item_trials.begin(
             run, self._candidates.quarantined_parts(run.progress)
         )
         self._runs.add(run)
@@ -230,7 +230,7 @@
             may_have_run = run.sent_at > 0 and not answered
         finally:
             self._release_slot(run)
-            self._fleet.suspects.part_trials.end(run, may_have_run=may_have_run)
+            self._fleet.suspects.item_trials.end(run, may_have_run=may_have_run)
         progress = run.progress
         if outcome is None and progress.failures >= run.route.max_attempts:
             outcome = ItemOutcome.GIVEN_UP
--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -110,7 +110,7 @@
         self.fleet.suspects.request_trials.configure_peers(
             partial(self.peers.processes.turn, NodeRole.ENTRY)
         )
-        self.fleet.suspects.part_trials.configure_peers(
+        self.fleet.suspects.item_trials.configure_peers(
             partial(self.peers.processes.rank, NodeRole.OWNER)
         )
         self.peers_watch = self.fleet.watcher(
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
@@ -4,7 +4,7 @@
 Most requests that run when an engine crashes did not cause it. They are rarely
 present at three crashes, and their first complete response clears them.
 
-Batch items are never quarantined (see ``item_pause``).
+Batch items are never quarantined (see ``item_trials``).
 """
 
 from collections.abc import Iterable, Iterator, Mapping
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_trials.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/item_trials.py
@@ -1,10 +1,11 @@
-"""Trials of quarantined parts of prompts by batch items.
-
-Items are owed whatever their parts are, and a part may be quarantined though it
-is sound. So one item runs with it once engines have calmed down: an answer that
-goes on clears the part, and a crash costs one engine. The number of trials is
-bounded over all processes, as each of a bad part crashes an engine: they are
-claimed in the object service before they begin, whatever is learned of them.
+"""Trials by batch items: of quarantined parts of prompts, and of the items.
+
+Items are owed whatever their parts are and however many engines have crashed
+under them, and most are sound. So a suspected item, or one item with a
+quarantined part, runs as a trial: an answer that goes on clears it, and a crash
+costs one engine. The number of trials is bounded over all processes, as each of
+a bad one crashes an engine: they are claimed in the object service before they
+begin, whatever is learned of them.
 """
 
 import math
@@ -16,10 +17,11 @@
 
 from bendlead_gateway._log import Log
 from bendlead_gateway._suspects.crash_history import (
+    CRASHES_UNTIL_QUARANTINE,
     PART_QUARANTINE_SECONDS,
     CrashHistory,
 )
-from bendlead_gateway._suspects.digest import name_part
+from bendlead_gateway._suspects.digest import RequestDigest, name_part
 from bendlead_gateway._suspects.suspect_store import SuspectStore
 from bendlead_gateway.types import EngineId, PromptPart
 
@@ -27,7 +29,13 @@
 #: before. Further ones would have a part that crashes engines reach more of
 #: them than the three allowed.
 TRIAL_PAUSES_SECONDS = (2.0, 5.0)
-#: The same after a trial that no engine has run.
+#: Pause before each trial of an item, after a crash or the trial before. The
+#: first one comes before all have to know of the crashes.
+ITEM_PAUSE_SECONDS = 2.0
+ITEM_TRIALS = 4
+#: Pause after the last trial of an item.
+_ITEM_QUARANTINE_SECONDS = 3600.0
+#: Pause after a trial that no engine has run.
 _NOT_RUN_PAUSE_SECONDS = 0.1
 #: Time from one owner's turn to the next one's, so that few claim at once.
 _TURN_SECONDS = 0.5
@@ -46,7 +54,21 @@
     return 0
 
 
-class PartTrials:
+def remaining_pause(record: SuspectRecord, now: float) -> float:
+    """Return the seconds until an item with this record may run.
+
+    Accepted items are owed, so the pause does not grow with the crashes.
+    """
+    if len(record.ends) < CRASHES_UNTIL_QUARANTINE:
+        return 0
+    trials = _trials(record, 0)
+    pause = ITEM_PAUSE_SECONDS
+    if len(trials) >= ITEM_TRIALS:
+        pause = _ITEM_QUARANTINE_SECONDS
+    return _remaining(pause, max([*record.ends.values(), *trials]), now)
+
+
+class ItemTrials:
     """Trials by the runs of this process, counted with those of others."""
 
     def __init__(
@@ -62,8 +84,8 @@
         self._calm_seconds = calm_seconds
         self._log = log
         self._running: dict[Hashable, Sequence[PromptPart]] = {}
-        #: When the running trials began (Unix time, ms).
-        self._claimed: dict[Hashable, int] = {}
+        #: When the running trials began (Unix time, ms), and of what.
+        self._claimed: dict[Hashable, tuple[int, list[RequestDigest]]] = {}
         self._rank_of: Callable[[PromptPart], int] = _first_rank
         #: Rank for each part, and when it was worked out (uptime, s).
         self._ranks: dict[PromptPart, tuple[int, float]] = {}
@@ -72,23 +94,28 @@
         """Set what returns the rank of this owner among all, for a part."""
         self._rank_of = rank_of
 
-    def remaining_pause(self, part: PromptPart) -> float:
+    def remaining_pause(self, item: RequestDigest) -> float:
+        """Return the seconds until an item may run, as a trial if suspected."""
+        return remaining_pause(self._history.record(item), time.time())
+
+    def remaining_part_pause(self, part: PromptPart) -> float:
         """Return the seconds until a part may be tried.
 
         Infinite during a trial of this process, and after the last one.
         """
         record = self._history.record(name_part(part))
-        count = len(_trials(record))
+        trials = _part_trials(record)
+        count = len(trials)
         if self.any_running([part]) or count >= len(TRIAL_PAUSES_SECONDS):
             return math.inf
         turn = min(self._rank(part), _MAX_TURNS - 1)
         pause = TRIAL_PAUSES_SECONDS[count] + turn * _TURN_SECONDS
-        latest = max([record.found_ms, *record.ends.values(), *_trials(record)])
+        latest = max([record.found_ms, *record.ends.values(), *trials])
         latest_not_run = max(map(int, record.trials), default=0)
         return max(
             self._calm_seconds(),
-            _remaining(pause, latest),
-            _remaining(_NOT_RUN_PAUSE_SECONDS, latest_not_run),
+            _remaining(pause, latest, time.time()),
+            _remaining(_NOT_RUN_PAUSE_SECONDS, latest_not_run, time.time()),
         )
 
     def any_running(self, parts: Sequence[PromptPart]) -> bool:
@@ -98,8 +125,8 @@
         )
 
     def is_trial(self, run: Hashable) -> bool:
-        """Return whether a run tries a part."""
-        return run in self._running
+        """Return whether a run is a trial that has been claimed."""
+        return run in self._claimed
 
     def tried_engines(self, parts: Sequence[PromptPart]) -> set[EngineId]:
         """Return the engines that got a trial of one of the parts."""
@@ -115,14 +142,23 @@
         if parts:
             self._running[run] = parts
 
-    def claim(self, run: Hashable, engine: EngineId) -> bool:
-        """Claim the trials of a run; return whether it may be sent."""
+    def claim(
+        self, run: Hashable, item: RequestDigest, engine: EngineId
+    ) -> bool:
+        """Claim the trials that a run is; return whether it may be sent."""
+        tried = list(map(name_part, self._running.get(run, ())))
+        if self._history.crash_count(item) >= CRASHES_UNTIL_QUARANTINE:
+            tried.append(item)
+        if not tried:
+            return True
         began_ms = round(time.time() * _MS_PER_SECOND)
-        for part in self._running.get(run, ()):
-            self._claimed[run] = began_ms
-            if not self._store.claim_trial(_trial(part, began_ms, engine)):
+        claimed: list[RequestDigest] = []
+        self._claimed[run] = (began_ms, claimed)
+        for suspect in tried:
+            if not self._store.claim_trial(_trial(suspect, began_ms, engine)):
                 return False
-            self._log.event('part-tried', part=part, engine=engine)
+            claimed.append(suspect)
+            self._log.event('suspect-tried', digest=suspect, engine=engine)
         return True
 
     def end(self, run: Hashable, *, may_have_run: bool) -> None:
@@ -130,13 +166,13 @@
 
         A trial that none has run is not counted.
         """
-        began_ms = self._claimed.pop(run, 0)
-        for part in self._running.pop(run, ()):
-            suspect = name_part(part)
-            claimed = str(began_ms) in self._history.record(suspect).trials
-            if claimed and not may_have_run:
-                self._history.merge(_trial(part, began_ms, ''), time.time())
-                self._store.save(suspect)
+        self._running.pop(run, None)
+        began_ms, claimed = self._claimed.pop(run, (0, []))
+        if may_have_run:
+            return
+        for suspect in claimed:
+            self._history.merge(_trial(suspect, began_ms, ''), time.time())
+            self._store.save(suspect)
 
     def _rank(self, part: PromptPart) -> int:
         now = clock.uptime()
@@ -149,18 +185,21 @@
         return rank
 
 
-def _trial(part: PromptPart, began_ms: int, engine: str) -> SuspectRecord:
+def _trial(suspect: RequestDigest, began_ms: int, engine: str) -> SuspectRecord:
     """Return the record of a trial; the engine is empty if none ran it."""
-    trials = {str(began_ms): engine}
-    return SuspectRecord(digest=name_part(part), trials=trials)
+    return SuspectRecord(digest=suspect, trials={str(began_ms): engine})
 
 
-def _trials(record: SuspectRecord) -> list[int]:
+def _part_trials(record: SuspectRecord) -> list[int]:
     """Return when the trials of a part began (Unix time, ms).
 
     Those since it was found; clocks of processes may differ.
     """
     oldest = record.found_ms - PART_QUARANTINE_SECONDS / 2 * _MS_PER_SECOND
+    return _trials(record, oldest)
+
+
+def _trials(record: SuspectRecord, oldest: float) -> list[int]:
     return [
         int(began)
         for began, engine in record.trials.items()
@@ -168,7 +207,7 @@
     ]
 
 
-def _remaining(pause: float, since_ms: int) -> float:
+def _remaining(pause: float, since_ms: int, now: float) -> float:
     """Return the rest of a pause (s), 0 if its begin lies ahead."""
-    elapsed = time.time() - since_ms / _MS_PER_SECOND
+    elapsed = now - since_ms / _MS_PER_SECOND
     return max(0, pause - elapsed) if elapsed >= 0 else 0
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspect_store.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspect_store.py
@@ -71,9 +71,9 @@
     def save(self, digest: RequestDigest) -> None:
         """Queue a changed record for writing if it has enough crashes.
 
-        Those of batch items end sooner than a process starts.
+        Those of batch items are only written from their first trial on.
         """
-        if names_item(digest):
+        if names_item(digest) and digest not in self._versions:
             return
         least = CRASHES_UNTIL_STORED
         if names_part(digest):
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -24,10 +24,9 @@
     names_part,
     part_of,
 )
-from bendlead_gateway._suspects.item_pause import remaining_pause
+from bendlead_gateway._suspects.item_trials import ItemTrials
 from bendlead_gateway._suspects.part_search import PartSearch
 from bendlead_gateway._suspects.part_shares import PartShares
-from bendlead_gateway._suspects.part_trials import PartTrials
 from bendlead_gateway._suspects.request_trials import RequestTrials
 from bendlead_gateway._suspects.suspect_store import SuspectStore
 from bendlead_gateway.types import (
@@ -75,7 +74,7 @@
         )
         self.crash_detector.on_crash = self._add_crash
         self.store = SuspectStore(self._history, store, prefix, log)
-        self.part_trials = PartTrials(
+        self.item_trials = ItemTrials(
             self._history,
             self.store,
             self.request_trials.remaining_calm,
@@ -129,12 +128,10 @@
         """
         if not self._history.any_suspects:
             return 0
-        now = time.time()
-        pauses = [remaining_pause(self._history.record(item_of()), now)]
-        pauses.extend(
-            map(self.part_trials.remaining_pause, self.quarantined_parts(parts))
+        pauses = map(
+            self.item_trials.remaining_part_pause, self.quarantined_parts(parts)
         )
-        return max(pauses)
+        return max(self.item_trials.remaining_pause(item_of()), *pauses, 0)
 
     def quarantined_parts(
         self, parts: Sequence[PromptPart]
@@ -181,10 +178,19 @@
         if self._history.any_suspects:
             self._clear([digest_of(), *map(name_part, parts)])
 
-    def record_progress(self, parts: Sequence[PromptPart]) -> None:
-        """Clear the parts of a request whose answer outlasts suspicion."""
+    def record_progress(
+        self,
+        parts: Sequence[PromptPart],
+        item_of: Callable[[], RequestDigest] | None = None,
+    ) -> None:
+        """Clear the parts of a request, or an item and its own.
+
+        Its answer has gone on for longer than what crashes engines takes.
+        """
         if self._history.any_suspects:
             self._clear(map(name_part, parts))
+            if item_of is not None:
+                self._clear([item_of()])
 
     def receive(self, records: Iterable[SuspectRecord]) -> None:
         """Merge the records of a peer."""
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -12,7 +12,7 @@
 from bendlead_gateway._entry import EntryNode
 from bendlead_gateway._owner import OwnerNode
 from bendlead_gateway._streams.origin import StreamOrigin
-from bendlead_gateway._suspects.item_pause import ITEM_PAUSE_SECONDS
+from bendlead_gateway._suspects.item_trials import ITEM_PAUSE_SECONDS
 from bendlead_gateway._suspects.request_trials import TRIAL_PAUSES_SECONDS
 from bendlead_gateway.http import HttpConnection, ResponseError
 from bendlead_gateway.types import (
--- a/tests/test_gateway_owed_items.py
+++ b/tests/test_gateway_owed_items.py
@@ -7,6 +7,9 @@
 import unittest
 
 import gevent
+from bendlead_gateway._suspects.crash_history import (
+    CRASHES_UNTIL_QUARANTINE,
+)
 from bendlead_gateway._suspects.digest import digest_request, name_part
 from bendlead_gateway.types import PromptPart
 from parameterized import parameterized
@@ -22,6 +25,11 @@
 #: As callers name it, with its tokens.
 PART = 'c0ffee:100'
 _MINUTE = 60
+#: Bounds of the sheets: contact_ms, and the runs later than that after the
+#: third crash.
+_CONTACT_SECONDS = 3.0
+_LATE_RUNS = 3
+_WATCHED_SECONDS = 16
 
 
 class OwedItemCase(CrashCase):
@@ -150,6 +158,23 @@
         self.assertEqual(0, owner.metrics.items['dead_lettered'])
 
 
+class CrashingItemTest(OwedItemCase):
+    """Each engine that runs the item crashes."""
+
+    def test_item_that_crashes_engines_reaches_few_more(self):
+        """Guards against a run each 2 s for as long as the item is owed."""
+        owner = self.start(engines=16)
+        submit_items(self, owner, '/x/', ('own:9', b'deadly prompt'))
+        times: list[float] = []
+        until = time.monotonic() + _WATCHED_SECONDS
+        while time.monotonic() < until:
+            gevent.sleep(0.02)
+            times.extend([time.monotonic()] * (self.crashed - len(times)))
+        known = times[CRASHES_UNTIL_QUARANTINE - 1] + _CONTACT_SECONDS
+        late = sum(at > known for at in times)
+        self.assertLessEqual(late, _LATE_RUNS)
+
+
 class FoundPartCase(OwedItemCase):
     """Quarantine a part of prompts."""
 
--- a/tests/test_gateway_part_trials.py
+++ b/tests/test_gateway_part_trials.py
@@ -9,7 +9,7 @@
 import gevent
 from bendlead_gateway._jobs.shards import shard_of
 from bendlead_gateway._owner import OwnerNode
-from bendlead_gateway._suspects.part_trials import TRIAL_PAUSES_SECONDS
+from bendlead_gateway._suspects.item_trials import TRIAL_PAUSES_SECONDS
 from bendlead_gateway.http import HttpConnection
 from bendlead_gateway.types import NodeRole
 from bendlead_platform import PlatformDialect, PlatformStore
