--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -119,6 +119,24 @@
         self.assertEqual(120, outcome['items'])
         self.assertGreater(outcome['alike'], 20)
 
+    def test_repeats_and_items_with_a_part_that_ends_engines(self):
+        """Requests of two attempts and their retries hid the part."""
+        outcome, told = self.play(
+            71001,
+            [[18.0, 'change configuration', 'store', 0]],
+            '--attempts=2',
+            '--stream-attempts=1',
+            '--deadly-part=1',
+            '--retries=1',
+            '--deadly-items=0.1',
+            '--engines=9',
+            '--slots=8',
+            '--online=20',
+        )
+        self.assertEqual([], outcome.get('breaches'), told)
+        self.assertGreater(outcome['crashes'], 3)
+        self.assertGreater(outcome['items'], 20)
+
     def play(self, seed, steps, *options):
         """Run a seed; give its outcome and the end of what it told."""
         ended = subprocess.run(
