--- a/testing/src/bendlead_testing/gateway_soak/clients.py
+++ b/testing/src/bendlead_testing/gateway_soak/clients.py
@@ -72,14 +72,22 @@
         self._jobs: list[gevent.Greenlet] = []
 
     def start(
-        self, online: int, batch: int, deadly_items: float | None = None
+        self,
+        online: int,
+        batch: int,
+        deadly_items: float | None = None,
+        deadly_seconds: float = 0,
     ) -> None:
         """Start clients of requests and of batch jobs."""
         self._callers.balancer.run()
         self._start_online(online, SoakTeam.QUIET)
         for _number in range(batch):
             jobs = JobClient(
-                self._callers, self._seen, self._chance, deadly_items
+                self._callers,
+                self._seen,
+                self._chance,
+                deadly_items,
+                deadly_seconds,
             )
             self._jobs.append(gevent.spawn(jobs.run))
         self._tasks.append(gevent.spawn(self._probe))
--- a/testing/src/bendlead_testing/gateway_soak/job_clients.py
+++ b/testing/src/bendlead_testing/gateway_soak/job_clients.py
@@ -34,15 +34,18 @@
         seen: Sightings,
         chance: random.Random,
         deadly_items: float | None = None,
+        deadly_seconds: float = 0,
     ) -> None:
         """Take the share of items with a part on which engines end.
 
-        With ``None`` no item tells its parts.
+        With ``None`` no item tells its parts. There are such items for a time
+        only: the calm at the end is without them.
         """
         self._callers = callers
         self._seen = seen
         self._chance = chance
         self._deadly_items = deadly_items
+        self._deadly_until = time.monotonic() + deadly_seconds
 
     def run(self) -> None:
         """Hand jobs in until told to stop."""
@@ -111,9 +114,9 @@
 
     def _draws_deadly_part(self) -> bool:
         # Runs without parts keep the draws of their seeds.
-        return bool(
-            self._deadly_items and self._chance.random() < self._deadly_items
-        )
+        if not self._deadly_items or time.monotonic() > self._deadly_until:
+            return False
+        return self._chance.random() < self._deadly_items
 
     def _prompt(self, item: str) -> dict[str, str]:
         if self._deadly_items is None:
--- a/testing/src/bendlead_testing/gateway_soak/run.py
+++ b/testing/src/bendlead_testing/gateway_soak/run.py
@@ -153,7 +153,12 @@
     try:
         operator.change()
         fleet.start()
-        clients.start(size.online, size.batch, size.deadly_items)
+        clients.start(
+            size.online,
+            size.batch,
+            size.deadly_items,
+            WARM_SECONDS + seconds,
+        )
         if size.hard:
             clients.start_hot(size.online * _HOT_TIMES)
         clients.start_deadly(size.deadly, WARM_SECONDS + seconds)
