Give a trial back whose claim had no answer

Cause: a claim is a conditional write. One whose answer is lost may be stored, so the trial counts although nothing was sent; where the object service loses answers, a sound part would lose both trials and its items wait an hour.

Change: a claim that was not confirmed is given back like a trial that no engine ran. test_claim_without_an_answer_is_given_back failed before (trials of the stored claims counted) and passes now.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/item_trials.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/item_trials.py
@@ -155,9 +155,10 @@
         claimed: list[RequestDigest] = []
         self._claimed[run] = (began_ms, claimed)
         for suspect in tried:
+            # A claim without an answer may be stored: it is given back as well.
+            claimed.append(suspect)
             if not self._store.claim_trial(_trial(suspect, began_ms, engine)):
                 return False
-            claimed.append(suspect)
             self._log.event('suspect-tried', digest=suspect, engine=engine)
         return True
 
--- a/tests/test_gateway_part_trials.py
+++ b/tests/test_gateway_part_trials.py
@@ -5,13 +5,19 @@
 
 import time
 import unittest
+from unittest import mock
 
 import gevent
 from bendlead_gateway._jobs.shards import shard_of
 from bendlead_gateway._owner import OwnerNode
-from bendlead_gateway._suspects.item_trials import TRIAL_PAUSES_SECONDS
+from bendlead_gateway._suspects.crash_history import CrashHistory
+from bendlead_gateway._suspects.digest import name_part
+from bendlead_gateway._suspects.item_trials import (
+    TRIAL_PAUSES_SECONDS,
+    ItemTrials,
+)
 from bendlead_gateway.http import HttpConnection
-from bendlead_gateway.types import NodeRole
+from bendlead_gateway.types import NodeRole, PromptPart
 from bendlead_platform import PlatformDialect, PlatformStore
 from parameterized import parameterized
 
@@ -170,6 +176,27 @@
         submit_items(self, owner, '/x/', *items)
 
 
+class ClaimTest(unittest.TestCase):
+    """A claim is stored, and its answer is lost."""
+
+    def test_claim_without_an_answer_is_given_back(self):
+        """Guards against sound parts that lose their trials to the store."""
+        history = CrashHistory()
+        store = mock.Mock()
+        trials = ItemTrials(history, store, lambda: 0, mock.Mock())
+        part = PromptPart('bad')
+        history.record_found(name_part(part), time.time() - _MINUTE)
+        stored = []
+        store.claim_trial.side_effect = stored.append
+        for run in range(len(TRIAL_PAUSES_SECONDS)):
+            trials.begin(run, [part])
+            self.assertFalse(trials.claim(run, 'item-d', 'i-1'))
+            trials.end(run, may_have_run=False)
+        for claim in stored:
+            history.merge(claim, time.time())
+        self.assertLess(trials.remaining_part_pause(part), 1)
+
+
 class OwnersInTurnTest(FoundPartCase):
     """Several owners have items with the same part."""
 
