--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
@@ -44,12 +44,23 @@
 _MS_PER_SECOND = 1000
 
 
-class FoundPart(Struct, frozen=True):
-    """A part of prompts that crashes engines, and the evidence for it."""
+class TestedPart(Struct, frozen=True):
+    """A part of prompts, and the evidence that it crashes engines.
+
+    ``share`` and ``running`` are what its presence at the latest incident was
+    judged by.
+    """
 
     suspect: RequestDigest
     evidence: float
     incidents: int
+    share: float = 0
+    running: int = 0
+
+    @property
+    def is_found(self) -> bool:
+        """Return whether the evidence is enough."""
+        return self.evidence >= _FOUND_EVIDENCE
 
 
 class PartSearch:
@@ -62,8 +73,13 @@
         self._crashes = crashes
         self._shares = shares
 
-    def find(self, now_ms: int) -> FoundPart | None:
-        """Return the part with the most evidence, if that is enough.
+    def find(self, now_ms: int) -> TestedPart | None:
+        """Return the part with the most evidence, if that is enough."""
+        tested = self.test_all(now_ms)
+        return tested if tested and tested.is_found else None
+
+    def test_all(self, now_ms: int) -> TestedPart | None:
+        """Return the part with the most evidence, however much that is.
 
         Among equals it is the one recorded last: it comes later in prompts,
         so fewer requests share it. The caller records it, so that its crashes
@@ -75,12 +91,11 @@
                 now_ms - _REPORT_MS, self._explained_by(refused)
             )
         )
-        found = [
+        tested = [
             self._test(part, incidents) for part in self._candidates(refused)
         ]
-        enough = [part for part in found if part.evidence >= _FOUND_EVIDENCE]
-        enough.reverse()
-        return max(enough, key=_evidence_of, default=None)
+        tested.reverse()
+        return max(tested, key=_evidence_of, default=None)
 
     def _candidates(
         self, refused: Container[RequestDigest]
@@ -100,16 +115,17 @@
 
     def _test(
         self, suspect: RequestDigest, incidents: Sequence[Incident]
-    ) -> FoundPart:
+    ) -> TestedPart:
         record = self._history.record(suspect)
         at_crashes = {
             incarnation: self._at_crash(record, incarnation)
             for incarnation in record.ends
         }
-        evidence, count = _weigh(incidents, at_crashes, record.repeats)
-        if count < _MIN_INCIDENTS:
+        weighed = _weigh(incidents, at_crashes, record.repeats)
+        evidence = weighed.evidence
+        if weighed.incidents < _MIN_INCIDENTS:
             evidence = 0
-        return FoundPart(suspect, evidence, count)
+        return replace(weighed, suspect=suspect, evidence=evidence)
 
     def _at_crash(self, record: SuspectRecord, incarnation: str) -> PartAtCrash:
         """Return a part's share at a crash, as the process that sent it knows.
@@ -132,7 +148,7 @@
     incidents: Sequence[Incident],
     at_crashes: Mapping[str, PartAtCrash],
     repeats: Mapping[str, float],
-) -> tuple[float, int]:
+) -> TestedPart:
     """Return the evidence, and the incidents at which a part was running.
 
     ``at_crashes`` tells its share at the crashes at which it was, ``repeats``
@@ -141,6 +157,8 @@
     evidence = 0.0
     count = 0
     answers = 0
+    share = 0.0
+    running = 0
     for incident in incidents:
         present = incident.incarnations.intersection(at_crashes)
         if present:
@@ -155,11 +173,13 @@
             evidence += _evidence_of_presence(by_chance)
             answers = part.answers
             count += 1
+            share = part.share
+            running = incident.running
         else:
             evidence += math.log(1 - _CAUSED_SHARE)
         if evidence <= 0:
             evidence, count = 0.0, 0
-    return evidence, count
+    return TestedPart(RequestDigest(''), evidence, count, share, running)
 
 
 def _chance_of_presence(share: float, running: int) -> float:
@@ -189,5 +209,5 @@
     return part.share
 
 
-def _evidence_of(found: FoundPart) -> float:
-    return found.evidence
+def _evidence_of(tested: TestedPart) -> float:
+    return tested.evidence
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -25,7 +25,7 @@
     part_of,
 )
 from bendlead_gateway._suspects.item_trials import ItemTrials
-from bendlead_gateway._suspects.part_search import PartSearch
+from bendlead_gateway._suspects.part_search import PartSearch, TestedPart
 from bendlead_gateway._suspects.part_shares import PartShares
 from bendlead_gateway._suspects.request_trials import RequestTrials
 from bendlead_gateway._suspects.suspect_store import SuspectStore
@@ -266,17 +266,17 @@
         self._searching = None
         while True:
             now = time.time()
-            found = self._search.find(round(now * _MS_PER_SECOND))
-            if found is None:
+            tested = self._search.test_all(round(now * _MS_PER_SECOND))
+            if tested is None:
                 return
-            self._history.record_found(found.suspect, now)
             self._log.event(
-                'part-quarantined',
-                digest=found.suspect,
-                evidence=round(found.evidence, 1),
-                incidents=found.incidents,
+                'part-quarantined' if tested.is_found else 'part-tested',
+                **_log_fields(tested),
             )
-            self.store.save(found.suspect)
+            if not tested.is_found:
+                return
+            self._history.record_found(tested.suspect, now)
+            self.store.save(tested.suspect)
 
     def _log_suspect(self, digest: RequestDigest, source: str) -> None:
         self._log.event(
@@ -294,3 +294,13 @@
     Any engine of the service may have got it.
     """
     return 1 / max(1, engines) if earlier_crashes else 0
+
+
+def _log_fields(tested: TestedPart) -> dict[str, object]:
+    return {
+        'digest': tested.suspect,
+        'evidence': round(tested.evidence, 1),
+        'incidents': tested.incidents,
+        'share': round(tested.share, 3),
+        'running': tested.running,
+    }
--- a/testing/src/bendlead_testing/gateway_soak/run.py
+++ b/testing/src/bendlead_testing/gateway_soak/run.py
@@ -168,7 +168,10 @@
             size.deadly_part, WARM_SECONDS + seconds, size.retries
         )
         standing.spawn(_play_silences, fleet, silences, standing)
+        until = time.monotonic() + WARM_SECONDS + seconds
         _play(fleet, seen, operator, planned, chance)
+        # Clients of bad requests end here also where few steps are given.
+        gevent.sleep(max(0, until - time.monotonic()))
         gevent.sleep(_SERIES_CALM_SECONDS if size.series else _CALM_SECONDS)
         clients.stop(_SERIES_DRAIN_SECONDS if size.series else _DRAIN_SECONDS)
         _note_ends(fleet, seen)
