--- a/testing/src/bendlead_testing/part_replay.py
+++ b/testing/src/bendlead_testing/part_replay.py
@@ -44,6 +44,8 @@
     first_parts: int = 20
     second_parts: int = 400
     bad_per_second: float = 0.0
+    #: When the first request with the bad part comes.
+    bad_from: float = 3.0
     #: How often each request with the bad part is sent again.
     bad_retries: int = 0
     #: Whether the bad part comes first in prompts.
@@ -128,7 +130,7 @@
         if self._load.owners:
             self._arrive_item()
         if self._load.bad_per_second:
-            self._schedule(3, self._arrive_bad)
+            self._schedule(self._load.bad_from, self._arrive_bad)
         for at, count in self._load.kills:
             self._schedule(at, self._kill_of(count))
         while self._events and self._events[0][0] < self._load.seconds:
--- a/tests/test_gateway_part_search.py
+++ b/tests/test_gateway_part_search.py
@@ -98,6 +98,40 @@
             self.assertLessEqual(outcome.late, _LATE)
 
 
+_FROM_THE_START = {
+    'engines': 9,
+    'per_second': 20.0,
+    'bad_per_second': 2.0,
+    'bad_retries': 3,
+    'bad_from': 0.2,
+    'seconds': 25.0,
+}
+
+
+class SentOnDuringSearchTest(unittest.TestCase):
+    """A bad part reaches few engines however weak the evidence is."""
+
+    @parameterized.expand(
+        [
+            ('two_callers', {}),
+            ('few_parts', {'first_parts': 5, 'second_parts': 40}),
+            ('four_callers', {'per_second': 40.0, 'bad_per_second': 4.0}),
+            ('noticed_late', {'report_delay': 1.3, 'restart_seconds': 0.5}),
+            ('seldom', {'bad_per_second': 0.2}),
+            ('low_traffic', {'per_second': 2.0, 'bad_per_second': 1.0}),
+            ('three_engines', {'engines': 3, 'per_second': 10.0}),
+            ('five_engines', {'engines': 5}),
+            ('many_engines', {'engines': 18, 'per_second': 80.0}),
+            ('many_slots', {'engines': 6, 'slots': 32, 'per_second': 120.0}),
+            ('other_crashes', {'kills': kills(15, 2, 1)}),
+            ('items_beside', {'owners': 3, 'items_per_second': 2.0}),
+        ]
+    )
+    def test_few_sends(self, _name, fields):
+        for outcome in replay(PartLoad(**(_FROM_THE_START | fields))):
+            self.assertLessEqual(outcome.late, _LATE, outcome)
+
+
 class NoBadPartTest(unittest.TestCase):
     """Crashes that no part explains quarantine none."""
 
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -137,6 +137,27 @@
         self.assertGreater(outcome['crashes'], 3)
         self.assertGreater(outcome['items'], 20)
 
+    @parameterized.expand(
+        [('few_sound_clients', 91848, 8), ('many_sound_clients', 91822, 30)]
+    )
+    def test_part_that_two_callers_send(self, _name, seed, online):
+        """Sent on at full rate until the evidence was enough."""
+        outcome, told = self.play(
+            seed,
+            [],
+            '--seconds=15',
+            '--attempts=2',
+            '--retries=1',
+            '--deadly-part=2',
+            '--deadly-items=0.1',
+            '--engines=9',
+            '--slots=8',
+            f'--online={online}',
+        )
+        self.assertEqual([], outcome.get('breaches'), told)
+        self.assertGreater(outcome['crashes'], 3)
+        self.assertGreater(outcome['items'], 20)
+
     def play(self, seed, steps, *options):
         """Run a seed; give its outcome and the end of what it told."""
         ended = subprocess.run(
@@ -148,7 +169,7 @@
                 str(seed),
                 '--seconds',
                 str(_SECONDS),
-                *(['--steps', json.dumps(steps)] if steps else []),
+                *(['--steps', json.dumps(steps)] if steps is not None else []),
                 *options,
             ],
             cwd=_ROOT,
