Send a part at three crashes one request at a time until it is cleared or found

Cause: the search weighs crashes as they come; nothing bounded what was sent meanwhile. Where crashes are dense each incident says 0.5 to 1.2 of the 9.0 needed, and the record keeps 16 crashes, so the evidence stayed at 4 to 7.

Conflicts at the store: reports between processes carried the crashes, the record of an entry grew with each.

Change: a part at three crashes, not of one instant, at 0.4 of those in its time, without an answer: one request or item at a time in the fleet, claimed by a conditional write before it is sent; others wait 1.5 s at most, then 503 with the time of the next trial (2, 4, 8 ... 60 s). An answer clears; the crash of a trial counts by the chance of a crash of another cause. Of parts at the same crashes the rarest is found. A claim refused for a changed record is read and tried again.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
@@ -102,15 +102,15 @@
             found.sort(key=_urgency_of)
         return found
 
-    def quarantined_parts(self, progress: Progress) -> Sequence[PromptPart]:
+    def held_parts(self, progress: Progress) -> Sequence[PromptPart]:
         """Return the parts that an item tries if it starts now."""
-        return self._fleet.suspects.quarantined_parts(
+        return self._fleet.suspects.parts.held(
             progress.read_shared_parts(self._dialect)
         )
 
     def is_in_trial(self, candidate: Candidate) -> bool:
         """Return whether another item tries one of its parts by now."""
-        parts = self.quarantined_parts(candidate.progress)
+        parts = self.held_parts(candidate.progress)
         return self._fleet.suspects.item_trials.any_running(parts)
 
     def record_start(self, candidate: Candidate) -> None:
@@ -193,7 +193,7 @@
             job=job.job,
             item=progress.item.item,
             digest=job.digest(progress),
-            parts=','.join(self.quarantined_parts(progress)) or '-',
+            parts=','.join(self.held_parts(progress)) or '-',
             seconds=round(seconds, 1),
         )
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -155,7 +155,7 @@
             slots,
             candidate,
             self._fleet.suspects.item_trials.tried_engines(
-                self._candidates.quarantined_parts(candidate.progress)
+                self._candidates.held_parts(candidate.progress)
             ),
         )
         if view is not None:
@@ -190,7 +190,7 @@
         progress = candidate.progress
         if progress.failures or progress.texts or service in tried_services:
             return False
-        if self._candidates.quarantined_parts(progress):
+        if self._candidates.held_parts(progress):
             # Its own trial tells nothing at an engine that fails.
             return False
         if clock.uptime() - progress.failed_at < _TRIAL_INTERVAL_SECONDS:
@@ -212,7 +212,7 @@
         run.progress.begin_run(engine.version)
         self._candidates.record_start(candidate)
         self._fleet.suspects.item_trials.begin(
-            run, self._candidates.quarantined_parts(run.progress)
+            run, self._candidates.held_parts(run.progress)
         )
         self._runs.add(run)
         self._loads.own.batch[engine.engine] += 1
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -164,11 +164,21 @@
                 chosen = self._choose(exchange, service)
             if isinstance(chosen, str):
                 return chosen
-            exchange.tried.add(chosen.name)
-            outcome = self._attempt(exchange, chosen)
+            outcome = self._claim_and_attempt(exchange, chosen)
             if outcome:
                 return outcome
 
+    def _claim_and_attempt(
+        self, exchange: Exchange, view: EngineView
+    ) -> _Outcome:
+        """Send the request, unless another one tries its suspected parts."""
+        if not self._quarantine.claim_parts(exchange, view.name):
+            # It may also be that claims can't be stored.
+            gevent.sleep(_RESUME_POLL_SECONDS)
+            return None
+        exchange.tried.add(view.name)
+        return self._attempt(exchange, view)
+
     def _choose(
         self, exchange: Exchange, service: ServiceName
     ) -> EngineView | str:
@@ -184,16 +194,16 @@
                 return self._refuse_resume(exchange, _describe_lack(exchange))
         if placement is None or exchange.seconds_left < _MIN_SECONDS_LEFT:
             return self._give_up(exchange, _describe_lack(exchange))
+        waited = exchange.dequeued, exchange.held_seconds
         seconds_left = self._quarantine.begin_trial(exchange, placement.view)
         if seconds_left:
             return self._refuse_quarantined(exchange, seconds_left)
-        dequeued = exchange.dequeued
         refusal = self._admission.admit(exchange, service, placement.wait)
         if refusal:
             self._fleet.refusals.record(service)
             return self._refuse(exchange, refusal.reason, refusal.retry_after)
-        if exchange.dequeued != dequeued:
-            # Loads have changed while it was queued.
+        if waited != (exchange.dequeued, exchange.held_seconds):
+            # Loads have changed meanwhile.
             return self._choose(exchange, service)
         return placement.view
 
@@ -214,9 +224,10 @@
         while exchange.seconds_left >= _MIN_SECONDS_LEFT:
             if self._quarantine.seconds_left(exchange):
                 return self._refuse_quarantined(exchange, 0)
-            view = self._resume_choice.find(exchange, service)
-            if view is not None:
-                return view
+            if not self._quarantine.part_turn(exchange).pause:
+                view = self._resume_choice.find(exchange, service)
+                if view is not None:
+                    return view
             if not self._resume_choice.may_wait(exchange, service):
                 break
             gevent.sleep(_RESUME_POLL_SECONDS)
@@ -274,6 +285,7 @@
         except BrokenStreamError as broken:
             return self._handle_break(exchange, view.name, broken)
         finally:
+            self._quarantine.end_parts(exchange, may_have_run=took_slot)
             if took_slot:
                 self._admission.record_finished(view.engine.service)
         return 'answered'
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_table.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_table.py
@@ -1,6 +1,6 @@
 """Recent engine crashes and the requests that were running at each."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Container, Iterable, Iterator, Mapping
 
 from msgspec import Struct, field
 
@@ -45,6 +45,15 @@
         while len(self._crashes) > _MAX_CRASHES:
             self._crashes.pop(min(self._crashes, key=self._time_of))
 
+    def count(
+        self, since_ms: int, until_ms: int, explained: Container[str]
+    ) -> int:
+        """Count the crashes of a span of time, without explained ones."""
+        return sum(
+            since_ms <= crash.at_ms <= until_ms and incarnation not in explained
+            for incarnation, crash in self._crashes.items()
+        )
+
     def incidents(
         self, until_ms: int, explained: Iterable[str]
     ) -> Iterator[Incident]:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/item_trials.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/item_trials.py
@@ -15,14 +15,16 @@
 from bendlead_schema.gateway import SuspectRecord
 from bendlead_store import clock
 
-from bendlead_gateway._log import Log
 from bendlead_gateway._suspects.crash_history import (
     CRASHES_UNTIL_QUARANTINE,
     PART_QUARANTINE_SECONDS,
     CrashHistory,
 )
 from bendlead_gateway._suspects.digest import RequestDigest, name_part
-from bendlead_gateway._suspects.suspect_store import SuspectStore
+from bendlead_gateway._suspects.part_probation import (
+    remaining_pause as remaining_probation,
+)
+from bendlead_gateway._suspects.trial_claims import TrialClaims
 from bendlead_gateway.types import EngineId, PromptPart
 
 #: Pause before each trial: after the part was found, a crash or the trial
@@ -74,18 +76,14 @@
     def __init__(
         self,
         history: CrashHistory,
-        store: SuspectStore,
+        claims: TrialClaims,
         calm_seconds: Callable[[], float],
-        log: Log,
     ) -> None:
         self._history = history
-        self._store = store
+        self._claims = claims
         #: Return the seconds until engines have calmed down.
         self._calm_seconds = calm_seconds
-        self._log = log
         self._running: dict[Hashable, Sequence[PromptPart]] = {}
-        #: When the running trials began (Unix time, ms), and of what.
-        self._claimed: dict[Hashable, tuple[int, list[RequestDigest]]] = {}
         self._rank_of: Callable[[PromptPart], int] = _first_rank
         #: Rank for each part, and when it was worked out (uptime, s).
         self._ranks: dict[PromptPart, tuple[int, float]] = {}
@@ -104,12 +102,16 @@
         Infinite during a trial of this process, and after the last one.
         """
         record = self._history.record(name_part(part))
+        if self.any_running([part]):
+            return math.inf
+        if not record.found_ms:
+            return remaining_probation(record, time.time())
         trials = _part_trials(record)
         count = len(trials)
-        if self.any_running([part]) or count >= len(TRIAL_PAUSES_SECONDS):
+        if count >= _max_trials(record, trials):
             return math.inf
         turn = min(self._rank(part), _MAX_TURNS - 1)
-        pause = TRIAL_PAUSES_SECONDS[count] + turn * _TURN_SECONDS
+        pause = TRIAL_PAUSES_SECONDS[min(count, 1)] + turn * _TURN_SECONDS
         latest = max([record.found_ms, *record.ends.values(), *trials])
         latest_not_run = max(map(int, record.trials), default=0)
         return max(
@@ -126,7 +128,7 @@
 
     def is_trial(self, run: Hashable) -> bool:
         """Return whether a run is a trial that has been claimed."""
-        return run in self._claimed
+        return self._claims.has_claimed(run)
 
     def tried_engines(self, parts: Sequence[PromptPart]) -> set[EngineId]:
         """Return the engines that got a trial of one of the parts."""
@@ -149,18 +151,7 @@
         tried = list(map(name_part, self._running.get(run, ())))
         if self._history.crash_count(item) >= CRASHES_UNTIL_QUARANTINE:
             tried.append(item)
-        if not tried:
-            return True
-        began_ms = round(time.time() * _MS_PER_SECOND)
-        claimed: list[RequestDigest] = []
-        self._claimed[run] = (began_ms, claimed)
-        for suspect in tried:
-            # A claim without an answer may be stored: it is given back as well.
-            claimed.append(suspect)
-            if not self._store.claim_trial(_trial(suspect, began_ms, engine)):
-                return False
-            self._log.event('suspect-tried', digest=suspect, engine=engine)
-        return True
+        return self._claims.claim(run, tried, engine)
 
     def end(self, run: Hashable, *, may_have_run: bool) -> None:
         """Record that a run has ended, and whether an engine may have run it.
@@ -168,12 +159,7 @@
         A trial that none has run is not counted.
         """
         self._running.pop(run, None)
-        began_ms, claimed = self._claimed.pop(run, (0, []))
-        if may_have_run:
-            return
-        for suspect in claimed:
-            self._history.merge(_trial(suspect, began_ms, ''), time.time())
-            self._store.save(suspect)
+        self._claims.end(run, may_have_run=may_have_run)
 
     def _rank(self, part: PromptPart) -> int:
         now = clock.uptime()
@@ -186,9 +172,14 @@
         return rank
 
 
-def _trial(suspect: RequestDigest, began_ms: int, engine: str) -> SuspectRecord:
-    """Return the record of a trial; the engine is empty if none ran it."""
-    return SuspectRecord(digest=suspect, trials={str(began_ms): engine})
+def _max_trials(record: SuspectRecord, trials: Sequence[int]) -> int:
+    """Return how many trials a quarantined part has, those before included.
+
+    A part may be tried before it is found, up to twice without harm: soon after
+    its crashes few engines are counted. One trial is left after that.
+    """
+    before = any(began < record.found_ms for began in trials)
+    return len(TRIAL_PAUSES_SECONDS) + before
 
 
 def _part_trials(record: SuspectRecord) -> list[int]:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
@@ -15,6 +15,7 @@
     Iterator,
     Mapping,
     Sequence,
+    Set,
 )
 
 from bendlead_schema.gateway import SuspectRecord
@@ -28,6 +29,7 @@
     names_part,
     part_of,
 )
+from bendlead_gateway._suspects.part_probation import crashes_in_trials
 from bendlead_gateway._suspects.part_shares import PartAtCrash, PartShares
 
 #: Share of crashes that a part causes which crashes engines; others happen
@@ -37,6 +39,10 @@
 #: reaches it from a given crash with a probability below exp(-9), 1 in 8,100.
 _FOUND_EVIDENCE = 9.0
 _MIN_INCIDENTS = 3
+#: Chance that the engine of a trial crashes for another cause before the answer
+#: clears the part, for each other engine that crashed in the time before.
+_TRIAL_CRASH_CHANCE = 0.01
+_OTHER_CRASHES_MS = 10_000
 #: Bound of the time that a search takes.
 _MAX_CANDIDATES = 32
 #: Time for all processes to report the requests that were running at a crash.
@@ -95,7 +101,24 @@
             self._test(part, incidents) for part in self._candidates(refused)
         ]
         tested.reverse()
-        return max(tested, key=_evidence_of, default=None)
+        best = max(tested, key=_evidence_of, default=None)
+        if best is None or not best.is_found:
+            return best
+        cause = min(self._rivals(best, tested), key=_share_of)
+        return replace(cause, evidence=best.evidence)
+
+    def _rivals(
+        self, best: TestedPart, tested: Iterable[TestedPart]
+    ) -> Iterator[TestedPart]:
+        """Yield the parts that were running at all crashes of the best one.
+
+        They explain as much as it does, and the rarest of them is the cause.
+        """
+        crashes = self._history.record(best.suspect).ends.keys()
+        for part in tested:
+            if part.incidents >= best.incidents:
+                if crashes <= self._history.record(part.suspect).ends.keys():
+                    yield part
 
     def _candidates(
         self, refused: Container[RequestDigest]
@@ -121,7 +144,8 @@
             incarnation: self._at_crash(record, incarnation)
             for incarnation in record.ends
         }
-        weighed = _weigh(incidents, at_crashes, record.repeats)
+        tried = frozenset(crashes_in_trials(record))
+        weighed = _weigh(incidents, at_crashes, record.repeats, tried)
         evidence = weighed.evidence
         if weighed.incidents < _MIN_INCIDENTS:
             evidence = 0
@@ -148,11 +172,13 @@
     incidents: Sequence[Incident],
     at_crashes: Mapping[str, PartAtCrash],
     repeats: Mapping[str, float],
+    tried: Set[str],
 ) -> TestedPart:
     """Return the evidence, and the incidents at which a part was running.
 
     ``at_crashes`` tells its share at the crashes at which it was, ``repeats``
-    the chance of a repeat at those that it was at by repeats alone.
+    the chance of a repeat at those that it was at by repeats alone, ``tried``
+    are the engines that crashed in a trial of the part.
     """
     evidence = 0.0
     count = 0
@@ -170,6 +196,8 @@
                 _chance_of_presence(part.share, incident.running),
                 _chance_of_repeats(present, incident, repeats),
             )
+            if tried.intersection(present):
+                by_chance = _chance_in_trial(incident, incidents, at_crashes)
             evidence += _evidence_of_presence(by_chance)
             answers = part.answers
             count += 1
@@ -200,12 +228,30 @@
     return min(1, max(chances) * len(incident.incarnations))
 
 
+def _chance_in_trial(
+    incident: Incident, incidents: Iterable[Incident], own: Container[str]
+) -> float:
+    """Return the chance that the engine of a trial crashes by chance.
+
+    Only one request with the part was sent, so that requests beside it say
+    nothing; engines that crashed without the part do.
+    """
+    since = incident.at_ms - _OTHER_CRASHES_MS
+    others = sum(
+        incarnation not in own
+        for other in incidents
+        if since < other.at_ms <= incident.at_ms
+        for incarnation in other.incarnations
+    )
+    return min(1, _TRIAL_CRASH_CHANCE * (1 + others))
+
+
 def _evidence_of_presence(by_chance: float) -> float:
     explained = _CAUSED_SHARE + (1 - _CAUSED_SHARE) * by_chance
     return math.log(explained / by_chance)
 
 
-def _share_of(part: PartAtCrash) -> float:
+def _share_of(part: PartAtCrash | TestedPart) -> float:
     return part.share
 
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspect_store.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspect_store.py
@@ -31,6 +31,8 @@
 #: The same for a part of prompts, which is often present by chance.
 PART_CRASHES_UNTIL_STORED = 3
 _RETRY_SECONDS = 0.5
+#: Writes of one claim; several processes may add crashes meanwhile.
+_CLAIM_ATTEMPTS = 4
 #: Interval of the removal of expired records.
 _SWEEP_SECONDS = 600.0
 _DECODER = msgspec.json.Decoder(SuspectRecord)
@@ -86,17 +88,25 @@
     def claim_trial(self, trial: SuspectRecord) -> bool:
         """Store a trial before it begins; return whether it may.
 
-        It may not if another process has changed the record meanwhile.
+        It may not if another process has claimed one meanwhile, or if the
+        object service is away.
         """
         suspect = RequestDigest(trial.digest)
-        record = self._history.record(suspect)
-        claimed = replace(record, trials=record.trials | trial.trials)
-        if not self._put(suspect, claimed):
-            self._unwritten.add(suspect)
-            self._write_requested.set()
-            return False
-        self._history.merge(trial, time.time())
-        return True
+        trials = self._history.record(suspect).trials
+        attempts_left = _CLAIM_ATTEMPTS
+        while attempts_left and self._history.record(suspect).trials == trials:
+            attempts_left -= 1
+            record = self._history.record(suspect)
+            claimed = replace(record, trials=trials | trial.trials)
+            if self._put(suspect, claimed):
+                self._history.merge(trial, time.time())
+                return True
+            # Another process may have added a crash.
+            if not self._refresh(suspect):
+                break
+        self._unwritten.add(suspect)
+        self._write_requested.set()
+        return False
 
     def run(self) -> None:
         """Write changed records and remove expired ones, forever."""
@@ -117,15 +127,22 @@
         if self._put(digest, record):
             return record == self._history.record(digest)
         # Another process, or this call without a response, may have written it.
+        stored = self._refresh(digest)
+        return stored == self._history.record(digest)
+
+    def _refresh(self, digest: RequestDigest) -> SuspectRecord | None:
+        """Merge the stored record; return it, an empty one if there is none.
+
+        ``None`` if it can't be read.
+        """
         fetched = self._store.fetch(f'{self._prefix}{digest}')
         if isinstance(fetched, Err):
-            return False
+            return None
         if fetched.ok_value is None:
             self._versions.pop(digest, None)
-            return False
+            return SuspectRecord(digest='')
         self._load(fetched.ok_value)
-        stored = _decode(fetched.ok_value)
-        return stored == self._history.record(digest)
+        return _decode(fetched.ok_value)
 
     def _put(self, digest: RequestDigest, record: SuspectRecord) -> bool:
         """Write a record unless the stored one has changed meanwhile."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -24,11 +24,14 @@
     names_part,
     part_of,
 )
+from bendlead_gateway._suspects.held_parts import HeldParts
 from bendlead_gateway._suspects.item_trials import ItemTrials
+from bendlead_gateway._suspects.part_probation import PartTurn, find_turn
 from bendlead_gateway._suspects.part_search import PartSearch, TestedPart
 from bendlead_gateway._suspects.part_shares import PartShares
 from bendlead_gateway._suspects.request_trials import RequestTrials
 from bendlead_gateway._suspects.suspect_store import SuspectStore
+from bendlead_gateway._suspects.trial_claims import TrialClaims
 from bendlead_gateway.types import (
     Engine,
     EngineId,
@@ -74,11 +77,10 @@
         )
         self.crash_detector.on_crash = self._add_crash
         self.store = SuspectStore(self._history, store, prefix, log)
+        self.parts = HeldParts(self._history, self._crashes)
+        self.claims = TrialClaims(self._history, self.store, log)
         self.item_trials = ItemTrials(
-            self._history,
-            self.store,
-            self.request_trials.remaining_calm,
-            log,
+            self._history, self.claims, self.request_trials.remaining_calm
         )
 
     def record_sent(self, parts: Sequence[PromptPart]) -> None:
@@ -111,7 +113,7 @@
         There are no trials of parts by requests.
         """
         quarantine = self.remaining_quarantine(lambda: digest, parts)
-        if self.quarantined_parts(parts):
+        if self.parts.quarantined(parts):
             return quarantine
         record = self._history.record(digest)
         return min(quarantine, self.request_trials.remaining_pause(record))
@@ -129,22 +131,21 @@
         if not self._history.any_suspects:
             return 0
         pauses = map(
-            self.item_trials.remaining_part_pause, self.quarantined_parts(parts)
+            self.item_trials.remaining_part_pause, self.parts.held(parts)
         )
         return max(self.item_trials.remaining_pause(item_of()), *pauses, 0)
 
-    def quarantined_parts(
-        self, parts: Sequence[PromptPart]
-    ) -> Sequence[PromptPart]:
-        """Return the parts whose quarantine has not ended."""
-        if not self._history.any_quarantined:
-            return ()
-        now = time.time()
-        return [
-            part
-            for part in parts
-            if self._history.remaining_quarantine(name_part(part), now)
-        ]
+    def remaining_part_turn(self, parts: Sequence[PromptPart]) -> PartTurn:
+        """Return when a request with suspected parts may be sent."""
+        if not self._history.any_suspects:
+            return PartTurn()
+        suspected = self.parts.suspected(parts)
+        suspects = list(map(name_part, suspected))
+        return find_turn(
+            list(map(self._history.record, suspects)),
+            time.time(),
+            busy=self.claims.any_claimed(suspects),
+        )
 
     def record_abandoned(self, engine: Engine, broken: BrokenResponse) -> None:
         """Record that the client of a running request disconnected.
--- /dev/null
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/trial_claims.py
@@ -0,0 +1,77 @@
+"""Claims of trials, which bound them over all processes.
+
+A trial is claimed in the object service before it is sent, so that it counts
+whatever is learned of it. One that no engine has run is given back.
+"""
+
+import time
+from collections.abc import Collection, Hashable, Sequence
+
+from bendlead_schema.gateway import SuspectRecord
+
+from bendlead_gateway._log import Log
+from bendlead_gateway._suspects.crash_history import CrashHistory
+from bendlead_gateway._suspects.digest import RequestDigest
+from bendlead_gateway._suspects.suspect_store import SuspectStore
+from bendlead_gateway.types import EngineId
+
+_MS_PER_SECOND = 1000
+
+
+class TrialClaims:
+    """Trials that runs of this process have claimed."""
+
+    def __init__(
+        self, history: CrashHistory, store: SuspectStore, log: Log
+    ) -> None:
+        self._history = history
+        self._store = store
+        self._log = log
+        #: When the running trials began (Unix time, ms), and of what.
+        self._claimed: dict[Hashable, tuple[int, list[RequestDigest]]] = {}
+
+    def has_claimed(self, run: Hashable) -> bool:
+        """Return whether a run is a trial."""
+        return run in self._claimed
+
+    def any_claimed(self, suspects: Collection[RequestDigest]) -> bool:
+        """Return whether a run of this process tries one of the suspects."""
+        return any(
+            suspect in suspects
+            for _began, claimed in self._claimed.values()
+            for suspect in claimed
+        )
+
+    def claim(
+        self,
+        run: Hashable,
+        suspects: Sequence[RequestDigest],
+        engine: EngineId,
+    ) -> bool:
+        """Claim the trials that a run is; return whether it may be sent."""
+        if not suspects:
+            return True
+        began_ms = round(time.time() * _MS_PER_SECOND)
+        claimed: list[RequestDigest] = []
+        self._claimed[run] = (began_ms, claimed)
+        for suspect in suspects:
+            # A claim without an answer may be stored: it is given back as well.
+            claimed.append(suspect)
+            if not self._store.claim_trial(_trial(suspect, began_ms, engine)):
+                return False
+            self._log.event('suspect-tried', digest=suspect, engine=engine)
+        return True
+
+    def end(self, run: Hashable, *, may_have_run: bool) -> None:
+        """Record that a run has ended, and whether an engine may have run."""
+        began_ms, claimed = self._claimed.pop(run, (0, []))
+        if may_have_run:
+            return
+        for suspect in claimed:
+            self._history.merge(_trial(suspect, began_ms, ''), time.time())
+            self._store.save(suspect)
+
+
+def _trial(suspect: RequestDigest, began_ms: int, engine: str) -> SuspectRecord:
+    """Return the record of a trial; the engine is empty if none ran it."""
+    return SuspectRecord(digest=suspect, trials={str(began_ms): engine})
--- a/testing/src/bendlead_testing/part_replay.py
+++ b/testing/src/bendlead_testing/part_replay.py
@@ -13,9 +13,15 @@
 from bendlead_gateway._suspects.crash_history import CrashHistory
 from bendlead_gateway._suspects.crash_table import CrashTable
 from bendlead_gateway._suspects.digest import RequestDigest, name_part
+from bendlead_gateway._suspects.part_probation import (
+    is_suspected,
+    remaining_pause,
+    remaining_trial,
+)
 from bendlead_gateway._suspects.part_search import PartSearch
 from bendlead_gateway._suspects.part_shares import PartShares
 from bendlead_gateway.types import PromptPart
+from bendlead_schema.gateway import SuspectRecord
 from msgspec import Struct, field
 
 #: The bad part, and the first part of the requests with it.
@@ -26,6 +32,10 @@
 _RETRY_SECONDS = 0.3
 _ITEM_RETRIES = 100
 _SEARCH_SECONDS = 0.25
+#: How long requests are held while another one tries their part, as in the
+#: product, and the pause between two looks.
+_HOLD_SECONDS = 1.5
+_POLL_SECONDS = 0.05
 #: Sheet of the users: crashes until the part must be known, and the time after
 #: them from which on few requests may reach engines.
 _KNOWN_CRASHES = 5
@@ -77,6 +87,9 @@
     served: int = 0
     #: Sound requests refused for one of their parts.
     refused: int = 0
+    #: The same while another request tried it, and those that waited for one.
+    turned_away: int = 0
+    held: int = 0
     found: list[RequestDigest] = field(default_factory=list)
 
 
@@ -88,6 +101,7 @@
     process: '_Process'
     seconds: float
     began: float = 0
+    held: float = 0
 
 
 class _Process(Struct, eq=False):
@@ -205,6 +219,10 @@
         ):
             self.outcome.refused += not run.bad
             return
+        suspected = self._suspected(run)
+        if suspected and not self._may_try(suspected):
+            self._hold(run, suspected)
+            return
         free = [
             engine
             for engine in self._engines
@@ -218,6 +236,7 @@
         engine = self._random.choice(
             [engine for engine in free if len(engine.runs) == fewest]
         )
+        self._record_trial(suspected, engine)
         engine.runs.append(run)
         run.began = self._now
         self._schedule(
@@ -232,6 +251,46 @@
             finish = self._finish_of(engine, run)
             self._schedule(self._now + run.seconds * spread, finish)
 
+    def _suspected(self, run: _Run) -> Sequence[SuspectRecord]:
+        explained = {
+            incarnation
+            for part in self._history.quarantined_parts(self._now)
+            for incarnation in self._history.record(part).ends
+        }
+        records = [self._history.record(name_part(part)) for part in run.parts]
+        return [
+            one
+            for one in records
+            if is_suspected(one, self._crashes, explained)
+        ]
+
+    def _may_try(self, suspected: Sequence[SuspectRecord]) -> bool:
+        return not any(remaining_pause(one, self._now) for one in suspected)
+
+    def _hold(self, run: _Run, suspected: Sequence[SuspectRecord]) -> None:
+        """Hold a request while a trial may clear its parts."""
+        sound = not run.bad
+        self.outcome.held += sound and not run.held
+        trial = min(remaining_trial(one, self._now) for one in suspected)
+        run.held += _POLL_SECONDS
+        if run.process is self._owners or (trial and run.held < _HOLD_SECONDS):
+            again = self._now + _POLL_SECONDS
+            self._schedule(again, lambda: self._send(run, again=True))
+            return
+        self.outcome.turned_away += sound
+        run.held = 0
+        self._retry(run)
+
+    def _record_trial(
+        self, suspected: Sequence[SuspectRecord], engine: _Engine
+    ) -> None:
+        began = str(round(self._now * _MS))
+        for one in suspected:
+            trial = SuspectRecord(
+                digest=one.digest, trials={began: str(engine.number)}
+            )
+            self._history.merge(trial, self._now)
+
     def _note_bad(self) -> None:
         if len(self._bad_crashes) >= _KNOWN_CRASHES:
             known = self._bad_crashes[_KNOWN_CRASHES - 1] + _CONTACT_SECONDS
--- a/tests/test_gateway_part_trials.py
+++ b/tests/test_gateway_part_trials.py
@@ -16,6 +16,7 @@
     TRIAL_PAUSES_SECONDS,
     ItemTrials,
 )
+from bendlead_gateway._suspects.trial_claims import TrialClaims
 from bendlead_gateway.http import HttpConnection
 from bendlead_gateway.types import NodeRole, PromptPart
 from bendlead_platform import PlatformDialect, PlatformStore
@@ -183,7 +184,8 @@
         """Guards against sound parts that lose their trials to the store."""
         history = CrashHistory()
         store = mock.Mock()
-        trials = ItemTrials(history, store, lambda: 0, mock.Mock())
+        claims = TrialClaims(history, store, mock.Mock())
+        trials = ItemTrials(history, claims, lambda: 0)
         part = PromptPart('bad')
         history.record_found(name_part(part), time.time() - _MINUTE)
         stored = []
@@ -282,8 +284,8 @@
         self.found(entry, _MINUTE)
         suspects = entry.fleet.suspects
         part = PART.partition(':')[0]
-        self.assertEqual([part], suspects.quarantined_parts([part]))
-        eventually(lambda: not suspects.quarantined_parts([part]), 2)
+        self.assertEqual([part], suspects.parts.quarantined([part]))
+        eventually(lambda: not suspects.parts.quarantined([part]), 2)
 
     def add_long_engine(self):
         """Add an engine that writes an event now and then."""
