Keep the origin of each stream at an owner too, so that all entries may end

Seen: where all entries are killed at once beside engines of two versions, clients that return got 503 for streams whose three holders had all been entries: 18 to 40 of 100 by the production ring, worked out before this change.

Cause: holders alternate between halls alone.

Change: holders alternate between roles, entries first, then halls.

Owners keep one of three copies, so where they are few they keep more than before.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_streams/holder_ring.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_streams/holder_ring.py
@@ -1,7 +1,8 @@
 """Choice of the processes that keep the origin of a stream.
 
 All processes compute the same order from the id of a request. It alternates
-between data halls, so that the loss of one loses no origin.
+between roles and between data halls, so that neither the loss of a hall nor of
+all entries at once loses an origin.
 """
 
 from bisect import bisect
@@ -14,6 +15,7 @@
 from bendlead_gateway.types import (
     DataHall,
     NodeName,
+    NodeRole,
     PeerRecord,
     RequestId,
 )
@@ -41,31 +43,55 @@
 
 
 class HolderRing:
-    """Consistent hashing over the processes of each data hall."""
+    """Consistent hashing over the processes of each role and data hall."""
 
     def __init__(self) -> None:
-        self._rings: list[_HallRing] = []
+        #: Rings of the halls, by role.
+        self._rings: list[list[_HallRing]] = []
 
     def rebuild(self, records: Iterable[PeerRecord]) -> None:
         """Replace the processes."""
-        halls: dict[DataHall, list[PeerRecord]] = {}
+        halls: dict[NodeRole, dict[DataHall, list[PeerRecord]]] = {
+            role: {} for role in NodeRole
+        }
         for record in records:
-            halls.setdefault(record.hall, []).append(record)
-        self._rings = [_make_ring(halls[hall]) for hall in sorted(halls)]
+            halls[record.role].setdefault(record.hall, []).append(record)
+        self._rings = [
+            [_make_ring(of_role[hall]) for hall in sorted(of_role)]
+            for of_role in halls.values()
+        ]
 
     def order(self, request: RequestId) -> Iterator[PeerRecord]:
         """Yield all processes in the order in which to use them."""
         start = _hash(request)
-        first = start % max(1, len(self._rings))
-        rings = self._rings[first:] + self._rings[:first]
-        walks = [ring.walk(start) for ring in rings]
-        while walks:
-            for walk in tuple(walks):
-                member = next(walk, None)
-                if member is None:
-                    walks.remove(walk)
-                else:
-                    yield member
+        # The first of each role, and the second entry, are in different halls.
+        return _alternate(
+            _walk_halls(rings, start, start + 2 * number)
+            for number, rings in enumerate(self._rings)
+        )
+
+
+def _walk_halls(
+    rings: list[_HallRing], start: int, first: int
+) -> Iterator[PeerRecord]:
+    first %= max(1, len(rings))
+    return _alternate(
+        ring.walk(start) for ring in (*rings[first:], *rings[:first])
+    )
+
+
+def _alternate(
+    orders: Iterable[Iterator[PeerRecord]],
+) -> Iterator[PeerRecord]:
+    """Yield one of each in turn, until all are used up."""
+    left = list(orders)
+    while left:
+        for order in tuple(left):
+            member = next(order, None)
+            if member is None:
+                left.remove(order)
+            else:
+                yield member
 
 
 def _make_ring(members: Iterable[PeerRecord]) -> _HallRing:
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -35,6 +35,7 @@
 )
 from bendlead_store import clock
 from bendlead_testing.ports import free_port
+from msgspec.structs import replace
 from parameterized import parameterized
 
 from tests.gateway_standins import TaskTracker, eventually
@@ -84,6 +85,23 @@
             holders = islice(ring.order(RequestId(f'id{number}')), _HOLDERS)
             self.assertEqual(3, len({holder.hall for holder in holders}))
 
+    @parameterized.expand([(4, 1, 1), (3, 2, 1), (3, 6, 2), (1, 3, 3)])
+    def test_each_role_has_a_holder(self, halls, entries, owners):
+        """All entries may be killed at once, with one copy of each origin."""
+        records = _records(halls * entries, halls)
+        for number, record in enumerate(_records(halls * owners, halls)):
+            owner = NodeName(f'owner-{number}')
+            records.append(replace(record, node=owner, role=NodeRole.OWNER))
+        ring = HolderRing()
+        ring.rebuild(records)
+        for number in range(_STREAMS):
+            order = ring.order(RequestId(f'{number}'))
+            holders = list(islice(order, _HOLDERS))
+            roles = {holder.role for holder in holders}
+            self.assertEqual(set(NodeRole), roles, number)
+            used = {holder.hall for holder in holders}
+            self.assertEqual(min(halls, _HOLDERS), len(used), number)
+
     def test_holders_are_spread_evenly(self):
         ring = HolderRing()
         ring.rebuild(_records(30, 3))
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -393,6 +393,38 @@
         for task in resumed:
             self.assertEqual((200, _whole('v1', 2)), task.get())
 
+    @parameterized.expand([('beside_another', 'v1', 200), ('gone', 'v2', 503)])
+    def test_all_entries_killed(self, _name, left, status):
+        """Streams were joined from two versions, or lost with their entries."""
+        self.begin('v2', 'v2', left)
+        entries = []
+        for _number in range(5):
+            process = SimulatedProcess()
+            self.addCleanup(process.end)
+            entries.append((self.start_entry(process), process))
+        self.start_owner()
+        names = [f'first{number}' for number in range(12)]
+        for number, name in enumerate(names):
+            entry = entries[number % 5][0]
+            for other in ('i-1', 'i-2', 'i-3'):
+                entry.fleet.loads.own.online[other] += 24
+            self.assertEqual(
+                [(1, 'v1')], self.read_first(self.send(entry, request=name))
+            )
+        # The last origins are on their way to the peers.
+        gevent.sleep(0.1)
+        for _entry, process in entries:
+            process.end()
+        self.nodes = self.nodes[5:]
+        self.engines[0].close()
+        again = self.start_entry()
+        for name in names:
+            resumed = self.ask(
+                again, request=f'again-{name}', after=1, names=[name]
+            )
+            events = _whole('v1', 2) if status == 200 else []
+            self.assertEqual((status, events), resumed)
+
     def test_refused_at_once_with_its_version_gone(self):
         first = self.begin('v2')
         entry = self.start_entry()
