Find a part that no trial has tested by stronger evidence only

Cause: exp(-9) a crash is much where hundreds of parts are at some crash. Since parts at three crashes are tried, a search without a trial need not decide as early.

Change: 14.0 without a trial that crashed its engine, 9.0 with one.

Figures: test_sound_parts_are_many untried failed before (found with evidence 10), passes now. test_complete_answers_without_the_part: its 40 answers make an evidence between 9 and 14, which no longer decides by itself; they stay as a row that finds none, and 80 find the part.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
@@ -35,9 +35,12 @@
 #: Share of crashes that a part causes which crashes engines; others happen
 #: meanwhile.
 _CAUSED_SHARE = 0.7
-#: Logarithm of the likelihood ratio from which on a part is found. A sound part
-#: reaches it from a given crash with a probability below exp(-9), 1 in 8,100.
+#: Logarithm of the likelihood ratio from which on a part is found once an
+#: engine has crashed in a trial of it. A sound part reaches it from a given
+#: crash with a probability below exp(-9), 1 in 8,100.
 _FOUND_EVIDENCE = 9.0
+#: The same without such a trial: hundreds of sound parts are at some crash.
+_FOUND_UNTRIED_EVIDENCE = 14.0
 _MIN_INCIDENTS = 3
 #: Chance that the engine of a trial crashes for another cause before the answer
 #: clears the part, for each other engine that crashed in the time before.
@@ -62,11 +65,14 @@
     incidents: int
     share: float = 0
     running: int = 0
+    #: Whether an engine has crashed in a trial of the part.
+    tried: bool = False
 
     @property
     def is_found(self) -> bool:
         """Return whether the evidence is enough."""
-        return self.evidence >= _FOUND_EVIDENCE
+        enough = _FOUND_EVIDENCE if self.tried else _FOUND_UNTRIED_EVIDENCE
+        return self.evidence >= enough
 
 
 class PartSearch:
@@ -105,7 +111,7 @@
         if best is None or not best.is_found:
             return best
         cause = min(self._rivals(best, tested), key=_share_of)
-        return replace(cause, evidence=best.evidence)
+        return replace(cause, evidence=best.evidence, tried=best.tried)
 
     def _rivals(
         self, best: TestedPart, tested: Iterable[TestedPart]
@@ -149,7 +155,9 @@
         evidence = weighed.evidence
         if weighed.incidents < _MIN_INCIDENTS:
             evidence = 0
-        return replace(weighed, suspect=suspect, evidence=evidence)
+        return replace(
+            weighed, suspect=suspect, evidence=evidence, tried=bool(tried)
+        )
 
     def _at_crash(self, record: SuspectRecord, incarnation: str) -> PartAtCrash:
         """Return a part's share at a crash, as the process that sent it knows.
--- a/tests/test_gateway_part_search.py
+++ b/tests/test_gateway_part_search.py
@@ -275,7 +275,9 @@
         )
         self.assertFalse(self.history.any_quarantined)
 
-    @parameterized.expand([('none', 0, None), ('many', 40, 'part-often')])
+    @parameterized.expand(
+        [('none', 0, None), ('some', 40, None), ('many', 80, 'part-often')]
+    )
     def test_complete_answers_without_the_part(self, _name, answers, expected):
         """At each crash it ran by chance, but not in any answer between."""
         for _request in range(30):
@@ -290,6 +292,18 @@
                 self.shares.record_answer()
         self.assertEqual(expected, self.find())
 
+    @parameterized.expand([('untried', '', None), ('tried', '3', 'part-p')])
+    def test_sound_parts_are_many(self, _name, engine, expected):
+        """One of hundreds is at four crashes by chance, with evidence 10."""
+        for number in range(400):
+            self.shares.add((f'p{number}', 'p' if number % 13 == 0 else 'o'))
+        for second in range(4):
+            self.crash(second, 'p')
+        began = round((_NOW + 2.9) * _MS)
+        trial = SuspectRecord(digest='part-p', trials={str(began): engine})
+        self.history.merge(trial, _NOW)
+        self.assertEqual(expected, self.find())
+
     def test_crashes_of_one_instant_count_once(self):
         for number in range(9):
             self.crash(number / 100, 'bad', engine=number)
