Lock the ports of tests whatever the temporary folder is

Cause: the locks were files in the temporary folder, the ports are the machine's.

Change: a lock is an abstract socket name, which processes of a run keep open as they did the file.

--- a/testing/src/bendlead_testing/ports.py
+++ b/testing/src/bendlead_testing/ports.py
@@ -1,12 +1,8 @@
 """Ports on loopback for listeners that are started later."""
 
-import fcntl
 import itertools
-import pathlib
 import socket
-import tempfile
 from collections.abc import Iterator, Sequence
-from typing import TextIO
 
 #: Below the ports that the system gives to outgoing connections.
 _PORTS = range(12_000, 32_000)
@@ -24,7 +20,7 @@
     """
 
     def __init__(self) -> None:
-        self._locks: list[TextIO] = []
+        self._locks: list[socket.socket] = []
         self._ports = itertools.chain.from_iterable(self._blocks())
 
     @property
@@ -63,14 +59,17 @@
             self._locks.pop().close()
 
 
-def lock_block(port: int) -> TextIO | None:
-    """Lock the block of a port, or return None if another run has it."""
+def lock_block(port: int) -> socket.socket | None:
+    """Lock the block of a port, or return None if another run has it.
+
+    The lock is a name without a file, which all runs share as they do the
+    ports, whatever their temporary folders are.
+    """
     start = (port - _PORTS.start) // _BLOCK * _BLOCK
-    folder = pathlib.Path(tempfile.gettempdir())
-    lock = open(folder / f'bendlead-ports-{start}', 'w')
+    lock = socket.socket(socket.AF_UNIX)
     try:
-        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except BlockingIOError:
+        lock.bind(f'\0bendlead-ports-{start}')
+    except OSError:
         lock.close()
         return None
     return lock
--- a/tests/test_soak_ports.py
+++ b/tests/test_soak_ports.py
@@ -34,6 +34,12 @@
 print(port, flush=True)
 time.sleep(60)
 """
+_LOCK = """
+import sys
+from bendlead_testing.ports import lock_block
+
+print(lock_block(int(sys.argv[1])))
+"""
 _OUTGOING = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
 
 
@@ -64,6 +70,21 @@
         # A lower one may have become free elsewhere meanwhile.
         self.assertLessEqual(last.take(), taken)
 
+    def test_runs_with_different_temporary_folders(self):
+        """Both took the same ports, and reached the other's processes."""
+        own = Ports()
+        self.addCleanup(own.free)
+        port = own.take()
+        with tempfile.TemporaryDirectory() as folder:
+            other = subprocess.run(
+                [sys.executable, '-c', _LOCK, str(port)],
+                env={**os.environ, 'TMPDIR': folder},
+                check=True,
+                capture_output=True,
+                text=True,
+            )
+        self.assertEqual('None', other.stdout.strip())
+
     def test_ports_of_a_killed_run_stay_taken_while_its_processes_run(self):
         """Otherwise they register with the object service of a later run."""
         with tempfile.NamedTemporaryFile() as log:
