Hold no part of most requests, and count crashes that chance explains

Cause: a part of all requests is at every crash, so none counted as one without it, and the crash of a trial seemed unlikely for another cause.

Change: a part of more than half of the requests is not on probation; crashes with a part count as other ones by the chance that it was there. Price: a bad part of over half of the requests is bounded by the evidence alone, as before.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_probation.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_probation.py
@@ -21,6 +21,9 @@
 #: Share of all crashes in their time at which a part was that causes them;
 #: others have other causes, or are those of a second such part.
 _LEAST_SHARE = 0.4
+#: Share of requests above which a part is not suspected: it is at nearly every
+#: crash, and all requests would wait for it.
+_COMMON_SHARE = 0.5
 #: Pause after the first trial, or a crash since; it doubles with each further
 #: one. A crash is known by then, also where the engine has to leave the list.
 _TRIAL_PAUSE_SECONDS = 2.0
@@ -77,7 +80,8 @@
     if len(times) < _SUSPECTED_CRASHES:
         return False
     first, last = min(times), max(times)
-    if last - first <= _SAME_CAUSE_MS:
+    common = min(record.shares.values(), default=0) > _COMMON_SHARE
+    if common or last - first <= _SAME_CAUSE_MS:
         return False
     return len(times) >= _LEAST_SHARE * crashes.count(first, last, explained)
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
@@ -75,6 +75,34 @@
         return self.evidence >= enough
 
 
+class _OtherCrashes:
+    """Crashes that a part may not have caused.
+
+    Those without it, and of those with it as many as chance explains: a sound
+    part of all requests is at every crash.
+    """
+
+    def __init__(self) -> None:
+        self._counts: list[tuple[int, float]] = []
+
+    def add(self, at_ms: int, count: float) -> None:
+        """Add the expected number of such crashes in an incident."""
+        self._counts.append((at_ms, count))
+
+    def chance_in_trial(self, at_ms: int) -> float:
+        """Return the chance that the engine of a trial crashes by chance.
+
+        Only one request with the part was sent, so that the requests beside it
+        say nothing.
+        """
+        recent = sum(
+            count
+            for added_ms, count in self._counts
+            if added_ms > at_ms - _OTHER_CRASHES_MS
+        )
+        return min(1, _TRIAL_CRASH_CHANCE * (1 + recent))
+
+
 class PartSearch:
     """Find parts in the history of crashes."""
 
@@ -191,31 +219,35 @@
     evidence = 0.0
     count = 0
     answers = 0
-    share = 0.0
-    running = 0
+    latest = TestedPart(RequestDigest(''), 0, 0)
+    other_crashes = _OtherCrashes()
     for incident in incidents:
         present = incident.incarnations.intersection(at_crashes)
+        others = len(incident.incarnations) - len(present)
         if present:
             part = max(map(at_crashes.__getitem__, present), key=_share_of)
             if count and part.sent:
-                missing = part.answers - answers
-                evidence -= missing * math.log1p(-part.share)
+                # Complete answers without the part.
+                evidence -= (part.answers - answers) * math.log1p(-part.share)
             by_chance = max(
                 _chance_of_presence(part.share, incident.running),
                 _chance_of_repeats(present, incident, repeats),
             )
             if tried.intersection(present):
-                by_chance = _chance_in_trial(incident, incidents, at_crashes)
+                other_crashes.add(incident.at_ms, others)
+                by_chance = other_crashes.chance_in_trial(incident.at_ms)
+            else:
+                other_crashes.add(incident.at_ms, others + by_chance)
             evidence += _evidence_of_presence(by_chance)
             answers = part.answers
             count += 1
-            share = part.share
-            running = incident.running
+            latest = replace(latest, share=part.share, running=incident.running)
         else:
+            other_crashes.add(incident.at_ms, others)
             evidence += math.log(1 - _CAUSED_SHARE)
         if evidence <= 0:
             evidence, count = 0.0, 0
-    return TestedPart(RequestDigest(''), evidence, count, share, running)
+    return replace(latest, evidence=evidence, incidents=count)
 
 
 def _chance_of_presence(share: float, running: int) -> float:
@@ -236,24 +268,6 @@
     return min(1, max(chances) * len(incident.incarnations))
 
 
-def _chance_in_trial(
-    incident: Incident, incidents: Iterable[Incident], own: Container[str]
-) -> float:
-    """Return the chance that the engine of a trial crashes by chance.
-
-    Only one request with the part was sent, so that requests beside it say
-    nothing; engines that crashed without the part do.
-    """
-    since = incident.at_ms - _OTHER_CRASHES_MS
-    others = sum(
-        incarnation not in own
-        for other in incidents
-        if since < other.at_ms <= incident.at_ms
-        for incarnation in other.incarnations
-    )
-    return min(1, _TRIAL_CRASH_CHANCE * (1 + others))
-
-
 def _evidence_of_presence(by_chance: float) -> float:
     explained = _CAUSED_SHARE + (1 - _CAUSED_SHARE) * by_chance
     return math.log(explained / by_chance)
--- a/tests/test_gateway_part_probation.py
+++ b/tests/test_gateway_part_probation.py
@@ -51,6 +51,16 @@
             crashes.add(digest, {f'i-{second}@0': at_ms(second)})
         self.assertIs(expected, is_suspected(record(ends), crashes, ()))
 
+    @parameterized.expand(
+        [('rare', 0.1, True), ('of_most_requests', 0.8, False)]
+    )
+    def test_share(self, _name, share, expected):
+        """A part of most requests is at every crash, and all would wait."""
+        crashes = CrashTable()
+        suspect = record((0, 1, 2))
+        suspect.shares.update(dict.fromkeys(suspect.ends, share))
+        self.assertIs(expected, is_suspected(suspect, crashes, ()))
+
     def test_crashes_of_another_part_do_not_count(self):
         crashes = CrashTable()
         self.assertFalse(is_suspected(record((0, 1, 2)), crashes, {'i-1@0'}))
--- a/tests/test_gateway_part_search.py
+++ b/tests/test_gateway_part_search.py
@@ -143,6 +143,11 @@
             ('all_at_once', kills(30, 8, 18), {}),
             ('crash_loop', kills(15, 0.3, 18), {'restart_seconds': 0.4}),
             ('slow_crash_loop', kills(15, 0.7, 18), {'restart_seconds': 0.3}),
+            (
+                'part_of_all_requests',
+                kills(30, 0.5, 1),
+                {'engines': 5, 'per_second': 20.0, 'first_parts': 1},
+            ),
             ('many_slots', kills(20, 3, 1), _MANY),
             ('many_slots_often', kills(20, 0.5, 1), _MANY),
             ('many_slots_all', kills(20, 6, 6), _MANY),
