Try suspected parts while the object service is away

Seen: by reading: where engines crash while the object service is away, no trial can be claimed, so that requests with a suspected sound part were refused until it was back.

Cause: a claim without an answer was taken for one that another process has.

Change: a request may be sent where the service can't be read either; reports tell peers of its trial. Items wait, as before: they are owed later.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/quarantine.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/quarantine.py
@@ -69,7 +69,10 @@
             return False
         claims = self._suspects.claims
         began = clock.uptime()
-        claimed = claims.claim(id(exchange), turn.suspects, engine)
+        # Without the object service, requests with sound parts would wait.
+        claimed = claims.claim(
+            id(exchange), turn.suspects, engine, while_away=True
+        )
         if not claimed:
             claims.end(id(exchange), may_have_run=False)
             exchange.held_seconds += clock.uptime() - began + _POLL_SECONDS
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspect_store.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspect_store.py
@@ -82,14 +82,16 @@
             least = PART_CRASHES_UNTIL_STORED
         stored = digest in self._versions
         if stored or self._history.crash_count(digest) >= least:
-            self._unwritten.add(digest)
-            self._write_requested.set()
+            self._save_later(digest)
 
-    def claim_trial(self, trial: SuspectRecord) -> bool:
+    def claim_trial(
+        self, trial: SuspectRecord, *, while_away: bool = False
+    ) -> bool:
         """Store a trial before it begins; return whether it may.
 
-        It may not if another process has claimed one meanwhile, or if the
-        object service is away.
+        It may not if another process has claimed one meanwhile. While the
+        object service is away it may if ``while_away``: only reports tell
+        other processes of it then.
         """
         suspect = RequestDigest(trial.digest)
         trials = self._history.record(suspect).trials
@@ -103,9 +105,11 @@
                 return True
             # Another process may have added a crash.
             if not self._refresh(suspect):
-                break
-        self._unwritten.add(suspect)
-        self._write_requested.set()
+                if while_away:
+                    self._history.merge(trial, time.time())
+                self._save_later(suspect)
+                return while_away
+        self._save_later(suspect)
         return False
 
     def run(self) -> None:
@@ -121,6 +125,10 @@
                 gevent.sleep(_RETRY_SECONDS)
                 self._write_requested.set()
 
+    def _save_later(self, digest: RequestDigest) -> None:
+        self._unwritten.add(digest)
+        self._write_requested.set()
+
     def _write(self, digest: RequestDigest) -> bool:
         """Write a record; return whether its latest state is stored."""
         record = self._history.record(digest)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/trial_claims.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/trial_claims.py
@@ -47,8 +47,13 @@
         run: Hashable,
         suspects: Sequence[RequestDigest],
         engine: EngineId,
+        *,
+        while_away: bool = False,
     ) -> bool:
-        """Claim the trials that a run is; return whether it may be sent."""
+        """Claim the trials that a run is; return whether it may be sent.
+
+        ``while_away`` is whether it may while the object service is away.
+        """
         if not suspects:
             return True
         began_ms = round(time.time() * _MS_PER_SECOND)
@@ -57,7 +62,8 @@
         for suspect in suspects:
             # A claim without an answer may be stored: it is given back as well.
             claimed.append(suspect)
-            if not self._store.claim_trial(_trial(suspect, began_ms, engine)):
+            trial = _trial(suspect, began_ms, engine)
+            if not self._store.claim_trial(trial, while_away=while_away):
                 return False
             self._log.event('suspect-tried', digest=suspect, engine=engine)
         return True
--- a/tests/test_gateway_part_trials.py
+++ b/tests/test_gateway_part_trials.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 import gevent
+import msgspec
 from bendlead_gateway._jobs.shards import shard_of
 from bendlead_gateway._owner import OwnerNode
 from bendlead_gateway._suspects.crash_history import CrashHistory
@@ -16,11 +17,15 @@
     TRIAL_PAUSES_SECONDS,
     ItemTrials,
 )
+from bendlead_gateway._suspects.suspect_store import SuspectStore
 from bendlead_gateway._suspects.trial_claims import TrialClaims
 from bendlead_gateway.http import HttpConnection
 from bendlead_gateway.types import NodeRole, PromptPart
 from bendlead_platform import PlatformDialect, PlatformStore
+from bendlead_schema.gateway import SuspectRecord
+from bendlead_store import Entry
 from parameterized import parameterized
+from result import Err, Ok
 
 from tests.gateway_standins import (
     CrashingEngine,
@@ -189,7 +194,7 @@
         part = PromptPart('bad')
         history.record_found(name_part(part), time.time() - _MINUTE)
         stored = []
-        store.claim_trial.side_effect = stored.append
+        store.claim_trial.side_effect = lambda trial, **_: stored.append(trial)
         for run in range(len(TRIAL_PAUSES_SECONDS)):
             trials.begin(run, [part])
             self.assertFalse(trials.claim(run, 'item-d', 'i-1'))
@@ -199,6 +204,40 @@
         self.assertLess(trials.remaining_part_pause(part), 1)
 
 
+class ClaimStoreTest(unittest.TestCase):
+    """Who may begin a trial, by what the object service answers."""
+
+    @parameterized.expand(
+        [
+            ('stored', [Ok(2)], None, True, True),
+            ('crash_added', [Err('conflict'), Ok(3)], {}, True, True),
+            (
+                'claimed_by_another',
+                [Err('conflict')],
+                {'5': 'i-2'},
+                True,
+                False,
+            ),
+            ('request_while_away', [Err('away')], None, True, True),
+            ('item_while_away', [Err('away')], None, False, False),
+        ]
+    )
+    def test_claim(self, _name, written, stored_trials, while_away, expected):
+        history = CrashHistory()
+        store = mock.Mock()
+        store.put.side_effect = written
+        store.fetch.return_value = Err('away')
+        if stored_trials is not None:
+            stored = SuspectRecord(digest='part-bad', trials=stored_trials)
+            body = msgspec.json.encode(stored)
+            store.fetch.return_value = Ok(Entry('s/part-bad', 2, body))
+        suspects = SuspectStore(history, store, 's/', mock.Mock())
+        trial = SuspectRecord(digest='part-bad', trials={'7': 'i-1'})
+        claimed = suspects.claim_trial(trial, while_away=while_away)
+        self.assertIs(expected, claimed)
+        self.assertIs(expected, '7' in history.record('part-bad').trials)
+
+
 class OwnersInTurnTest(FoundPartCase):
     """Several owners have items with the same part."""
 
