--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/quarantine.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/quarantine.py
@@ -58,7 +58,7 @@
 
     def part_turn(self, exchange: Exchange) -> PartTurn:
         """Return when a request may be sent with its suspected parts."""
-        return self._suspects.remaining_part_turn(exchange.facts.shared_parts)
+        return self._suspects.part_turn(exchange.facts.shared_parts)
 
     def claim_parts(self, exchange: Exchange, engine: EngineId) -> bool:
         """Claim the trials of a request's parts; return whether it is sent."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/item_trials.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/item_trials.py
@@ -173,10 +173,10 @@
 
 
 def _max_trials(record: SuspectRecord, trials: Sequence[int]) -> int:
-    """Return how many trials a quarantined part has, those before included.
+    """Return how many trials a quarantined part may have in all.
 
-    A part may be tried before it is found, up to twice without harm: soon after
-    its crashes few engines are counted. One trial is left after that.
+    Those before it was found come soon after its first crashes, when the users'
+    bound on sends does not count yet; one of them is not counted here.
     """
     before = any(began < record.found_ms for began in trials)
     return len(TRIAL_PAUSES_SECONDS) + before
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_probation.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_probation.py
@@ -52,7 +52,8 @@
 ) -> PartTurn:
     """Return the turn of a request from the records of its suspected parts.
 
-    ``busy`` is whether this process is sending a trial of one of them.
+    ``busy`` is whether this process is sending a trial of one of them, which
+    the records may not tell yet.
     """
     pauses = [remaining_pause(record, now) for record in records]
     pause = max(pauses, default=0)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -135,7 +135,7 @@
         )
         return max(self.item_trials.remaining_pause(item_of()), *pauses, 0)
 
-    def remaining_part_turn(self, parts: Sequence[PromptPart]) -> PartTurn:
+    def part_turn(self, parts: Sequence[PromptPart]) -> PartTurn:
         """Return when a request with suspected parts may be sent."""
         if not self._history.any_suspects:
             return PartTurn()
