--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_search.py
@@ -115,10 +115,10 @@
 
     def find(self, now_ms: int) -> TestedPart | None:
         """Return the part with the most evidence, if that is enough."""
-        tested = self.test_all(now_ms)
+        tested = self.strongest(now_ms)
         return tested if tested and tested.is_found else None
 
-    def test_all(self, now_ms: int) -> TestedPart | None:
+    def strongest(self, now_ms: int) -> TestedPart | None:
         """Return the part with the most evidence, however much that is.
 
         Among equals it is the one recorded last: it comes later in prompts,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -267,7 +267,7 @@
         self._searching = None
         while True:
             now = time.time()
-            tested = self._search.test_all(round(now * _MS_PER_SECOND))
+            tested = self._search.strongest(round(now * _MS_PER_SECOND))
             if tested is None:
                 return
             self._log.event(
