Test that trials find no sound part among dense crashes of few engines (fails)

Cause: the chance that a trial's engine crashes by itself counts crashes, not how few engines are up.

--- a/tests/test_gateway_part_search.py
+++ b/tests/test_gateway_part_search.py
@@ -151,6 +151,11 @@
             ('many_slots', kills(20, 3, 1), _MANY),
             ('many_slots_often', kills(20, 0.5, 1), _MANY),
             ('many_slots_all', kills(20, 6, 6), _MANY),
+            (
+                'few_engines',
+                kills(30, 0.5, 1),
+                {'engines': 5, 'per_second': 20.0, 'first_parts': 5},
+            ),
         ]
     )
     def test_sound_requests_are_served(self, _name, crashes, fields):
@@ -158,6 +163,19 @@
             self.assertEqual([], outcome.found, outcome)
 
 
+class FewEnginesTest(unittest.TestCase):
+    """Trials of sound parts meet crashes of another cause."""
+
+    def test_no_sound_part_is_found(self):
+        crashes = kills(30, 0.5, 1)
+        for seed in range(_SEEDS, 2 * _SEEDS):
+            load = PartLoad(
+                engines=5, per_second=20, first_parts=5, kills=crashes
+            )
+            outcome = PartReplay(load, seed).play()
+            self.assertEqual([], outcome.found, seed)
+
+
 _ITEMS = {
     'engines': 6,
     'per_second': 20.0,
