Tell how trials end, and what is left of an item's pause

Change, no decision: pause_s is what is left of the pause (inf where nothing ends it); item-paused has its reason, the crashes and the trials held against the item; trial-ended tells each claimed trial's engine, outcome (cleared, not_run, unknown) and duration.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
@@ -198,10 +198,10 @@
     def _postpone(
         self, job: OwnedJob, progress: Progress, seconds: float
     ) -> None:
+        now = clock.uptime()
+        progress.pause_ends = now + seconds
         # A complete answer to another item may end the pause sooner.
-        progress.not_before = clock.uptime() + min(
-            seconds, _PAUSE_RECHECK_SECONDS
-        )
+        progress.not_before = now + min(seconds, _PAUSE_RECHECK_SECONDS)
         progress.reason = self._pause_reason(job, progress, seconds)
         if progress.paused:
             return
@@ -212,7 +212,9 @@
             item=progress.item.item,
             digest=job.digest(progress),
             parts=','.join(self.held_parts(progress)) or '-',
+            reason=progress.reason.value,
             seconds=round(seconds, 1),
+            **self._fleet.suspects.item_trials.summary(job.digest(progress)),
         )
 
     def _pause_reason(
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owed_items.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owed_items.py
@@ -244,7 +244,10 @@
         fields = owed.fields
         progress = owed.progress
         if progress is not None:
-            pause = max(0, progress.not_before - clock.uptime())
+            ends = progress.not_before
+            if owed.state is ItemState.PAUSED and progress.paused:
+                ends = progress.pause_ends
+            pause = max(0, ends - clock.uptime())
             fields['pause_s'] = round(pause, 1)
             fields['events'] = len(progress.texts)
             fields['failures'] = progress.failures
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owned_job.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owned_job.py
@@ -52,6 +52,9 @@
     not_before: float = 0
     #: Whether it pauses because engines crashed, since the last look.
     paused: bool = False
+    #: When that pause ends (uptime, s), though ``not_before`` may be sooner:
+    #: what others learn may end it.
+    pause_ends: float = 0
     #: When a run last failed for any reason (uptime, s).
     failed_at: float = -math.inf
     #: Why it is in its state, set where that is decided.
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/item_trials.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/item_trials.py
@@ -146,6 +146,14 @@
             part in tried for tried in self._running.values() for part in parts
         )
 
+    def summary(self, item: RequestDigest) -> dict[str, int]:
+        """Count what is held against an item, for the log."""
+        record = self._history.record(item)
+        return {
+            'crashes': len(record.ends),
+            'trials': len(_trials(record, 0)),
+        }
+
     def is_trial(self, run: Hashable) -> bool:
         """Return whether a run is a trial that has been claimed."""
         return self._claims.has_claimed(run)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/trial_claims.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/trial_claims.py
@@ -89,13 +89,33 @@
     def end(self, run: Hashable, *, may_have_run: bool) -> None:
         """Record that a run has ended, and whether an engine may have run."""
         began_ms, claimed = self._claimed.pop(run, (0, []))
-        self._began.pop(run, None)
+        began = self._began.pop(run, 0)
+        for suspect in claimed:
+            self._log_end(suspect, began_ms, began, ran=may_have_run)
         if may_have_run:
             return
         for suspect in claimed:
             self._history.merge(_trial(suspect, began_ms, ''), time.time())
             self._store.save(suspect)
 
+    def _log_end(
+        self, suspect: RequestDigest, began_ms: int, began: float, *, ran: bool
+    ) -> None:
+        """Log how a trial ended; a crash may only be noticed later."""
+        record = self._history.record(suspect)
+        outcome = 'unknown' if ran else 'not_run'
+        if record.cleared_ms >= began_ms:
+            outcome = 'cleared'
+        self._log.event(
+            'trial-ended',
+            digest=suspect,
+            engine=record.trials.get(str(began_ms)) or '-',
+            outcome=outcome,
+            seconds=round(clock.uptime() - began, 3),
+            crashes=len(record.ends),
+            trials=len(record.trials),
+        )
+
 
 def _trial(suspect: RequestDigest, began_ms: int, engine: str) -> SuspectRecord:
     """Return the record of a trial; the engine is empty if none ran it."""
--- a/tests/test_gateway_item_states.py
+++ b/tests/test_gateway_item_states.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import math
 import time
 import unittest
 from collections import Counter
@@ -313,6 +314,21 @@
             ),
         )
 
+    @parameterized.expand(
+        [('longer', 3600.0, 3600.0), ('infinite', math.inf, math.inf)]
+    )
+    def test_line_tells_what_is_left_of_a_pause(self, _name, pause, shown):
+        """Guards against a pause shown as the time to the next look."""
+        self.add(1, ItemReason.CRASHES)
+        progress = self.progress['i0']
+        progress.paused = True
+        progress.not_before = self.now + 11.5
+        progress.pause_ends = self.now + 11 + pause
+        self.advance(11)
+        line = self.log.events[0]
+        self.assertEqual('paused', line['state'])
+        self.assertEqual(shown, line['pause_s'])
+
     def test_progress_starts_anew(self):
         self.add(1)
         self.advance(30)
