Trials never run out: one rule for items, parts and requests

What callers saw: accepted items that nothing works on behind crashes that have stopped (LOST), and sound requests refused for an hour after a series in which all engines ended each few seconds.

Cause: whoever had used up a fixed number of trials (four of an item, two of a request or a part) was shut out for an hour, whatever had ended the trials and whatever was learned since. may_have_run counted a trial that ended in silence, a reset or with its owner like one that crashed its engine; trials of requests were counted by crashes noticed later than 5 s, of whatever cause; an item's last trial waited for calm for up to 30 s. Class: a budget that only shrinks.

Ruled out: more trials or a shorter hour alone.

Change: trial_schedule decides for all kinds, from the record. Failed is a trial whose own engine crashed; anything else costs 5 s. A trial that failed alone makes the next one wait 15 s, doubling from the third late one on; one that failed beside other crashes waits for calm, 15 s at most. A suspect that crashed engines and is cleared lets all others be tried at once. Quarantined requests, and requests with a quarantined part, are trials claimed in the object service, as items are; turns of entries decide only while it is away. Trials that none ran push no others out of a record.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/candidates.py
@@ -1,6 +1,5 @@
 """Rank the batch items that are ready to start."""
 
-import math
 import time
 from collections.abc import Callable, Iterator, Sequence
 
@@ -223,8 +222,6 @@
         trials = self._fleet.suspects.item_trials
         if trials.any_running(self.held_parts(progress)):
             return ItemReason.PART_IN_TRIAL
-        if math.isinf(seconds):
-            return ItemReason.PART_TRIED_OUT
         if trials.remaining_pause(job.digest(progress)):
             return ItemReason.CRASHES
         return ItemReason.PART_PAUSED
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_states.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_states.py
@@ -55,8 +55,6 @@
     PART_IN_TRIAL = 'part_in_trial'
     #: One of its parts pauses until the next trial.
     PART_PAUSED = 'part_paused'
-    #: One of its parts has had all its trials.
-    PART_TRIED_OUT = 'part_tried_out'
 
     #: Running: what its run waits for.
     OWNERSHIP = 'ownership'
@@ -83,7 +81,6 @@
         ItemReason.CRASHES,
         ItemReason.PART_IN_TRIAL,
         ItemReason.PART_PAUSED,
-        ItemReason.PART_TRIED_OUT,
     )
 )
 #: What a run waits for before an engine can have got the item.
--- a/packages/bendlead-gateway/src/bendlead_gateway/_node.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_node.py
@@ -107,7 +107,7 @@
         self.fleet.shared_health.configure_peers(
             self.peers.processes.trial_nodes, self.peers.processes.halls
         )
-        self.fleet.suspects.request_trials.configure_peers(
+        self.fleet.suspects.turns.configure_peers(
             partial(self.peers.processes.turn, NodeRole.ENTRY)
         )
         self.fleet.suspects.item_trials.configure_peers(
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/exchange.py
@@ -70,6 +70,8 @@
     quarantined: bool = False
     #: Whether it is quarantined and sent as a trial.
     in_trial: bool = False
+    #: Whether another one was tried meanwhile, or no claim can be stored.
+    claim_refused: bool = False
     #: Time spent waiting while others tried its suspected parts.
     held_seconds: float = 0
     #: The team's use of its share at the latest admission check.
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -171,8 +171,8 @@
     def _claim_and_attempt(
         self, exchange: Exchange, view: EngineView
     ) -> _Outcome:
-        """Send the request, unless another one tries its suspected parts."""
-        if not self._quarantine.claim_parts(exchange, view.name):
+        """Send the request, unless another one tries its suspects."""
+        if not self._quarantine.claim(exchange, view.name):
             # It may also be that claims can't be stored.
             gevent.sleep(_RESUME_POLL_SECONDS)
             return None
@@ -285,7 +285,7 @@
         except BrokenStreamError as broken:
             return self._handle_break(exchange, view.name, broken)
         finally:
-            self._quarantine.end_parts(exchange, may_have_run=took_slot)
+            self._quarantine.end_claims(exchange, may_have_run=took_slot)
             if took_slot:
                 self._admission.record_finished(view.engine.service)
         return 'answered'
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/quarantine.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/quarantine.py
@@ -1,11 +1,14 @@
 """Requests that are kept from engines, and their trials."""
 
+from collections.abc import Sequence
+
 import gevent
 from bendlead_store import clock
 
 from bendlead_gateway._online.exchange import Exchange
 from bendlead_gateway._scheduling.retry import RETRY_AFTER_SECONDS
 from bendlead_gateway._scheduling.view import EngineView
+from bendlead_gateway._suspects.digest import RequestDigest, name_part
 from bendlead_gateway._suspects.part_probation import PartTurn
 from bendlead_gateway._suspects.suspects import Suspects
 from bendlead_gateway.types import EngineId
@@ -40,46 +43,48 @@
             return self._await_part_turn(exchange)
         if exchange.in_trial:
             return seconds_left if exchange.sends else 0
-        pause = self._suspects.trial_pause(
-            exchange.digest, exchange.facts.shared_parts
-        )
-        if not pause and view.free <= 0:
-            return RETRY_AFTER_SECONDS
-        if not pause:
-            exchange.in_trial = True
-            self._suspects.request_trials.begin(exchange.digest)
+        pause = max(self._trial_pause(exchange), self.part_turn(exchange).pause)
+        if exchange.claim_refused or (not pause and view.free <= 0):
+            return max(pause, RETRY_AFTER_SECONDS)
+        exchange.in_trial = not pause
         return pause
 
     def end_trial(self, exchange: Exchange) -> None:
         """End the trials of a request; a claim may have been interrupted."""
-        if exchange.in_trial:
-            self._suspects.request_trials.end(exchange.digest)
-        self.end_parts(exchange, may_have_run=False)
+        self.end_claims(exchange, may_have_run=False)
 
     def part_turn(self, exchange: Exchange) -> PartTurn:
         """Return when a request may be sent with its suspected parts."""
         return self._suspects.part_turn(exchange.facts.shared_parts)
 
-    def claim_parts(self, exchange: Exchange, engine: EngineId) -> bool:
-        """Claim the trials of a request's parts; return whether it is sent."""
+    def claim(self, exchange: Exchange, engine: EngineId) -> bool:
+        """Claim the trials that a request is; return whether it is sent."""
         turn = self.part_turn(exchange)
-        if not turn.suspects:
+        suspects = turn.suspects
+        if exchange.in_trial:
+            suspects = self._tried(exchange)
+        if not suspects:
             return True
         if turn.pause:
             return False
         claims = self._suspects.claims
         began = clock.uptime()
         # Without the object service, requests with sound parts would wait.
+        while_away = not exchange.in_trial or self._suspects.turns.has_turn(
+            exchange.digest
+        )
         claimed = claims.claim(
-            id(exchange), turn.suspects, engine, while_away=True
+            id(exchange), suspects, engine, while_away=while_away
         )
         if not claimed:
             claims.end(id(exchange), may_have_run=False)
+            exchange.claim_refused = exchange.in_trial
+            exchange.in_trial = False
             exchange.held_seconds += clock.uptime() - began + _POLL_SECONDS
         return claimed
 
-    def end_parts(self, exchange: Exchange, *, may_have_run: bool) -> None:
-        """End the trials of a request's parts, if any have not ended."""
+    def end_claims(self, exchange: Exchange, *, may_have_run: bool) -> None:
+        """End the trials that a request is, if any have not ended."""
         self._suspects.claims.end(id(exchange), may_have_run=may_have_run)
 
     def reason(self, exchange: Exchange) -> str:
@@ -89,6 +94,23 @@
             return f'quarantined: engines crashed on part {parts[0]}'
         return 'quarantined: engines crashed while running it'
 
+    def _trial_pause(self, exchange: Exchange) -> float:
+        """Return the seconds until a request may be a trial."""
+        pause = self._suspects.trial_pause(
+            exchange.digest, exchange.facts.shared_parts
+        )
+        if self._suspects.claims.any_claimed(self._tried(exchange)):
+            return max(pause, RETRY_AFTER_SECONDS)
+        return pause
+
+    def _tried(self, exchange: Exchange) -> Sequence[RequestDigest]:
+        """Return the suspects that a request tries if it is sent now."""
+        parts = self._suspects.parts.held(exchange.facts.shared_parts)
+        tried = list(map(name_part, parts))
+        if self._suspects.remaining_quarantine(lambda: exchange.digest):
+            tried.append(exchange.digest)
+        return tried
+
     def _await_part_turn(self, exchange: Exchange) -> float:
         """Wait while a running trial may clear a request's parts.
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
@@ -7,7 +7,7 @@
 Batch items are never quarantined (see ``item_trials``).
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from bendlead_schema.gateway import SuspectRecord
 from msgspec import Struct
@@ -41,6 +41,10 @@
 _MS_PER_SECOND = 1000
 
 
+def ignore_cleared(record: SuspectRecord, cleared_ms: int) -> None:
+    """Ignore a suspect that was cleared."""
+
+
 class _Suspect(Struct, frozen=True):
     """A suspect's record with the revision and time of its last change."""
 
@@ -61,6 +65,9 @@
         self._suspects: dict[RequestDigest, _Suspect] = {}
         self._revision = 0
         self._quarantined: set[RequestDigest] = set()
+        #: Called with the record of a suspect that is cleared, as it was, and
+        #: the time (Unix ms).
+        self.on_cleared: Callable[[SuspectRecord, int], None] = ignore_cleared
 
     @property
     def any_suspects(self) -> bool:
@@ -160,6 +167,8 @@
         if merged == known:
             return False
         self._put(digest, merged, now)
+        if merged.cleared_ms > known.cleared_ms:
+            self.on_cleared(known, merged.cleared_ms)
         return True
 
     def changes_after(
@@ -293,7 +302,11 @@
         for began, engine in (known | received).items()
         if int(began) > cleared
     }
-    return dict(sorted(merged.items(), key=_began)[-_MAX_TRIALS:])
+    ordered = sorted(merged.items(), key=_began)
+    # Trials that none ran may be many, and must not push others out.
+    ran = [trial for trial in ordered if trial[1]][-_MAX_TRIALS:]
+    not_run = [trial for trial in ordered if not trial[1]][-_MAX_TRIALS:]
+    return dict(sorted([*ran, *not_run], key=_began))
 
 
 def _began(trial: tuple[str, str]) -> int:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_table.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_table.py
@@ -45,6 +45,12 @@
         while len(self._crashes) > _MAX_CRASHES:
             self._crashes.pop(min(self._crashes, key=self._time_of))
 
+    def covers(self, since_ms: int) -> bool:
+        """Return whether no crash since a time has been dropped."""
+        if len(self._crashes) < _MAX_CRASHES:
+            return True
+        return min(crash.at_ms for crash in self._crashes.values()) <= since_ms
+
     def count(
         self, since_ms: int, until_ms: int, explained: Container[str]
     ) -> int:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_probation.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_probation.py
@@ -13,6 +13,12 @@
 
 from bendlead_gateway._suspects.crash_table import CrashTable
 from bendlead_gateway._suspects.digest import RequestDigest
+from bendlead_gateway._suspects.trial_schedule import (
+    PART_RULES,
+    failed_trials,
+    pause_after_failed,
+    trial_times,
+)
 
 #: Crashes without an answer in between from which on a part is suspected. They
 #: are not all of one instant, which may have one cause.
@@ -24,10 +30,10 @@
 #: Share of requests above which a part is not suspected: it is at nearly every
 #: crash, and all requests would wait for it.
 _COMMON_SHARE = 0.5
-#: Pause after the first trial, or a crash since; it doubles with each further
-#: one. A crash is known by then, also where the engine has to leave the list.
+#: Pause after a trial, or a crash since; it doubles with each failed one but
+#: the first. A crash is known by then, also where an engine has to leave the
+#: list.
 _TRIAL_PAUSE_SECONDS = 2.0
-_MAX_PAUSE_SECONDS = 60.0
 #: Time in which a trial clears its parts, if they are sound.
 _TRIAL_SECONDS = 1.2
 #: A crash of the engine of a trial is noticed within this time.
@@ -92,11 +98,13 @@
 
     ``now`` is a Unix time in seconds.
     """
-    trials = _trials(record)
+    trials = trial_times(record)
     if not trials:
         return 0
+    failed = list(failed_trials(record))
     pause = min(
-        _TRIAL_PAUSE_SECONDS * 2 ** (len(trials) - 1), _MAX_PAUSE_SECONDS
+        _TRIAL_PAUSE_SECONDS * 2 ** max(0, len(failed) - 1),
+        pause_after_failed(record, failed, PART_RULES),
     )
     crashed_ms = max(record.ends.values(), default=0)
     latest = max(crashed_ms, *trials) / _MS_PER_SECOND
@@ -106,7 +114,7 @@
 
 def remaining_trial(record: SuspectRecord, now: float) -> float:
     """Return the seconds in which a running trial may clear a part."""
-    latest = max(_trials(record), default=0)
+    latest = max(trial_times(record), default=0)
     if any(at_ms > latest for at_ms in record.ends.values()):
         return 0
     elapsed = now - latest / _MS_PER_SECOND
@@ -121,8 +129,3 @@
             is_engine = incarnation.rpartition('@')[0] == engine
             if is_engine and 0 <= elapsed <= _NOTICED_MS:
                 yield incarnation
-
-
-def _trials(record: SuspectRecord) -> list[int]:
-    """Return when the trials began that an engine may have run (Unix ms)."""
-    return [int(began) for began, engine in record.trials.items() if engine]
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -9,6 +9,7 @@
 
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
+from bendlead_gateway._suspects.calm import EngineCalm
 from bendlead_gateway._suspects.crash_detector import (
     BrokenResponse,
     CrashDetector,
@@ -30,9 +31,14 @@
 from bendlead_gateway._suspects.part_probation import PartTurn, find_turn
 from bendlead_gateway._suspects.part_search import PartSearch, TestedPart
 from bendlead_gateway._suspects.part_shares import PartShares
-from bendlead_gateway._suspects.request_trials import RequestTrials
 from bendlead_gateway._suspects.suspect_store import SuspectStore
 from bendlead_gateway._suspects.trial_claims import TrialClaims
+from bendlead_gateway._suspects.trial_schedule import (
+    PART_RULES,
+    REQUEST_RULES,
+    TrialSchedule,
+)
+from bendlead_gateway._suspects.trial_turns import TrialTurns
 from bendlead_gateway.types import (
     Engine,
     EngineId,
@@ -72,7 +78,10 @@
         self._shares = PartShares()
         self._search = PartSearch(self._history, self._crashes, self._shares)
         self._searching: gevent.Greenlet | None = None
-        self.request_trials = RequestTrials(log)
+        self.calm = EngineCalm()
+        self.turns = TrialTurns()
+        self._schedule = TrialSchedule(self._crashes, self.calm)
+        self._history.on_cleared = self._schedule.record_cleared
         self.crash_detector = CrashDetector(
             takes_requests, last_response_at, log, metrics
         )
@@ -81,7 +90,7 @@
         self.parts = HeldParts(self._history, self._crashes)
         self.claims = TrialClaims(self._history, self.store, log)
         self.item_trials = ItemTrials(
-            self._history, self.claims, self.request_trials.remaining_calm
+            self._history, self.claims, self._schedule
         )
 
     def record_sent(self, parts: Sequence[PromptPart]) -> None:
@@ -109,15 +118,20 @@
     def trial_pause(
         self, digest: RequestDigest, parts: Sequence[PromptPart]
     ) -> float:
-        """Return the seconds until a quarantined request may be tried or sent.
+        """Return the seconds until a quarantined request may be tried.
 
-        There are no trials of parts by requests.
+        Also where only its parts are quarantined; 0 if nothing is.
         """
-        quarantine = self.remaining_quarantine(lambda: digest, parts)
-        if self.parts.quarantined(parts):
-            return quarantine
-        record = self._history.record(digest)
-        return min(quarantine, self.request_trials.remaining_pause(record))
+        pauses = [
+            self._schedule.remaining_pause(
+                self._history.record(name_part(part)), PART_RULES
+            )
+            for part in self.parts.quarantined(parts)
+        ]
+        if self.remaining_quarantine(lambda: digest):
+            record = self._history.record(digest)
+            pauses.append(self._schedule.remaining_pause(record, REQUEST_RULES))
+        return max(pauses, default=0)
 
     def remaining_pause(
         self,
@@ -126,8 +140,7 @@
     ) -> float:
         """Return the seconds until a batch item may be sent to an engine.
 
-        Infinite while another item tries one of its parts, and where these
-        have had their trials.
+        Infinite while another item tries one of its parts.
         """
         if not self._history.any_suspects:
             return 0
@@ -258,7 +271,7 @@
         if names_part(suspect):
             self._shares.record_crashes(part_of(suspect), ends)
         else:
-            self.request_trials.record_crashes(ends)
+            self.calm.record_crashes(ends)
             self._crashes.add(suspect, ends)
         self._search_soon()
 
--- a/testing/src/bendlead_testing/trial_replay.py
+++ b/testing/src/bendlead_testing/trial_replay.py
@@ -229,6 +229,7 @@
             digest=digest,
             facts=SimpleNamespace(shared_parts=parts),
             in_trial=False,
+            claim_refused=False,
             sends=0,
             held_seconds=100.0,
         )
@@ -236,12 +237,12 @@
         view = SimpleNamespace(free=1, name=name)
         if self._quarantine.begin_trial(exchange, view):
             return None
-        if not self._quarantine.claim_parts(exchange, name):
+        if not self._quarantine.claim(exchange, name):
             self._quarantine.end_trial(exchange)
             return None
 
         def end() -> None:
-            self._quarantine.end_parts(exchange, may_have_run=True)
+            self._quarantine.end_claims(exchange, may_have_run=True)
             self._quarantine.end_trial(exchange)
 
         return _Run(engine, self._now, digest, end)
--- /dev/null
+++ b/tests/test_gateway_trial_schedule.py
@@ -0,0 +1,222 @@
+"""Pauses between the trials of a suspect, by its record."""
+
+import unittest
+from unittest import mock
+
+from bendlead_gateway._suspects import trial_schedule
+from bendlead_gateway._suspects.calm import EngineCalm
+from bendlead_gateway._suspects.crash_history import CrashHistory
+from bendlead_gateway._suspects.crash_table import CrashTable
+from bendlead_gateway._suspects.digest import RequestDigest
+from bendlead_gateway._suspects.trial_schedule import (
+    ITEM_RULES,
+    PART_RULES,
+    REQUEST_RULES,
+    TrialSchedule,
+)
+from bendlead_gateway._suspects.trial_turns import TrialTurns
+from bendlead_schema.gateway import SuspectRecord
+from parameterized import parameterized
+
+_NOW = 1_000_000.0
+_MS = 1000
+_FAILED = 15
+_CALM = 2
+#: Failed accepted items are owed if they rest for longer.
+_OWED_SECONDS = 20
+
+
+def at_ms(second):
+    return round((_NOW + second) * _MS)
+
+
+def record(crashes, trials=(), digest='item-d', found=None):
+    """Return a record of crashes and trials, at seconds before or after now.
+
+    A trial is a second and an engine, which crashed if it is in ``crashes``.
+    """
+    return SuspectRecord(
+        digest=digest,
+        ends={f'{engine}@0': at_ms(second) for engine, second in crashes},
+        trials={str(at_ms(second)): engine for second, engine in trials},
+        found_ms=at_ms(found) if found is not None else 0,
+    )
+
+
+def crashed(*seconds):
+    """Return crashes of an engine each."""
+    return [(f'i-{second}', second) for second in seconds]
+
+
+class PauseTest(unittest.TestCase):
+    """What ended the latest trial decides on the next one."""
+
+    def setUp(self):
+        self.crashes = CrashTable()
+        self.calm = EngineCalm()
+        self.schedule = TrialSchedule(self.crashes, self.calm)
+
+    def pause(self, suspect, rules=ITEM_RULES, now=0):
+        with mock.patch.object(trial_schedule, 'time') as clock:
+            clock.time.return_value = _NOW + now
+            return self.schedule.remaining_pause(suspect, rules)
+
+    @parameterized.expand(
+        [
+            ('no_trial', (-3, -2, -1), (), 1),
+            ('many_crashes', range(-40, 0), (), 1),
+            ('running', (-9, -8, -7), [(-1, 'i-a')], 4),
+            ('told_nothing', (-9, -8, -7), [(-6, 'i-a')], 0),
+            (
+                'told_nothing_ten_times',
+                (-99, -98, -97),
+                [(-60 + 6 * number, 'i-a') for number in range(10)],
+                0,
+            ),
+            ('failed', (-9, -8, -7, -1), [(-1.5, 'i--1')], _FAILED - 1),
+            ('noticed_late', (-19, -18, -17, -1), [(-8, 'i--1')], _FAILED - 1),
+            (
+                'failed_early_and_told_nothing',
+                (-99, -98, -97, -90),
+                [(-91, 'i--90'), (-6, 'i-a')],
+                0,
+            ),
+            ('not_run', (-9, -8, -7), [(-0.05, '')], 0.05),
+            ('crash_of_another_run', (-9, -8, -7, -1), [(-6, 'i-a')], 1),
+            ('clock_ahead', (60, 61, 62), (), 0),
+        ]
+    )
+    def test_pause_of_an_item(self, _name, crashes, trials, expected):
+        suspect = record(crashed(*crashes), trials)
+        self.assertAlmostEqual(expected, self.pause(suspect), 2)
+
+    @parameterized.expand(
+        [
+            ('first', 0, 15),
+            ('second', 1, 15),
+            ('third', 2, 15),
+            ('fourth', 3, 30),
+            ('fifth', 4, 60),
+            ('fourteenth', 12, 3600),
+        ]
+    )
+    def test_late_trials_that_failed(self, _name, late, expected):
+        """Three a minute are allowed to what crashes engines for ever."""
+        last = -0.5
+        seconds = [last - 40 * number for number in range(late)]
+        suspect = record(
+            crashed(*seconds, -998, -999, -1000, -1000.5),
+            [
+                (-998.4, 'i--998'),
+                *((second - 0.2, f'i-{second}') for second in seconds),
+            ],
+        )
+        since = -last if late else 998
+        pause = self.pause(suspect, now=last if late else -998)
+        self.assertAlmostEqual(expected, pause, 2, since)
+
+    @parameterized.expand(
+        [
+            ('item', ITEM_RULES, None, 1),
+            ('request', REQUEST_RULES, None, 1),
+            ('part', PART_RULES, -1, 1),
+        ]
+    )
+    def test_first_trial(self, _name, rules, found, expected):
+        suspect = record(crashed(-3, -2, -1), found=found)
+        self.assertAlmostEqual(expected, self.pause(suspect, rules), 2)
+
+    @parameterized.expand(
+        [('item', ITEM_RULES, 0), ('request', REQUEST_RULES, _CALM)]
+    )
+    def test_calm_before_the_first_trial(self, _name, rules, expected):
+        self.calm.record_crashes({'x@0': 1})
+        suspect = record(crashed(-5, -4, -3))
+        self.assertAlmostEqual(expected, self.pause(suspect, rules), 1)
+
+    def test_wait_for_calm_is_bounded(self):
+        """Guards against items that wait for as long as engines crash."""
+        suspect = record(crashed(-16, -15.5, -15))
+        self.calm.record_crashes({'x@0': 1})
+        self.assertGreater(self.pause(suspect, REQUEST_RULES), 1)
+        self.calm._series_began_at -= 15
+        self.assertEqual(0, self.pause(suspect, REQUEST_RULES))
+
+    def test_trial_that_failed_beside_other_crashes(self):
+        """Guards against trials spent in a series of crashes."""
+        suspect = record(crashed(-9, -8, -7, -4), [(-5, 'i--4')])
+        self.crashes.add(RequestDigest('other'), {'x@0': at_ms(-4.5)})
+        self.assertEqual(0, self.pause(suspect))
+        self.calm.record_crashes({'x@0': 1})
+        self.assertLess(self.pause(suspect), 5)
+
+    def test_another_suspect_that_recovered(self):
+        """Guards against pauses that outlast the cause for all but one."""
+        suspect = record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')])
+        self.assertGreater(self.pause(suspect), 10)
+        other = record(
+            crashed(-29, -28, -27, -24), [(-24.5, 'i--24')], digest='item-e'
+        )
+        history = CrashHistory()
+        history.on_cleared = self.schedule.record_cleared
+        history.merge(other, _NOW)
+        history.clear(RequestDigest('item-e'), _NOW - 1)
+        self.assertEqual(0, self.pause(suspect))
+
+    def test_sound_suspect_that_is_cleared_tells_nothing_of_others(self):
+        suspect = record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')])
+        other = record(crashed(-29, -28, -27), digest='item-e')
+        self.schedule.record_cleared(other, at_ms(-1))
+        self.assertGreater(self.pause(suspect), 10)
+
+    @parameterized.expand([(kind,) for kind in (ITEM_RULES, REQUEST_RULES)])
+    def test_no_pause_of_the_first_minute_is_longer_than_owed(self, rules):
+        for count in range(3):
+            seconds = [-50 + 16 * number for number in range(count)]
+            suspect = record(
+                crashed(-53, -52, -51, *seconds),
+                [(second - 0.2, f'i-{second}') for second in seconds],
+            )
+            latest = max([-51, *seconds])
+            pause = self.pause(suspect, rules, now=latest)
+            self.assertLess(pause, _OWED_SECONDS)
+
+
+class TrialMemoryTest(unittest.TestCase):
+    """A record keeps so many trials."""
+
+    def test_trials_that_none_ran_push_no_others_out(self):
+        """Guards against failed connects that hide failed trials."""
+        history = CrashHistory()
+        failed = record((), [(-99, 'i-1')])
+        history.merge(failed, _NOW)
+        for number in range(40):
+            history.merge(record((), [(-40 + number, '')]), _NOW)
+        trials = history.record(RequestDigest('item-d')).trials
+        self.assertIn('i-1', trials.values())
+        self.assertLessEqual(len(trials), 32)
+
+
+class TurnTest(unittest.TestCase):
+    """Entries take turns while claims can't be stored."""
+
+    @parameterized.expand([('one', 1), ('five', 5)])
+    def test_one_entry_at_a_time(self, _name, count):
+        began = []
+        for tenth in range(count * 20):
+            for rank in range(count):
+                turns = TrialTurns()
+                turns.configure_peers(lambda _key, at=rank: (at, count))
+                with mock.patch(
+                    'bendlead_gateway._suspects.trial_turns.time'
+                ) as clock:
+                    clock.time.return_value = _NOW + tenth / 10 + 0.01
+                    if turns.has_turn(RequestDigest('d')):
+                        began.append((tenth, rank))
+        times = [tenth for tenth, _rank in began]
+        self.assertEqual(sorted(set(times)), times)
+        self.assertEqual(set(range(count)), {rank for _tenth, rank in began})
+
+
+if __name__ == '__main__':
+    unittest.main()
