Clear an item whose engine crashed between two sparse events

Cause: that its answer had gone on for longer than what crashes engines takes was looked at only as bytes arrived, so not for a crash between two events.

Ruled out: clearing by age alone, without an event: a silent engine says nothing of the item, so silences are left out.

Change: when a run breaks off, and not in silence, its age clears the item and its parts before the crash is counted.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_health/failure_kinds.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_health/failure_kinds.py
@@ -25,11 +25,16 @@
         return None
     if isinstance(error, ConnectionRefusedError):
         return FailureKind.REFUSED
-    if isinstance(error, TimeoutError | ResponseTimeoutError):
+    if is_silence(error):
         return FailureKind.SILENT
     return FailureKind.BROKEN
 
 
+def is_silence(error: OSError) -> bool:
+    """Return whether a connection error is that nothing came in time."""
+    return isinstance(error, TimeoutError | ResponseTimeoutError)
+
+
 def classify_status(status: int) -> FailureKind | None:
     """Return the failure kind of a response status, None if it is no failure.
 
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -131,6 +131,16 @@
         head = self._send(run, connection)
         return self._read_response(run, connection, head)
 
+    def record_progress(self, run: ItemRun) -> None:
+        """Clear the item and its parts if its answer has gone on for long."""
+        if not run.parts_cleared:
+            if outlasts_suspicion(run.response_started_at):
+                run.parts_cleared = True
+                self._fleet.suspects.record_progress(
+                    run.progress.shared_parts or (),
+                    lambda: run.digest,
+                )
+
     def _claim(self, run: ItemRun) -> bool:
         """Claim the trial that a run may be; return whether it may be sent."""
         trials = self._fleet.suspects.item_trials
@@ -250,21 +260,12 @@
             if run.stopped:
                 raise RunFailedError('run was stopped')
             run.last_output_at = clock.uptime()
-            self._check_progress(run)
+            self.record_progress(run)
             for event in splitter.feed(part):
                 _append_event(run.progress, event)
         if not run.progress.texts:
             raise RunFailedError('response has no events')
 
-    def _check_progress(self, run: ItemRun) -> None:
-        if not run.parts_cleared:
-            if outlasts_suspicion(run.response_started_at):
-                run.parts_cleared = True
-                self._fleet.suspects.record_progress(
-                    run.progress.shared_parts or (),
-                    lambda: run.digest,
-                )
-
 
 def _append_event(progress: Progress, event: StreamEvent) -> None:
     previous = progress.last_event
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -14,6 +14,7 @@
 from bendlead_gateway._health.failure_kinds import (
     classify_error,
     classify_status,
+    is_silence,
 )
 from bendlead_gateway._health.observation import FailureKind
 from bendlead_gateway._jobs.backlog_monitor import BacklogMonitor
@@ -335,6 +336,9 @@
         )
         if not run.stopped:
             if isinstance(error, OSError):
+                if run.last_output_at and not is_silence(error):
+                    # The engine was at work until now, between two events.
+                    self._executor.record_progress(run)
                 broken = BrokenResponse(
                     run.digest,
                     run.sent_at,
