Job calls stop using an owner's kept connections once one fell silent

What callers saw: after all connections to an owner fell silent (without a reset, while new ones work), each of up to 16 later job calls at an entry waits 2.5 s, longer than clients allow, and ends in 503 or 504.

Ruled out: keep-alive probes find cut links only, not peers that acknowledge; calls are not sent again, as a POST may have been taken.

Change: a call that fails closes all idle connections to that owner. JobRelay uses IdleConnections.

Before: both rows of SilentConnectionTest fail, three of three calls in a row unanswered. After: one of three; 5 tests of the file and 51 of test_gateway_cut_calls pass.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/relay.py
@@ -9,6 +9,7 @@
 from bendlead_gateway._fleet.claims import Claim
 from bendlead_gateway._fleet.peers import PeerTable
 from bendlead_gateway._http.client import HttpConnection, Response
+from bendlead_gateway._http.idle_connections import IdleConnections
 from bendlead_gateway._http.messages import Certainty, Request, Responder
 from bendlead_gateway._jobs.shards import shard_of
 from bendlead_gateway._jobs.team_header import set_team
@@ -45,7 +46,7 @@
         self._peers = peers
         self._dialect = dialect
         self._log = log
-        self._idle_connections: dict[str, list[HttpConnection]] = {}
+        self._idle_connections: dict[str, IdleConnections] = {}
 
     def answer(
         self, request: Request, responder: Responder, team: Team | None
@@ -148,7 +149,13 @@
         responder.answer(response.head.status, headers, response.body)
 
     def _send(self, claim: Claim, request: Request) -> Response:
-        connection = self._connection(claim.address)
+        idle = self._idle_connections.get(claim.address)
+        if idle is None:
+            idle = IdleConnections(
+                claim.address, _MAX_IDLE_CONNECTIONS, _CONNECT_TIMEOUT_SECONDS
+            )
+            self._idle_connections[claim.address] = idle
+        connection = _connect(idle)
         try:
             return connection.request(
                 request.method,
@@ -157,27 +164,19 @@
                 request.body,
                 _RESPONSE_TIMEOUT_SECONDS,
             )
+        except OSError:
+            # All connections may have fallen silent with this one.
+            idle.close()
+            raise
         finally:
-            self._release(claim.address, connection)
-
-    def _release(self, address: str, connection: HttpConnection) -> None:
-        idle = self._idle_connections.setdefault(address, [])
-        if connection.reusable and len(idle) < _MAX_IDLE_CONNECTIONS:
-            idle.append(connection)
-        else:
-            connection.close()
-
-    def _connection(self, address: str) -> HttpConnection:
-        idle = self._idle_connections.get(address, [])
-        while idle:
-            connection = idle.pop()
-            if connection.is_idle:
-                return connection
-            connection.close()
-        try:
-            return HttpConnection(address, _CONNECT_TIMEOUT_SECONDS)
-        except OSError as error:
-            raise NotDeliveredError(f'cannot connect: {error}') from error
+            idle.release(connection)
+
+
+def _connect(idle: IdleConnections) -> HttpConnection:
+    try:
+        return idle.acquire()
+    except OSError as error:
+        raise NotDeliveredError(f'cannot connect: {error}') from error
 
 
 def _respond_unclear(responder: Responder, request: Request) -> None:
