Requests whose client leaves before a send count for no team's limit

Cause: EntryNode refunded where serve() returned "refused". The greenlet of a client that has left is ended, so serve() does not return. Ruled out: the count of limits itself (LimitTest passes).

Change: OnlinePath refunds as it records the outcome, where that is "refused" or nothing was sent. A handler that fails before the first send is refunded too.

Before: test_disconnected_client_uses_no_limit_of_its_team fails, one request counted for ever.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -13,7 +13,7 @@
 from bendlead_gateway._http.server import HttpServer
 from bendlead_gateway._jobs.relay import JobRelay
 from bendlead_gateway._node import Node
-from bendlead_gateway._online.path import REFUSED, OnlinePath
+from bendlead_gateway._online.path import OnlinePath
 from bendlead_gateway._online.request_queue import RequestQueue
 from bendlead_gateway._scheduling.overload import (
     OverloadDetector,
@@ -72,6 +72,12 @@
             team_named,
             self.metrics,
         )
+        self.limits = TeamLimits(
+            settings.limit_window,
+            self.peers.entry_group,
+            team_named,
+            shares=self.shares,
+        )
         self._online = OnlinePath(
             dialect,
             self.fleet,
@@ -80,14 +86,9 @@
             self.shares,
             self.request_queue,
             self._origins,
+            self.limits.refund,
         )
         self._relay = JobRelay(self.peers, dialect, self.log)
-        self.limits = TeamLimits(
-            settings.limit_window,
-            self.peers.entry_group,
-            team_named,
-            shares=self.shares,
-        )
         self._admission = TeamAdmission(
             dialect,
             self.fleet.configuration,
@@ -309,11 +310,8 @@
         if admitted is None:
             return
         team = admitted.team
-        if not self._admission.check_limit(facts, responder, team):
-            return
-        outcome = self._online.serve(request, responder, facts, route, team)
-        if team and outcome == REFUSED:
-            self.limits.refund(team)
+        if self._admission.check_limit(facts, responder, team):
+            self._online.serve(request, responder, facts, route, team)
 
     def _reject_late(
         self, request: Request, responder: Responder, stop: StopSchedule
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -67,7 +67,7 @@
 )
 
 #: Outcome of a request that no engine has run.
-REFUSED = 'refused'
+_REFUSED = 'refused'
 
 #: Outcome of the request, or ``None`` to try the next engine.
 _Outcome = str | None
@@ -85,8 +85,11 @@
         shares: FairShares,
         queue: RequestQueue,
         origins: StreamOrigins,
+        refund: Callable[[Team], None],
     ) -> None:
+        """Serve requests, and refund a team's requests that did not run."""
         self._fleet = fleet
+        self._refund = refund
         self._attempts = Attempts(dialect, fleet, log, metrics, origins)
         self._quarantine = Quarantine(fleet.suspects)
         self._resume_choice = ResumeChoice(fleet.balancer)
@@ -104,8 +107,8 @@
         facts: RequestFacts,
         route: Route,
         team: Team | None,
-    ) -> str:
-        """Serve one request, log it, and return its outcome."""
+    ) -> None:
+        """Serve one request, and log it."""
         timeout = route.timeout
         if facts.timeout is not None:
             timeout = min(timeout, facts.timeout)
@@ -135,9 +138,9 @@
                 responder.certainty = Certainty.UNKNOWN
             raise
         finally:
+            # Also where the greenlet is ended, as its client has left.
             self._quarantine.end_trial(exchange)
-            self._record_outcome(exchange, outcome)
-        return outcome
+            self._record_outcome(exchange, outcome, team)
 
     def _serve_until_deadline(self, exchange: Exchange) -> str:
         seconds_left = max(exchange.seconds_left, _MIN_TIMER_SECONDS)
@@ -243,7 +246,7 @@
         """Respond that the stream cannot go on; no time to return is given."""
         exchange.failure = reason
         exchange.answer(HTTPStatus.SERVICE_UNAVAILABLE)
-        return REFUSED
+        return _REFUSED
 
     def _refuse_quarantined(
         self, exchange: Exchange, seconds_left: float
@@ -349,7 +352,7 @@
         exchange.failure = reason
         headers = [('Retry-After', f'{retry_after:.3f}')]
         exchange.answer(HTTPStatus.SERVICE_UNAVAILABLE, headers)
-        return REFUSED
+        return _REFUSED
 
     def _abort(self, exchange: Exchange, reason: str) -> str:
         exchange.failure = reason
@@ -370,7 +373,11 @@
         exchange.answer(HTTPStatus.GATEWAY_TIMEOUT)
         return 'timed_out'
 
-    def _record_outcome(self, exchange: Exchange, outcome: str) -> None:
+    def _record_outcome(
+        self, exchange: Exchange, outcome: str, team: Team | None
+    ) -> None:
+        if team and (outcome == _REFUSED or not exchange.sends):
+            self._refund(team)
         first_seconds = 0.0
         if exchange.first_event:
             first_seconds = exchange.first_event - exchange.request.received_at
@@ -421,7 +428,7 @@
         fields['framing'] = exchange.framing.value
     if exchange.queued_seconds:
         fields['held_ms'] = round(exchange.queued_seconds * 1000, 1)
-    if outcome == REFUSED and exchange.share_use.used:
+    if outcome == _REFUSED and exchange.share_use.used:
         # Recent requests of its team, and its share of them.
         fields['had'] = round(exchange.share_use.used, 2)
         fields['share'] = round(exchange.share_use.share, 2)
--- a/tests/test_gateway_waiting_room.py
+++ b/tests/test_gateway_waiting_room.py
@@ -21,12 +21,14 @@
 from parameterized import parameterized
 
 from tests.gateway_cases import EntryCase
-from tests.gateway_standins import eventually, route
+from tests.gateway_standins import configuration, eventually, route
 from tests.raising_step import RaisesOnce, failure_lines
 
 _PLAIN = (
     b'HTTP/1.1 200 OK\r\nX-Response-Seal: s1\r\nContent-Length: 2\r\n\r\nok'
 )
+_KEY = 'k-of-team-t-abcdefghij'
+_TEAM = {'name': 't', 'api_keys': [_KEY], 'per_s': 1000, 'burst': 20}
 _OVER = ShareUse(40, 10)
 _SLIGHTLY_OVER = ShareUse(10.5, 10)
 
@@ -233,6 +235,23 @@
         gevent.sleep(0.1)
         self.assertEqual(0, self.count_engine_requests())
 
+    def test_disconnected_client_uses_no_limit_of_its_team(self):
+        """A team would be refused for requests that no engine has run."""
+        self.begin()
+        made = {**configuration(2, route('safe')), 'tenants': [_TEAM]}
+        self.store.set('config', 'main', made)
+        known = self.entry.fleet.configuration
+        eventually(lambda: known.version == 2)
+        limits = self.entry.limits
+        asking = self.send_request(
+            timeout_ms=1800, extra=[('X-Credential', _KEY)]
+        )
+        eventually(lambda: self.waiting() == 1)
+        self.assertEqual(1, limits.usage()['t']['passed_here'])
+        asking.close()
+        eventually(lambda: self.waiting() == 0)
+        eventually(lambda: limits.usage()['t']['passed_here'] == 0)
+
     def test_refused_once_no_slot_is_expected(self):
         self.begin()
         with gevent.Timeout(1.7):
