Counts of an owner that has ended are not taken from relayed reports

What callers saw: slots that an ended owner's items held look taken again for up to 4 s.

Cause: LoadTable.forget() leaves no trace, so the last report, relayed by a process that has not noticed the end, counts as new. Small fleets are concerned as well: reports that are missing are asked for. Ruled out: the expiry (4 s from the report) works as written.

Change: a relayed report from before the end, or within 0.1 s of it, is ignored. Direct ones always count.

Before: three of five rows of test_ended_peer_is_told_anew fail, 3 items counted. After: 24 tests of loads, 25 of peers and 8 of news pass.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
@@ -1,5 +1,6 @@
 """Counts of the requests on each engine, of this process and its peers."""
 
+import math
 from collections import Counter
 from collections.abc import Iterator, Mapping
 
@@ -27,6 +28,8 @@
 _DELAY_SMOOTHING = 0.01
 #: Intervals are capped to this: longer ones mean that nothing changed.
 _MAX_INTERVAL_SECONDS = 0.1
+#: Time that a relayed report may be on its way, on top of its age.
+_TRANSIT_SECONDS = 0.1
 #: Interval between updates of the list of overdue peers.
 _OVERDUE_CHECK_SECONDS = 0.05
 
@@ -98,6 +101,7 @@
         self._batch = RecentSums(_BATCH_EXPIRY_SECONDS)
         self._overdue: list[PeerLoad] = []
         self._next_check = 0.0
+        self._ended_at: dict[NodeName, float] = {}
 
     def start_online(self, engine: EngineId) -> None:
         """Count a request that starts now in this process."""
@@ -120,8 +124,14 @@
         version: int = 0,
         teams: TeamCounts = _NO_TEAMS,
     ) -> None:
-        """Store a peer's counts, reported ``age`` seconds ago."""
+        """Store a peer's counts, reported ``age`` seconds ago.
+
+        Relayed counts of a process that has ended are ignored.
+        """
         reported_at = clock.uptime() - age
+        ended_at = self._ended_at.get(node, -math.inf)
+        if age and reported_at <= ended_at + _TRANSIT_SECONDS:
+            return
         previous = self.latest(node)
         if previous and (previous.version, previous.reported_at) >= (
             version,
@@ -207,6 +217,7 @@
 
     def forget(self, node: NodeName) -> None:
         """Remove the counts of a peer whose process has ended."""
+        self._ended_at[node] = clock.uptime()
         self._reports.pop(node, None)
         self._online.drop(node)
         self._batch.drop(node)
--- a/tests/test_gateway_loads.py
+++ b/tests/test_gateway_loads.py
@@ -69,6 +69,28 @@
         table.forget('owner-1')
         self.assertEqual((0, 0), (table.online('i-1'), table.batch('i-1')))
 
+    @parameterized.expand(
+        [
+            ('told_anew', 0.5, 0),
+            ('told_anew_later_report', 0.2, 0),
+            ('told_anew_on_its_way', 0.05, 0),
+            ('report_of_its_successor', 0, 3),
+            ('successor_is_relayed', 0.1, 3, 0.5),
+        ]
+    )
+    def test_ended_peer_is_told_anew(self, _name, age, counted, later=0.1):
+        """Others that have not noticed the end relay its last report."""
+        with mock.patch.object(loads.clock, 'uptime') as clock:
+            clock.return_value = 100.0
+            table = loads.LoadTable()
+            table.report('owner-1', {}, {'i-1': 3}, version=7)
+            clock.return_value += 0.3
+            table.forget('owner-1')
+            clock.return_value += later
+            # The last report may not have come here.
+            table.report('owner-1', {}, {'i-1': 3}, age, version=8)
+            self.assertEqual(counted, table.batch('i-1'))
+
 
 class CountedMapping(Mapping):
     """Counts of a peer that record each read."""
