Requests held while the machine was suspended end at their deadline

What callers saw: no final answer at the route's time-out where the machine slept meanwhile: it came later by the time slept. A machine counts as in touch contact_ms after it is back, so of requests with a longer time left, more than half may be unanswered half a second after timeout_ms (CONFIG).

Cause: the timers of a request were set once, and timers of the event loop count CLOCK_MONOTONIC, by reading. Ruled out: deadlines themselves, which are times of CLOCK_BOOTTIME; machines that are frozen, as the monotonic clock goes on there.

Change: DeadlineTimer wakes each second at the latest and compares the clock with the deadline; the timer of the final response does the same.

Before: both rows of RequestTest.test_deadline_passes fail, no answer within 2 s. After: 9 tests of suspension, 15 of final_response, 31 of entry, 19 of unanswered and 23 of cut_engines pass.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/final_response.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/final_response.py
@@ -1,9 +1,9 @@
 """Time of the final response to a request that got none from an engine."""
 
-import gevent
 from bendlead_store import clock
 from greenlet import greenlet
 
+from bendlead_gateway._online.deadline import DeadlineTimer
 from bendlead_gateway._online.exchange import Exchange
 from bendlead_gateway._online.outcomes import DeadlineError
 
@@ -12,7 +12,7 @@
 _MARGIN_SECONDS = 0.05
 #: Upper limit of ``_MARGIN_SECONDS``, as a share of the client's timeout.
 _MAX_MARGIN_SHARE = 0.1
-_MIN_TIMER_SECONDS = 0.001
+_MIN_SECONDS_LEFT = 0.001
 
 
 def final_response_margin(timeout: float) -> float:
@@ -20,7 +20,7 @@
     return min(_MARGIN_SECONDS, timeout * _MAX_MARGIN_SHARE)
 
 
-class FinalResponseTimer(gevent.Timeout):
+class FinalResponseTimer(DeadlineTimer):
     """Raises ``DeadlineError`` shortly before the client stops waiting.
 
     Does nothing once a response arrives from an engine, or if the client
@@ -28,22 +28,20 @@
     """
 
     def __init__(self, exchange: Exchange) -> None:
-        super().__init__(_seconds_until_final(exchange), DeadlineError)
+        super().__init__(_final_at(exchange))
         self._exchange = exchange
 
-    def _on_expiration(
-        self, prev_greenlet: greenlet, ex: type[DeadlineError]
-    ) -> None:
+    def _expire(self, prev_greenlet: greenlet, ex: type[DeadlineError]) -> None:
         if not _response_arrives(self._exchange):
-            super()._on_expiration(prev_greenlet, ex)
+            super()._expire(prev_greenlet, ex)
 
 
 def is_final_due(exchange: Exchange) -> bool:
     """Return whether a response without an engine must be sent now."""
-    seconds = _seconds_until_final(exchange)
-    if seconds is None or exchange.responder.started:
+    final_at = _final_at(exchange)
+    if final_at is None or exchange.responder.started:
         return False
-    return seconds <= _MIN_TIMER_SECONDS
+    return final_at - clock.uptime() <= _MIN_SECONDS_LEFT
 
 
 def _response_arrives(exchange: Exchange) -> bool:
@@ -53,10 +51,9 @@
     return exchange.maybe_delivered and exchange.head_at > 0
 
 
-def _seconds_until_final(exchange: Exchange) -> float | None:
+def _final_at(exchange: Exchange) -> float | None:
     timeout = exchange.facts.timeout
     if timeout is None:
         return None
     until = exchange.request.received_at + timeout
-    seconds = until - final_response_margin(timeout) - clock.uptime()
-    return max(seconds, _MIN_TIMER_SECONDS)
+    return until - final_response_margin(timeout)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -20,6 +20,7 @@
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._online.admission_control import AdmissionControl
 from bendlead_gateway._online.attempt import Attempts
+from bendlead_gateway._online.deadline import DeadlineTimer
 from bendlead_gateway._online.exchange import Exchange
 from bendlead_gateway._online.final_response import (
     FinalResponseTimer,
@@ -54,7 +55,6 @@
 
 #: With less time left, the request is sent to no further engine.
 _MIN_SECONDS_LEFT = 0.03
-_MIN_TIMER_SECONDS = 0.001
 #: Interval of the checks for an engine that can run a request again.
 _RESUME_POLL_SECONDS = 0.02
 #: A request is not sent again to an engine that refused it, or fell silent,
@@ -143,9 +143,8 @@
             self._record_outcome(exchange, outcome, team)
 
     def _serve_until_deadline(self, exchange: Exchange) -> str:
-        seconds_left = max(exchange.seconds_left, _MIN_TIMER_SECONDS)
         try:
-            with gevent.Timeout(seconds_left, DeadlineError):
+            with DeadlineTimer(exchange.deadline):
                 with FinalResponseTimer(exchange):
                     return self._serve(exchange)
         except DeadlineError:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspension.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspension.py
@@ -12,8 +12,8 @@
 class SuspensionDetector:
     """Compares a clock that counts suspended time with one that does not.
 
-    Timers of tasks do not count suspended time either, so deadlines pass late
-    after a suspension.
+    Timers of tasks do not count suspended time either, so timeouts pass late
+    after a suspension; ``DeadlineTimer`` reads the clock for those of requests.
     """
 
     def __init__(self) -> None:
--- a/tests/test_gateway_suspension.py
+++ b/tests/test_gateway_suspension.py
@@ -18,8 +18,8 @@
 from bendlead_store import clock
 from parameterized import parameterized
 
-from tests.gateway_cases import OwnerCase, node_shard
-from tests.gateway_standins import eventually
+from tests.gateway_cases import EntryCase, OwnerCase, node_shard
+from tests.gateway_standins import eventually, route
 
 _ROOT = pathlib.Path(__file__).parents[1]
 _SUSPENDED_SECONDS = 5.0
@@ -92,6 +92,25 @@
         self.assertEqual([_SUSPENSION_MODULE], names)
 
 
+class RequestTest(EntryCase):
+    """A request that runs ends at its deadline, not later by the suspension."""
+
+    @parameterized.expand(
+        [
+            ('of_the_route', 4000, 8000),
+            ('of_the_client', 8000, 4000),
+        ]
+    )
+    def test_deadline_passes(self, _name, timeout_ms, patience_ms):
+        self.start(
+            route('safe', max_attempts=1, timeout_ms=timeout_ms), answers=[None]
+        )
+        asking = self.send_request(timeout_ms=patience_ms)
+        eventually(self.count_engine_requests)
+        with suspended():
+            self.assertEqual(504, asking.read_head(2).status)
+
+
 class OwnerTest(OwnerCase):
     """An owner resumes, and another may own its shards."""
 
