Known red: a client that rests with a full window is reset after 1.2 s

What callers saw: a connection that ends inside a large answer while the client pauses.

Cause: TCP_USER_TIMEOUT of client connections counts a closed window as a peer that does not answer; the write timeout of 5 s never applies. Ruled out: the idle limit (test_idle_timeout_does_not_apply passes).

No mend: a longer timeout finds clients whose link is cut later, and their engines work on meanwhile.

--- a/tests/test_gateway_server.py
+++ b/tests/test_gateway_server.py
@@ -17,6 +17,8 @@
 _LIMITS = ClientLimits()
 _FIRST = b'GET /1 HTTP/1.1\r\nHost: a\r\n\r\n'
 _SHORT_IDLE_SECONDS = 0.2
+#: Less than the server's write timeout.
+_FULL_WINDOW_SECONDS = 2.5
 _REST_BYTES = 1_000_000
 _SECOND = b'GET /2 HTTP/1.1\r\nHost: a\r\n\r\n'
 
@@ -314,6 +316,31 @@
             count += len(part)
         self.assertGreater(count, len(body))
 
+    def test_client_may_rest_within_the_write_timeout(self):
+        """A connection with a full window must not end sooner."""
+        body = b'x' * 16_000_000
+        address = f'127.0.0.1:{free_port()}'
+        server = HttpServer(
+            address,
+            lambda _request, responder: responder.answer(200, (), body),
+            ClientLimits,
+            time.monotonic,
+        )
+        server.start()
+        self.addCleanup(server.stop_accepting)
+        host, port = address.split(':')
+        client = socket.socket()
+        self.addCleanup(client.close)
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        client.connect((host, int(port)))
+        client.settimeout(3)
+        client.sendall(_FIRST)
+        count = len(client.recv(_REST_BYTES))
+        gevent.sleep(_FULL_WINDOW_SECONDS)
+        while count < len(body) and (part := client.recv(1_000_000)):
+            count += len(part)
+        self.assertGreater(count, len(body))
+
 
 if __name__ == '__main__':
     unittest.main()
