Known red: a clock that is ahead clears a suspect for the time it is ahead

What callers saw: a request, or a part of prompts, that crashes engines is not held back. Sends later than contact_ms after the third crash of a request, or the fifth of a part, count in BUDGET at machines in touch, while the process whose clock is ahead need not be in touch.

Cause: a whole answer is recorded with the clock of the process that saw it, and crashes with an earlier time are dropped wherever the records meet. Ruled out: crashes noticed by a clock ahead, which a later answer clears (test_complete_response_clears_crashes_of_a_clock_ahead passes); the test itself, both rows of which pass with clocks that agree (trial).

--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -131,6 +131,24 @@
         self.assertEqual(2, self.history.crash_count('d'))
         self.assertFalse(self.left(3))
 
+    @parameterized.expand([('request', 'd', 3), ('part', 'part-p', 1)])
+    def test_clear_by_a_clock_ahead_keeps_later_crashes(
+        self, _name, suspect, later
+    ):
+        """The crashes of a minute would count against nobody."""
+        ahead = CrashHistory()
+        for history in (self.history, ahead):
+            history.add_crash(suspect, 'i-0@0', _NOW)
+        ahead.clear(suspect, _NOW + 60)
+        self.history.merge(ahead.record(suspect), _NOW)
+        for number in range(1, later + 1):
+            crashed_at = _NOW + number
+            self.history.add_crash(suspect, f'i-{number}@0', crashed_at)
+        if suspect != 'd':
+            self.history.record_found(suspect, _NOW + later)
+        left = self.history.remaining_quarantine(suspect, _NOW + later)
+        self.assertAlmostEqual(3600, left)
+
     def test_nothing_to_clear(self):
         self.assertFalse(self.history.clear('d', _NOW))
         self.assertFalse(self.history.any_suspects)
