Wait until a crash would be known before the next trial

Engines there stand behind links that accept for them, and their crashes were noticed 1.7 to 4.4 s later.

Cause: of trials that told nothing yet the next one came 2 s later on probation, where the pause had doubled with every trial before, and 5 s later for others.

Change: 6 s for all, the time for which broken responses are remembered; on probation 2, 4, 6 s. Also: the ends of processes in LoadTable are forgotten after 30 s.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/loads.py
@@ -30,6 +30,8 @@
 _MAX_INTERVAL_SECONDS = 0.1
 #: Time that a relayed report may be on its way, on top of its age.
 _TRANSIT_SECONDS = 0.1
+#: Time for which others may tell the counts of a process that has ended.
+_ENDED_SECONDS = 30.0
 #: Interval between updates of the list of overdue peers.
 _OVERDUE_CHECK_SECONDS = 0.05
 
@@ -217,7 +219,13 @@
 
     def forget(self, node: NodeName) -> None:
         """Remove the counts of a peer whose process has ended."""
-        self._ended_at[node] = clock.uptime()
+        now = clock.uptime()
+        self._ended_at = {
+            ended: at
+            for ended, at in self._ended_at.items()
+            if now - at < _ENDED_SECONDS
+        }
+        self._ended_at[node] = now
         self._reports.pop(node, None)
         self._online.drop(node)
         self._batch.drop(node)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_probation.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_probation.py
@@ -15,6 +15,7 @@
 from bendlead_gateway._suspects.digest import RequestDigest
 from bendlead_gateway._suspects.trial_schedule import (
     PART_RULES,
+    UNKNOWN_PAUSE_SECONDS,
     failed_trials,
     pause_after_failed,
     trial_times,
@@ -30,9 +31,8 @@
 #: Share of requests above which a part is not suspected: it is at nearly every
 #: crash, and all requests would wait for it.
 _COMMON_SHARE = 0.5
-#: Pause after a trial, or a crash since; it doubles with each failed one but
-#: the first. A crash is known by then, also where an engine has to leave the
-#: list.
+#: Pause after a trial, or a crash since. It doubles with each failed one but
+#: the first, and with others until a crash would be known.
 _TRIAL_PAUSE_SECONDS = 2.0
 #: Time in which a trial clears its parts, if they are sound.
 _TRIAL_SECONDS = 1.2
@@ -102,9 +102,12 @@
     if not trials:
         return 0
     failed = list(failed_trials(record))
-    pause = min(
-        _TRIAL_PAUSE_SECONDS * 2 ** max(0, len(failed) - 1),
-        pause_after_failed(record, failed, PART_RULES),
+    pause = max(
+        min(_doubled(len(trials)), UNKNOWN_PAUSE_SECONDS),
+        min(
+            _doubled(len(failed)),
+            pause_after_failed(record, failed, PART_RULES),
+        ),
     )
     crashed_ms = max(record.ends.values(), default=0)
     latest = max(crashed_ms, *trials) / _MS_PER_SECOND
@@ -121,6 +124,11 @@
     return max(0, min(_TRIAL_SECONDS, _TRIAL_SECONDS - elapsed))
 
 
+def _doubled(trials: int) -> float:
+    """Return a pause that doubles with each trial but the first."""
+    return _TRIAL_PAUSE_SECONDS * 2 ** max(0, trials - 1)
+
+
 def crashes_in_trials(record: SuspectRecord) -> Iterator[str]:
     """Yield the engine incarnations that crashed in a trial of a part."""
     for began, engine in record.trials.items():
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/trial_schedule.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/trial_schedule.py
@@ -23,8 +23,9 @@
 #: Pause after the latest crash before the first trial, or one that may follow
 #: soon.
 _FIRST_PAUSE_SECONDS = 2.0
-#: Pause after a trial of which nothing is known, so that a crash is noticed.
-_UNKNOWN_PAUSE_SECONDS = 5.0
+#: Pause after a trial of which nothing is known, so that a crash is noticed:
+#: broken responses are remembered for so long.
+UNKNOWN_PAUSE_SECONDS = 6.0
 #: Pause after a trial that no engine has run.
 _NOT_RUN_PAUSE_SECONDS = 0.1
 #: Pause after a failed trial. Accepted items that fail no more often than every
@@ -111,7 +112,7 @@
         return max(
             self._remaining_calm(calm, now - latest / _MS_PER_SECOND),
             _remaining(pause + turn, latest, now),
-            _remaining(_UNKNOWN_PAUSE_SECONDS, max(unknown, default=0), now),
+            _remaining(UNKNOWN_PAUSE_SECONDS, max(unknown, default=0), now),
             _remaining(_NOT_RUN_PAUSE_SECONDS, not_run, now),
         )
 
--- a/tests/test_gateway_trial_schedule.py
+++ b/tests/test_gateway_trial_schedule.py
@@ -65,7 +65,7 @@
         [
             ('no_trial', (-3, -2, -1), (), 1),
             ('many_crashes', range(-40, 0), (), 1),
-            ('running', (-9, -8, -7), [(-1, 'i-a')], 4),
+            ('running', (-9, -8, -7), [(-1, 'i-a')], 5),
             ('told_nothing', (-9, -8, -7), [(-6, 'i-a')], 0),
             (
                 'told_nothing_ten_times',
--- a/tests/test_gateway_untelling_trials.py
+++ b/tests/test_gateway_untelling_trials.py
@@ -82,7 +82,7 @@
     def setUp(self):
         super().setUp()
         patched = mock.patch.object(
-            trial_schedule, '_UNKNOWN_PAUSE_SECONDS', _PAUSE_SECONDS
+            trial_schedule, 'UNKNOWN_PAUSE_SECONDS', _PAUSE_SECONDS
         )
         patched.start()
         self.addCleanup(patched.stop)
