Soak: engines crash for a time, and what crashed them is owed then

What callers saw: accepted items, and sound requests, that waited for an hour behind crashes that had stopped. The soak broke no promise there.

Cause of that gap: its engines crashed under a deadly part for ever, and `JobSeen.missing` and `owed` left items with the mark out for ever. No promise asked for anything once the cause was gone.

Ruled out: that the calm was too short to see it. It was 8 s, but neither items nor requests with a mark were judged in it at all.

Change: `--deadly-seconds S`. Engines learn the time by the machine's clock when they are started, so that restarted ones know it too. Callers go on asking. Items with the mark are owed like all others (`jobs`, `owed`); requests with the mark and deadly requests that are sent 10 s later are served (`released`); the calm at the end is 14 s, with items 18 s. `crashed` and `crashed by part` count sends up to that time. Clients read jobs of which only such items are open again in the end. Without the option all stays as it is.

Tests: 17 rows of tests/test_soak_promises.py and tests/test_soak_deadly_ends.py.

--- a/testing/src/bendlead_testing/gateway_soak/__main__.py
+++ b/testing/src/bendlead_testing/gateway_soak/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import json
+import math
 import signal
 import sys
 from dataclasses import replace
@@ -36,6 +37,13 @@
     parser.add_argument('--slots', type=int, default=4)
     parser.add_argument('--stream-attempts', type=int, default=0)
     parser.add_argument('--deadly-items', type=float)
+    parser.add_argument(
+        '--deadly-seconds',
+        type=_deadly_seconds,
+        default=math.inf,
+        help='from the start on, deadly requests and parts end engines for so '
+        'long, and are owed then (default: they always do)',
+    )
     parser.add_argument('--retries', type=int, default=0)
     parser.add_argument('--lanes', type=int, default=1)
     plans = parser.add_mutually_exclusive_group()
@@ -58,6 +66,9 @@
     asked = parser.parse_args()
     if asked.releases and asked.versions == 1:
         parser.error('--releases needs several --versions')
+    deadly = asked.deadly or asked.deadly_part or asked.deadly_items
+    if math.isfinite(asked.deadly_seconds) and not deadly:
+        parser.error('--deadly-seconds needs deadly requests, parts or items')
     size = Size(
         asked.entries,
         asked.owners,
@@ -77,6 +88,7 @@
         retries=asked.retries,
         lanes=asked.lanes,
         releases=asked.releases,
+        deadly_seconds=asked.deadly_seconds,
     )
     # Told to stop, the soak still ends every process that it started.
     gevent.signal_handler(signal.SIGTERM, sys.exit, 1)
@@ -102,6 +114,13 @@
     sys.exit(1 if broken else 0)
 
 
+def _deadly_seconds(text: str) -> float:
+    seconds = float(text)
+    if not seconds > 0:
+        raise argparse.ArgumentTypeError(f'more than 0 s, not {text}')
+    return seconds
+
+
 def _steps(text: str) -> list[Step]:
     try:
         return read_steps(json.loads(text))
--- a/testing/src/bendlead_testing/gateway_soak/clients.py
+++ b/testing/src/bendlead_testing/gateway_soak/clients.py
@@ -83,7 +83,7 @@
         online: int,
         batch: int,
         deadly_items: float | None = None,
-        deadly_seconds: float = 0,
+        asked_seconds: float = 0,
     ) -> None:
         """Start clients of requests and of batch jobs."""
         self._callers.balancer.run()
@@ -94,7 +94,7 @@
                 self._seen,
                 self._chance,
                 deadly_items,
-                deadly_seconds,
+                asked_seconds,
             )
             self._jobs.append(gevent.spawn(jobs.run))
         self._tasks.append(gevent.spawn(self._probe))
@@ -141,8 +141,8 @@
             gevent.sleep(self._chance.uniform(*_DEADLY_PAUSE))
             name = self._callers.name('x') + DEADLY
             entry = self._callers.entry()
-            self._note_unjudged(name, entry, path)
-            self._post(entry, path, name)
+            one = self._note_unjudged(name, entry, path)
+            one.status = self._post(entry, path, name)
 
     def _send_deadly_part(self, until: float, retries: int) -> None:
         """Send requests that share a part, each of its own.
@@ -164,8 +164,8 @@
         self, name: str, path: str, prompt: tuple[str, str]
     ) -> None:
         entry = self._callers.entry()
-        self._note_unjudged(name, entry, path)
-        self._post(entry, path, name, [prompt])
+        one = self._note_unjudged(name, entry, path)
+        one.status = self._post(entry, path, name, [prompt])
 
     def _send_alike(self) -> None:
         """Send the same request as others, each time with a new id."""
@@ -369,7 +369,7 @@
         self._note_unjudged(name, entry, path)
         return self._post(entry, path, name)
 
-    def _note_unjudged(self, name: str, entry: NodeSpot, path: str) -> None:
+    def _note_unjudged(self, name: str, entry: NodeSpot, path: str) -> Attempt:
         """Let engines get a request whose answer is judged elsewhere."""
         now = time.monotonic()
         body = hashlib.sha256(b'').hexdigest()
@@ -385,6 +385,7 @@
             patience=_PROBE_SECONDS,
         )
         self._seen.attempts.append(one)
+        return one
 
     def _post(
         self,
--- a/testing/src/bendlead_testing/gateway_soak/deployment.py
+++ b/testing/src/bendlead_testing/gateway_soak/deployment.py
@@ -1,12 +1,14 @@
 """Start and stop the processes of a fleet, each reached through links."""
 
 import json
+import math
 import os
 import pathlib
 import signal
 import subprocess
 import sys
 import tempfile
+import time
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
@@ -163,6 +165,7 @@
         ends: bool = False,
         parts: bool = False,
         slots: int = 4,
+        deadly_seconds: float = math.inf,
     ) -> None:
         """Lay it out; where load is hard, engines differ and teams compete."""
         self.hard = hard
@@ -174,6 +177,9 @@
         self.parts = parts
         #: Requests that an engine runs at once.
         self.slots = slots
+        #: Until when deadly requests and parts end engines, once started.
+        self.deadly_until = math.inf
+        self._deadly_seconds = deadly_seconds
         #: Whether a team sends many times its usual now.
         self.hot = False
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='gateway-soak-'))
@@ -236,7 +242,12 @@
             )
         assert self._carrier.stdout is not None
         self._carrier.stdout.readline()
+        self.deadly_until = time.monotonic() + self._deadly_seconds
         for engine in self.engines:
+            # The last one is the version, which releases change.
+            engine.process.command.insert(
+                -1, f'--deadly-until={self.deadly_until}'
+            )
             engine.process.start()
         for node in self.nodes.values():
             node.start()
--- a/testing/src/bendlead_testing/gateway_soak/engine_process.py
+++ b/testing/src/bendlead_testing/gateway_soak/engine_process.py
@@ -6,6 +6,7 @@
 import enum
 import hashlib
 import json
+import math
 import os
 import random
 import signal
@@ -303,13 +304,15 @@
             )
             responder.abort()
             return 'reset'
-        if name.endswith(DEADLY):
+        if name.endswith(DEADLY) and self._crashes:
             gevent.sleep(_FIRST_SECONDS)
             self._journal.note('crash', request=name)
             os._exit(_CRASHED)
         total = int(headers.get('x-token-usage', '0,5').split(',')[1])
         gevent.sleep(_FIRST_SECONDS)
-        deadly = DEADLY_PART in headers.get('x-prompt-prefix', '')
+        deadly = self._crashes and (
+            DEADLY_PART in headers.get('x-prompt-prefix', '')
+        )
         if not (plain or deadly) and self._ends(EngineTrouble.UNFRAMED):
             return self._run_unframed(name, after, total, responder)
         responder.start(200, 'OK', self._marks(name), None)
@@ -372,6 +375,11 @@
     def _marks(self, name: str) -> list[tuple[str, str]]:
         return [('X-Attempt-Id', name), ('X-Response-Seal', seal_of(name))]
 
+    @property
+    def _crashes(self) -> bool:
+        """Tell whether deadly requests and parts end engines now."""
+        return time.monotonic() < self._asked.deadly_until
+
     def _ends(self, trouble: EngineTrouble) -> bool:
         """Draw whether an answer ends that way, at times without a trouble."""
         odd = self._asked.ends and random.random() < _ODD_END_SHARE
@@ -397,6 +405,7 @@
     parser.add_argument('--version', default='v1')
     parser.add_argument('--spot', default='')
     parser.add_argument('--ends', action='store_true')
+    parser.add_argument('--deadly-until', type=float, default=math.inf)
     EngineStandIn(parser.parse_args()).run()
 
 
--- a/testing/src/bendlead_testing/gateway_soak/job_clients.py
+++ b/testing/src/bendlead_testing/gateway_soak/job_clients.py
@@ -22,6 +22,8 @@
 _POISON_SHARE = 0.06
 _ENDED_SHARE = 0.15
 _READ_PAUSE = 0.4
+#: How long jobs are read at least once clients hand no more in (s).
+_LAST_READS_SECONDS = 2.0
 _SETTLED = 2.0
 
 
@@ -34,24 +36,27 @@
         seen: Sightings,
         chance: random.Random,
         deadly_items: float | None = None,
-        deadly_seconds: float = 0,
+        asked_seconds: float = 0,
     ) -> None:
         """Take the share of items with a part on which engines end.
 
         With ``None`` no item tells its parts. There are such items for a time
-        only: the calm at the end is without them.
+        only: the calm at the end is without them where engines end for ever.
         """
         self._callers = callers
         self._seen = seen
         self._chance = chance
         self._deadly_items = deadly_items
-        self._deadly_until = time.monotonic() + deadly_seconds
+        self._asked_until = time.monotonic() + asked_seconds
+        #: Jobs of which only items with that part are not listed.
+        self._open: list[JobSeen] = []
 
     def run(self) -> None:
         """Hand jobs in until told to stop."""
         while self._callers.going:
             gevent.sleep(self._chance.uniform(*_JOB_PAUSE))
             self._job()
+        self._read_open()
 
     def _job(self) -> None:
         job = self._callers.name('j')
@@ -68,18 +73,37 @@
         bodies = {
             item: hashlib.sha256(item.encode()).hexdigest() for item in items
         }
-        seen = JobSeen(job, items, bodies)
+        seen = JobSeen(
+            job, items, bodies, marked_owed=self._seen.deadly_for_a_time
+        )
         self._seen.jobs[job] = seen
         if not self._submit(seen):
             return
         ends = self._chance.random() < _ENDED_SHARE
         due = time.monotonic() + _JOB_DUE
-        while time.monotonic() < due and seen.missing:
+        while time.monotonic() < due and seen.sound_missing:
             gevent.sleep(_READ_PAUSE)
             if ends and self._end(seen):
                 break
             self._read_results(seen)
         self._read_results(seen, at=0)
+        if seen.missing and not seen.sound_missing and not seen.end_answered:
+            self._open.append(seen)
+
+    def _read_open(self) -> None:
+        """Read what became of items that crashed engines for a time."""
+        last_reads = time.monotonic() + _LAST_READS_SECONDS
+        while self._open:
+            for seen in self._open:
+                self._read_results(seen, at=0)
+            now = time.monotonic()
+            self._open = [
+                one
+                for one in self._open
+                if one.missing
+                and now < max(last_reads, one.accepted + _JOB_DUE)
+            ]
+            gevent.sleep(_READ_PAUSE if self._open else 0)
 
     def _submit(self, seen: JobSeen) -> bool:
         body = json.dumps(
@@ -114,7 +138,7 @@
 
     def _draws_deadly_part(self) -> bool:
         # Runs without parts keep the draws of their seeds.
-        if not self._deadly_items or time.monotonic() > self._deadly_until:
+        if not self._deadly_items or time.monotonic() > self._asked_until:
             return False
         return self._chance.random() < self._deadly_items
 
--- a/testing/src/bendlead_testing/gateway_soak/owed_promises.py
+++ b/testing/src/bendlead_testing/gateway_soak/owed_promises.py
@@ -20,12 +20,15 @@
     for owner, one in seen.owed.items():
         if not one.answered:
             yield f'{owner} did not show its state'
-        # Requests with a part on which engines end may wait.
+        # Those with a part on which engines end for ever may wait.
         overdue = [
             item
             for item in one.overdue
             if item['reason'] not in _QUEUED
-            and not str(item['item']).endswith(DEADLY_PART_MARK)
+            and (
+                seen.deadly_for_a_time
+                or not str(item['item']).endswith(DEADLY_PART_MARK)
+            )
         ]
         for item in overdue[:_MOST_NAMED]:
             yield f'{owner}: {item["item"]} of {item["job"]} {_state(item)}'
--- a/testing/src/bendlead_testing/gateway_soak/promises.py
+++ b/testing/src/bendlead_testing/gateway_soak/promises.py
@@ -23,6 +23,7 @@
     held_once,
     owed,
 )
+from bendlead_testing.gateway_soak.released_promises import released
 from bendlead_testing.gateway_soak.sightings import (
     CONTACT_SECONDS,
     ENGINE_ENDED,
@@ -392,7 +393,7 @@
     late = 0
     for line in journal.arrivals:
         at = line['at']
-        if line['request'].endswith(mark) and at > known:
+        if line['request'].endswith(mark) and known < at < seen.deadly_until:
             late += calm(others, at - CONTACT_SECONDS, at)
     if late > _LATE_RETRIES:
         yield f'sent {late} times more, {len(ended)} engines ended in all'
@@ -401,12 +402,11 @@
 def _recovered(seen: Sightings, _journal: EngineJournal) -> Iterator[str]:
     """After all is healed requests are served again."""
     # The end of a disruption holds the time it excuses already.
-    healed = max((one.ended for one in seen.troubles), default=0)
     # Those that are sent alike have a promise of their own.
     after = [
         one
         for one in seen.attempts
-        if one.sent > healed and not one.left and not one.alike
+        if one.sent > seen.healed and not one.left and not one.alike
     ]
     served = sum(one.whole and one.status == 200 for one in after)
     if len(after) < _LEAST_AFTER or served < len(after) * _RECOVERED_SHARE:
@@ -415,13 +415,12 @@
 
 def _sound_refused(seen: Sightings, _journal: EngineJournal) -> Iterator[str]:
     """In the calm nobody is refused for crashes of engines before it."""
-    healed = max((one.ended for one in seen.troubles), default=0)
     # The end of a disruption holds the time that it excuses already.
-    released = healed - CONTACT_SECONDS + RELEASED_SECONDS
+    since = seen.healed - CONTACT_SECONDS + RELEASED_SECONDS
     refused = [
         one
         for one in seen.attempts
-        if one.alike and one.sent > released and one.status == 503
+        if one.alike and one.sent > since and one.status == 503
     ]
     if refused:
         yield f'{len(refused)} requests that many callers send alike'
@@ -503,6 +502,7 @@
     'crashed': _crashed,
     'crashed by part': _crashed_by_part,
     'sound refused': _sound_refused,
+    'released': released,
     'recovered': _recovered,
     'failing engines': _failing_engines,
     'fair': _fair,
--- a/testing/src/bendlead_testing/gateway_soak/run.py
+++ b/testing/src/bendlead_testing/gateway_soak/run.py
@@ -1,5 +1,6 @@
 """Run one seed: a fleet, its clients, its disruptions, and the checks."""
 
+import math
 import random
 import sys
 import time
@@ -37,10 +38,12 @@
     draw_stops,
 )
 from bendlead_testing.gateway_soak.promises import Breach, check
+from bendlead_testing.gateway_soak.released_promises import find_released
 from bendlead_testing.gateway_soak.releases import draw_releases
 from bendlead_testing.gateway_soak.sightings import (
     CONTACT_SECONDS,
     ENGINE_ENDED,
+    FINISH_SECONDS,
     RELEASED_SECONDS,
     ROUTE_SECONDS,
     Kind,
@@ -54,16 +57,16 @@
 
 #: Calm at the end, in which everything must be served again (s).
 _CALM_SECONDS = CONTACT_SECONDS + 4.0
-#: The same where engines crash in a series: sound requests are released.
+#: The same where engines crash in a series or for a time: requests are served
+#: again.
 _SERIES_CALM_SECONDS = RELEASED_SECONDS + 4.0
 #: Clients of a hot team for each other one.
 _HOT_TIMES = 4
 #: Most requests a second of a hot team, in every other configuration.
 _HOT_RATE = 30
-#: Clients of jobs read this long (s) after traffic has ended.
+#: Clients of jobs read this long (s) after traffic has ended; it is the time in
+#: which jobs finish where engines crash in a series.
 _DRAIN_SECONDS = 32.0
-#: The same where engines crash in a series (finish_s of the users' sheets).
-_SERIES_DRAIN_SECONDS = 18.0
 _ITEM_ATTEMPTS = 3
 
 
@@ -105,6 +108,27 @@
     lanes: int = 1
     #: Whether engines are released while an entry is out of step.
     releases: bool = False
+    #: For how long engines end under deadly requests and parts.
+    deadly_seconds: float = math.inf
+
+    @property
+    def deadly_for_a_time(self) -> bool:
+        """Tell whether deadly requests and parts are sound in the end."""
+        return math.isfinite(self.deadly_seconds)
+
+    @property
+    def calm_seconds(self) -> float:
+        """Give how long the calm at the end is."""
+        if self.deadly_for_a_time and self.deadly_items is not None:
+            return max(FINISH_SECONDS, _SERIES_CALM_SECONDS)
+        if self.deadly_for_a_time or self.series:
+            return _SERIES_CALM_SECONDS
+        return _CALM_SECONDS
+
+    def busy_seconds(self, seconds: float) -> float:
+        """Give how long disruptions and deadly requests go on."""
+        deadly = self.deadly_seconds if self.deadly_for_a_time else 0
+        return max(WARM_SECONDS + seconds, deadly)
 
 
 @dataclass(frozen=True)
@@ -136,6 +160,7 @@
         or size.series is not None
         or size.deadly_items is not None,
         slots=size.slots,
+        deadly_seconds=size.deadly_seconds,
     )
     silences: Sequence[Silence] = ()
     if size.series is None:
@@ -143,7 +168,7 @@
             seed,
             size.engines,
             WARM_SECONDS,
-            WARM_SECONDS + seconds + _CALM_SECONDS,
+            size.busy_seconds(seconds) + size.calm_seconds,
         )
     standing = Group()
     deaths = TaskDeaths()
@@ -160,28 +185,24 @@
         watch.enter_context(deaths.watched())
         operator.change()
         fleet.start()
-        clients.start(
-            size.online,
-            size.batch,
-            size.deadly_items,
-            WARM_SECONDS + seconds,
-        )
+        seen.deadly_until = fleet.deadly_until
+        # What is sound in the end is asked for until the end.
+        asked = math.inf if size.deadly_for_a_time else WARM_SECONDS + seconds
+        clients.start(size.online, size.batch, size.deadly_items, asked)
         if size.hard:
             clients.start_hot(size.online * _HOT_TIMES)
-        clients.start_deadly(size.deadly, WARM_SECONDS + seconds)
+        clients.start_deadly(size.deadly, asked)
         if size.series:
             clients.start_series(size.series)
-        clients.start_deadly_part(
-            size.deadly_part, WARM_SECONDS + seconds, size.retries
-        )
+        clients.start_deadly_part(size.deadly_part, asked, size.retries)
         standing.spawn(_play_silences, fleet, silences, standing)
-        until = time.monotonic() + WARM_SECONDS + seconds
+        until = time.monotonic() + size.busy_seconds(seconds)
         _play(fleet, seen, operator, planned, chance)
         # Clients of bad requests end here also where few steps are given.
         gevent.sleep(max(0, until - time.monotonic()))
-        gevent.sleep(_SERIES_CALM_SECONDS if size.series else _CALM_SECONDS)
+        gevent.sleep(size.calm_seconds)
         seen.owed = ask_owed(fleet)
-        clients.stop(_SERIES_DRAIN_SECONDS if size.series else _DRAIN_SECONDS)
+        clients.stop(FINISH_SECONDS if size.series else _DRAIN_SECONDS)
         seen.owed_at_end = ask_owed(fleet)
         seen.holders = find_holders(fleet, list(seen.jobs.values()))
         _note_ends(fleet, seen)
@@ -412,4 +433,9 @@
         'items': sum(len(one.results) for one in seen.jobs.values()),
         'versions': len(seen.versions),
         'alike': sum(one.alike for one in seen.attempts),
+        'released': sum(
+            one.status == 200
+            for sent in find_released(seen).values()
+            for one in sent
+        ),
     }
--- a/testing/src/bendlead_testing/gateway_soak/sightings.py
+++ b/testing/src/bendlead_testing/gateway_soak/sightings.py
@@ -1,6 +1,7 @@
 """What clients and the operator saw, as the checks need it."""
 
 import enum
+import math
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -23,6 +24,10 @@
 #: served (s). Source: twice contact_ms of the sheets, and an answer of 2 s.
 RELEASED_SECONDS = 10.0
 
+#: Time by which what is owed is done once nothing is wrong any more (s).
+#: Source: finish_s of the users' sheets.
+FINISH_SECONDS = 18.0
+
 #: The name of the trouble that an engine's own end is.
 ENGINE_ENDED = 'engine ended'
 
@@ -98,19 +103,25 @@
     results: dict[int, tuple[str, str, str]] = field(default_factory=dict)
     end_answered: float = 0
     wrongs: list[str] = field(default_factory=list)
+    #: Whether items with a part on which engines end for a time are owed too.
+    marked_owed: bool = False
 
     @property
     def missing(self) -> set[str]:
         """Give the items that are owed and not listed.
 
         By the users' pages requests with a part on which engines end aren't
-        missed: each run would end another engine.
+        missed for as long as each run would end another engine.
         """
-        listed = {name for name, _state, _text in self.results.values()}
+        return self._unlisted if self.marked_owed else self.sound_missing
+
+    @property
+    def sound_missing(self) -> set[str]:
+        """Give the items without such a part that are not listed."""
         return {
             item
-            for item in self.items
-            if item not in listed and not item.endswith(DEADLY_PART_MARK)
+            for item in self._unlisted
+            if not item.endswith(DEADLY_PART_MARK)
         }
 
     @property
@@ -118,6 +129,11 @@
         """Tell whether every try was answered with a promise."""
         return bool(self.statuses) and set(self.statuses) <= {429, 503}
 
+    @property
+    def _unlisted(self) -> set[str]:
+        listed = {name for name, _state, _text in self.results.values()}
+        return set(self.items) - listed
+
 
 @dataclass
 class Probe:
@@ -185,6 +201,18 @@
     tracebacks: dict[str, list[str]] = field(default_factory=dict)
     #: Most memory that each process of ours held at a time (MB).
     peaks: dict[str, float] = field(default_factory=dict)
+    #: Until when engines end under deadly requests and parts.
+    deadly_until: float = math.inf
+
+    @property
+    def deadly_for_a_time(self) -> bool:
+        """Tell whether deadly requests and parts are sound in the end."""
+        return math.isfinite(self.deadly_until)
+
+    @property
+    def healed(self) -> float:
+        """Give the time up to which disruptions excuse anything."""
+        return max((one.ended for one in self.troubles), default=0)
 
     def may_run(self, one: Attempt) -> int:
         """Give the number of engines at which a request may run."""
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -1,6 +1,7 @@
 """Each check of the soak finds what it is there to find."""
 
 import hashlib
+import math
 import unittest
 
 from bendlead_testing.gateway_soak.answers import seal_of, text_of
@@ -67,6 +68,44 @@
     return {'attempts': [refused], 'troubles': [_BROKEN]}
 
 
+def _come_again(later, statuses, mark='-deadly', path='/safe/deadly'):
+    """Send what crashed engines until the start again, later than owed."""
+    sent = _START + RELEASED_SECONDS + later
+    return [
+        _attempt(
+            f'z{at}{mark}',
+            Kind.SAFE,
+            path=path,
+            sent=sent,
+            left=sent,
+            status=status,
+            whole=False,
+            text='',
+        )
+        for at, status in enumerate(statuses)
+    ]
+
+
+def _released(*attempts, until=_START, troubles=()):
+    """Let deadly requests and parts crash engines until some time."""
+    return {
+        'attempts': [one for several in attempts for one in several],
+        'deadly_until': until,
+        'troubles': list(troubles),
+    }
+
+
+def _late_after_the_end(ends, late, until, mark='-deadly'):
+    """Let engines get a deadly request for some time, served afterwards."""
+    world = _repeated(ends, late, mark)
+    path = '/safe/deadly'
+    for one in world['attempts']:
+        one.path = path
+    world['lines'] = [{**one, 'path': path} for one in world['lines']]
+    world['attempts'].extend(_come_again(99, [200], mark))
+    return {**world, 'deadly_until': until}
+
+
 def _ran_at(requests, engines, *troubles):
     """Let requests run at so many engines, one after the other."""
     names = [f'm{at}' for at in range(requests)]
@@ -159,6 +198,7 @@
     holders=(),
     deaths=(),
     tracebacks=(),
+    deadly_until=math.inf,
 ):
     """Make what was seen, with calm service at its end."""
     seen = Sightings()
@@ -174,6 +214,7 @@
     seen.holders = dict(holders)
     seen.deaths = list(deaths)
     seen.tracebacks = dict(tracebacks)
+    seen.deadly_until = deadly_until
     seen.versions = {1: 0.0, 2: 100.0, 3: 200.0}
     journal = EngineJournal()
     for line in lines:
@@ -518,6 +559,95 @@
             ),
             ('alike_refused_in_the_calm', _refused_alike(1), 'sound refused'),
             ('alike_refused_until_its_trial', _refused_alike(-1), ''),
+            (
+                'sent_on_before_the_cause_ended',
+                _late_after_the_end(ends=3, late=4, until=_START + 30),
+                'crashed',
+            ),
+            (
+                'sent_on_once_the_cause_had_ended',
+                _late_after_the_end(ends=3, late=4, until=_START + 15),
+                '',
+            ),
+            (
+                'part_sent_on_before_the_cause_ended',
+                _late_after_the_end(5, 4, _START + 30, mark='-part'),
+                'crashed by part',
+            ),
+            (
+                'part_sent_on_once_the_cause_had_ended',
+                _late_after_the_end(5, 4, _START + 15, mark='-part'),
+                '',
+            ),
+            (
+                'refused_once_the_cause_had_ended',
+                _released(_come_again(1, [*[200] * 9, 503])),
+                'released',
+            ),
+            (
+                'part_refused_once_the_cause_had_ended',
+                _released(_come_again(1, [503], mark='-part')),
+                'released',
+            ),
+            (
+                'no_answer_once_the_cause_had_ended',
+                _released(_come_again(1, [200, 200, 200, 0])),
+                'released',
+            ),
+            (
+                'one_of_five_without_an_answer_once_the_cause_had_ended',
+                _released(_come_again(1, [200, 200, 200, 200, 0])),
+                '',
+            ),
+            (
+                'one_request_refused_and_others_served',
+                _released(
+                    _come_again(1, [503]),
+                    _come_again(1, [200] * 9, path='/safe/other'),
+                ),
+                'released',
+            ),
+            (
+                'requests_served_and_their_part_refused',
+                _released(
+                    _come_again(1, [503], mark='-part'),
+                    _come_again(1, [200] * 9),
+                ),
+                'released',
+            ),
+            (
+                'refused_until_it_is_owed',
+                _released(_come_again(-1, [503]), _come_again(1, [200])),
+                '',
+            ),
+            (
+                'refused_while_it_crashes_engines',
+                _released(
+                    _come_again(1, [503]),
+                    _come_again(99, [200]),
+                    until=_START + 50,
+                ),
+                '',
+            ),
+            (
+                'refused_soon_after_another_disruption',
+                _released(
+                    _come_again(1, [503]),
+                    _come_again(99, [200]),
+                    troubles=[_BROKEN],
+                ),
+                '',
+            ),
+            (
+                'never_sent_once_the_cause_had_ended',
+                _released(_come_again(-1, [200])),
+                'released',
+            ),
+            (
+                'refused_while_it_crashes_engines_for_ever',
+                {'attempts': _come_again(1, [503])},
+                '',
+            ),
             ('lost_to_one_engine', _lost(11), 'failing engines'),
             ('lost_a_few_to_one_engine', _lost(10), ''),
             (
@@ -553,6 +683,14 @@
                 {'jobs': [_job('i1-part', results={})]},
                 '',
             ),
+            (
+                'item_whose_part_crashed_engines_for_a_time',
+                {
+                    'jobs': [_job('i1-part', results={}, marked_owed=True)],
+                    'deadly_until': _START,
+                },
+                'jobs',
+            ),
             (
                 'item_whose_part_crashes_engines_given_up',
                 {
@@ -623,6 +761,16 @@
                 {'owed': {'owner-0': _owed('i1-part', reason='crashes')}},
                 '',
             ),
+            (
+                'item_whose_part_crashed_engines_for_a_time_overdue',
+                {
+                    'owed': {
+                        'owner-0': _owed('i1-part', reason='part_tried_out')
+                    },
+                    'deadly_until': _START,
+                },
+                'owed',
+            ),
             (
                 'owner_that_shows_nothing',
                 {'owed': {'owner-0': OwedSeen(answered=False)}},
@@ -703,6 +851,7 @@
             'crashed',
             'crashed by part',
             'sound refused',
+            'released',
             'recovered',
             'failing engines',
             'fair',
