Soak: known red, a part that crashed engines for 10 s is refused later

What callers saw: requests with a part under which engines no longer end are refused as quarantined, 503, for an hour.

Cause: requests get no trial of a found part, so nothing can end its quarantine while no item holds it.

--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -175,6 +175,23 @@
         self.assertGreater(outcome['crashes'], 3)
         self.assertGreater(outcome['items'], 20)
 
+    def test_part_that_ends_engines_for_a_time(self):
+        """Sound requests with it were refused for an hour."""
+        outcome, told = self.play(
+            80031,
+            [],
+            '--seconds=7',
+            '--attempts=2',
+            '--retries=1',
+            '--deadly-part=2',
+            '--deadly-seconds=10',
+            '--engines=9',
+            '--slots=8',
+        )
+        self.assertEqual([], outcome.get('breaches'), told)
+        self.assertGreater(outcome['crashes'], 3)
+        self.assertGreater(outcome['released'], 10)
+
     def play(self, seed, steps, *options):
         """Run a seed; give its outcome and the end of what it told."""
         ended = subprocess.run(
