Soak: callers of one sound request beside steps given by hand

What callers saw: sound requests that many send alike were refused for an hour after crashes of all engines.

Cause of that gap: the soak had such callers beside the rows of `--series` alone, whose series last 12 s; longer ones can be given as `--steps` only.

Change: `--alike N`, with the calm that `sound refused` asks for. Series have their three callers as before. The row `alike` of tests/test_soak_deadly_ends.py asks for that calm; it did not run without the option.

--- a/testing/src/bendlead_testing/gateway_soak/__main__.py
+++ b/testing/src/bendlead_testing/gateway_soak/__main__.py
@@ -44,6 +44,12 @@
         help='from the start on, deadly requests and parts end engines for so '
         'long, and are owed then (default: they always do)',
     )
+    parser.add_argument(
+        '--alike',
+        type=int,
+        default=0,
+        help='clients of one sound request that all send alike',
+    )
     parser.add_argument('--retries', type=int, default=0)
     parser.add_argument('--lanes', type=int, default=1)
     plans = parser.add_mutually_exclusive_group()
@@ -89,6 +95,7 @@
         lanes=asked.lanes,
         releases=asked.releases,
         deadly_seconds=asked.deadly_seconds,
+        alike=asked.alike,
     )
     # Told to stop, the soak still ends every process that it started.
     gevent.signal_handler(signal.SIGTERM, sys.exit, 1)
--- a/testing/src/bendlead_testing/gateway_soak/clients.py
+++ b/testing/src/bendlead_testing/gateway_soak/clients.py
@@ -53,9 +53,9 @@
 RESUMES_IN_RELEASES = 8
 _RESUME_PAUSE = (0.0, 0.3)
 _DEADLY_PAUSE = (0.2, 0.8)
-#: Callers of one request that all send alike, its events (2 s), and the pause
-#: before each.
-_ALIKE_CALLERS = 3
+#: Callers of one request that all send alike beside a series of crashes, its
+#: events (2 s), and the pause before each.
+ALIKE_CALLERS = 3
 _ALIKE_EVENTS = 100
 _ALIKE_PAUSE = (0.1, 0.5)
 
@@ -120,10 +120,13 @@
             self._tasks.append(task)
 
     def start_series(self, series: CrashSeries) -> None:
-        """Start clients of long jobs, and of requests that are all alike."""
+        """Start clients of long jobs."""
         jobs = SeriesJobs(self._callers, self._seen, series)
         self._jobs.extend(jobs.start())
-        for _caller in range(_ALIKE_CALLERS):
+
+    def start_alike(self, count: int) -> None:
+        """Start clients of requests that are all alike."""
+        for _caller in range(count):
             self._tasks.append(gevent.spawn(self._send_alike))
 
     def _start_online(self, count: int, team: SoakTeam) -> None:
--- a/testing/src/bendlead_testing/gateway_soak/run.py
+++ b/testing/src/bendlead_testing/gateway_soak/run.py
@@ -15,6 +15,7 @@
 
 from bendlead_testing.gateway_soak.callers import HOST
 from bendlead_testing.gateway_soak.clients import (
+    ALIKE_CALLERS,
     RESUMES,
     RESUMES_IN_RELEASES,
     Clients,
@@ -110,6 +111,8 @@
     releases: bool = False
     #: For how long engines end under deadly requests and parts.
     deadly_seconds: float = math.inf
+    #: Clients of one sound request that all send alike.
+    alike: int = 0
 
     @property
     def deadly_for_a_time(self) -> bool:
@@ -121,7 +124,7 @@
         """Give how long the calm at the end is."""
         if self.deadly_for_a_time and self.deadly_items is not None:
             return max(FINISH_SECONDS, _SERIES_CALM_SECONDS)
-        if self.deadly_for_a_time or self.series:
+        if self.deadly_for_a_time or self.series or self.alike:
             return _SERIES_CALM_SECONDS
         return _CALM_SECONDS
 
@@ -194,6 +197,8 @@
         clients.start_deadly(size.deadly, asked)
         if size.series:
             clients.start_series(size.series)
+        beside_series = ALIKE_CALLERS if size.series else 0
+        clients.start_alike(size.alike or beside_series)
         clients.start_deadly_part(size.deadly_part, asked, size.retries)
         standing.spawn(_play_silences, fleet, silences, standing)
         until = time.monotonic() + size.busy_seconds(seconds)
--- a/tests/test_soak_deadly_ends.py
+++ b/tests/test_soak_deadly_ends.py
@@ -76,6 +76,7 @@
                 Size(deadly=1, deadly_seconds=9),
                 RELEASED_SECONDS + 1,
             ),
+            ('alike', Size(alike=3), RELEASED_SECONDS + 1),
         ]
     )
     def test_calm_is_long_enough(self, _name, size, least):
