Soak: judge the calm before a late trial that ended an engine too

What callers saw: nothing; the soak told `recovered`, 0 of 0 served.

Cause: what crashes engines for ever is tried again for as long as it is owed, 15 s and more apart. `recovered` counts requests sent 4 s behind the last end of an engine alone, and a trial may end one shortly before clients stop.

Change: where fewer than ten requests follow the last end of an engine, those of the calm before it are judged with them. One end alone is passed over, and no other disruption. Ten or more behind the last end are judged alone, as before; where nothing is served before or after it, the promise breaks as before.

Tests: of five rows of tests/test_soak_promises.py `trial_that_ended_an_engine` failed on the code before; the four others hold what must go on breaking.

--- a/testing/src/bendlead_testing/gateway_soak/promises.py
+++ b/testing/src/bendlead_testing/gateway_soak/promises.py
@@ -401,16 +401,40 @@
 
 def _recovered(seen: Sightings, _journal: EngineJournal) -> Iterator[str]:
     """After all is healed requests are served again."""
+    after = _asked_in_calm(seen)
+    served = sum(one.whole and one.status == 200 for one in after)
+    if len(after) < _LEAST_AFTER or served < len(after) * _RECOVERED_SHARE:
+        yield f'{served} of {len(after)} served after all was healed'
+
+
+def _asked_in_calm(seen: Sightings) -> Sequence[Attempt]:
+    """Give the requests after the last disruption, enough of them if possible.
+
+    What crashes engines for ever is tried again at any time: where one ends
+    shortly before the end, the calm before that is judged too.
+    """
     # The end of a disruption holds the time it excuses already.
+    ends = [one for one in seen.troubles if one.name == ENGINE_ENDED]
+    latest = max(ends, key=lambda one: one.began, default=None)
+    found = _asked(seen, seen.healed, math.inf)
+    if latest is None or len(found) >= _LEAST_AFTER:
+        return found
+    others = [one.ended for one in seen.troubles if one is not latest]
+    before = _asked(seen, max(others, default=0), latest.began)
+    return [*before, *found]
+
+
+def _asked(seen: Sightings, since: float, until: float) -> Sequence[Attempt]:
+    """Give the requests sent and ended in a span of time."""
     # Those that are sent alike have a promise of their own.
-    after = [
+    return [
         one
         for one in seen.attempts
-        if one.sent > seen.healed and not one.left and not one.alike
+        if since < one.sent < until
+        and one.ended < until
+        and not one.left
+        and not one.alike
     ]
-    served = sum(one.whole and one.status == 200 for one in after)
-    if len(after) < _LEAST_AFTER or served < len(after) * _RECOVERED_SHARE:
-        yield f'{served} of {len(after)} served after all was healed'
 
 
 def _sound_refused(seen: Sightings, _journal: EngineJournal) -> Iterator[str]:
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -9,6 +9,7 @@
 from bendlead_testing.gateway_soak.promises import RULE_NAMES, check
 from bendlead_testing.gateway_soak.sightings import (
     CONTACT_SECONDS,
+    ENGINE_ENDED,
     RELEASED_SECONDS,
     Attempt,
     Call,
@@ -106,6 +107,21 @@
     return {**world, 'deadly_until': until}
 
 
+def _ended_engines(ends, refused_at=0.0, served=0):
+    """Let trials end engines in the calm; refuse requests at some time."""
+    refused = [
+        _attempt(f'n{at}', Kind.SAFE, status=503, sent=refused_at, text='')
+        for at in range(12 if refused_at else 0)
+    ]
+    served = [_attempt(f's{at}', Kind.SAFE, sent=499.0) for at in range(served)]
+    for one in (*refused, *served):
+        one.ended = one.sent + 0.1
+    troubles = [
+        Trouble(ENGINE_ENDED, 'i-1', at, at + CONTACT_SECONDS) for at in ends
+    ]
+    return {'attempts': [*refused, *served], 'troubles': troubles}
+
+
 def _ran_at(requests, engines, *troubles):
     """Let requests run at so many engines, one after the other."""
     names = [f'm{at}' for at in range(requests)]
@@ -802,6 +818,32 @@
                 {'troubles': [Trouble('kill', 'x', 1.0, 600.0)]},
                 'recovered',
             ),
+            ('trial_that_ended_an_engine', _ended_engines([510]), ''),
+            (
+                'refused_until_a_trial_ended_an_engine',
+                _ended_engines([510], refused_at=499),
+                'recovered',
+            ),
+            (
+                'refused_once_a_trial_had_ended_an_engine',
+                _ended_engines([510], refused_at=520, served=90),
+                'recovered',
+            ),
+            (
+                'trials_that_ended_two_engines',
+                _ended_engines([510, 515]),
+                'recovered',
+            ),
+            (
+                'trial_that_ended_an_engine_in_trouble',
+                {
+                    'troubles': [
+                        *_ended_engines([510])['troubles'],
+                        Trouble('kill', 'x', 1.0, 505.0),
+                    ]
+                },
+                'recovered',
+            ),
         ]
     )
     def test_world(self, _name, world, broken):
