--- a/testing/src/bendlead_testing/gateway_soak/clients.py
+++ b/testing/src/bendlead_testing/gateway_soak/clients.py
@@ -53,9 +53,9 @@
 RESUMES_IN_RELEASES = 8
 _RESUME_PAUSE = (0.0, 0.3)
 _DEADLY_PAUSE = (0.2, 0.8)
-#: Callers of one request that all send alike, its events (2 s), and the pause
-#: before each.
-_ALIKE_CALLERS = 3
+#: Callers of one request that all send alike beside a series of crashes, its
+#: events (2 s), and the pause before each.
+ALIKE_CALLERS = 3
 _ALIKE_EVENTS = 100
 _ALIKE_PAUSE = (0.1, 0.5)
 
@@ -83,7 +83,7 @@
         online: int,
         batch: int,
         deadly_items: float | None = None,
-        deadly_seconds: float = 0,
+        asked_seconds: float = 0,
     ) -> None:
         """Start clients of requests and of batch jobs."""
         self._callers.balancer.run()
@@ -94,7 +94,7 @@
                 self._seen,
                 self._chance,
                 deadly_items,
-                deadly_seconds,
+                asked_seconds,
             )
             self._jobs.append(gevent.spawn(jobs.run))
         self._tasks.append(gevent.spawn(self._probe))
@@ -120,10 +120,13 @@
             self._tasks.append(task)
 
     def start_series(self, series: CrashSeries) -> None:
-        """Start clients of long jobs, and of requests that are all alike."""
+        """Start clients of long jobs."""
         jobs = SeriesJobs(self._callers, self._seen, series)
         self._jobs.extend(jobs.start())
-        for _caller in range(_ALIKE_CALLERS):
+
+    def start_alike(self, count: int) -> None:
+        """Start clients of requests that are all alike."""
+        for _caller in range(count):
             self._tasks.append(gevent.spawn(self._send_alike))
 
     def _start_online(self, count: int, team: SoakTeam) -> None:
@@ -141,8 +144,8 @@
             gevent.sleep(self._chance.uniform(*_DEADLY_PAUSE))
             name = self._callers.name('x') + DEADLY
             entry = self._callers.entry()
-            self._note_unjudged(name, entry, path)
-            self._post(entry, path, name)
+            one = self._note_unjudged(name, entry, path)
+            one.status = self._post(entry, path, name)
 
     def _send_deadly_part(self, until: float, retries: int) -> None:
         """Send requests that share a part, each of its own.
@@ -164,8 +167,8 @@
         self, name: str, path: str, prompt: tuple[str, str]
     ) -> None:
         entry = self._callers.entry()
-        self._note_unjudged(name, entry, path)
-        self._post(entry, path, name, [prompt])
+        one = self._note_unjudged(name, entry, path)
+        one.status = self._post(entry, path, name, [prompt])
 
     def _send_alike(self) -> None:
         """Send the same request as others, each time with a new id."""
@@ -369,7 +372,7 @@
         self._note_unjudged(name, entry, path)
         return self._post(entry, path, name)
 
-    def _note_unjudged(self, name: str, entry: NodeSpot, path: str) -> None:
+    def _note_unjudged(self, name: str, entry: NodeSpot, path: str) -> Attempt:
         """Let engines get a request whose answer is judged elsewhere."""
         now = time.monotonic()
         body = hashlib.sha256(b'').hexdigest()
@@ -385,6 +388,7 @@
             patience=_PROBE_SECONDS,
         )
         self._seen.attempts.append(one)
+        return one
 
     def _post(
         self,
