Item events: the first one has number 0 or 1

What callers saw: an accepted item that never ends (LOST), by reading and in a test: an engine whose first event has the number 2 or 10^14 and that breaks off leaves progress that is asked for with that number from then on, which no engine has. Where the engine sends all of it, the text lacks the events before (ORDER).

Cause: the first event of an item was taken with any number of up to 15 digits; only later ones were compared with the one before.

Ruled out: the parser (numbers that are no digits or too long are none); resumed runs, whose first event has to follow the saved one.

Change: the first event of an item is refused unless its number is 0 or 1, as a gap is, so the item runs from its start.

Before: both rows of ItemTest.test_first_number fail (no result within 3 s). After: 29 of 29 of test_gateway_odd_events, and test_gateway_jobs, _progress, _item_preemption and _still_engine_items pass.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -32,6 +32,8 @@
 _REFUSED_PAUSE_SECONDS = 0.1
 #: Greatest age of the last proof of shard ownership when an item starts.
 _OWNERSHIP_MAX_AGE_SECONDS = 1.5
+#: Numbers of a first event; no engine goes on behind a number that is too high.
+_FIRST_EVENTS = (0, 1)
 
 
 class RunFailedError(Exception):
@@ -270,7 +272,8 @@
     previous = progress.last_event
     if event.number is None:
         raise RunFailedError('event without an event number')
-    if previous is not None and event.number != previous + 1:
+    expected = _FIRST_EVENTS if previous is None else (previous + 1,)
+    if event.number not in expected:
         raise RunFailedError(
             f'event {event.number} received after event {previous}'
         )
--- a/tests/test_gateway_odd_events.py
+++ b/tests/test_gateway_odd_events.py
@@ -73,3 +73,14 @@
         results = eventually(lambda: self.results(owner))
         self.assertEqual('t1\nt2\nt3\nt4', results[0]['text'])
         self.assertEqual(1, owner.metrics.items['failed'])
+
+    @parameterized.expand([('second', 2), ('beyond_all', 10**14)])
+    def test_first_number(self, _name, number):
+        """Guards against progress that no engine goes on with."""
+        broken = chunked(event(number, 'x'), last=False)
+        self.configure([broken, chunked(*_EVENTS)])
+        owner = self.start_sole_owner()
+        self.submit(owner)
+        results = eventually(lambda: self.results(owner))
+        self.assertEqual('t1\nt2\nt3\nt4', results[0]['text'])
+        self.assertNotIn(b'Last-Event-Id', self.engine.requests[-1])
