Requests to engines: no line of a head has a line end

What callers saw: an engine runs a request that no client sent (UNASKED): an item in the log, accepted by a version before, whose path or header has a line end is sent as two requests or with one header more. New jobs with such items get 400.

Cause: HttpConnection.send joins what it is given, and items of the log are not checked again.

Ruled out: requests of callers (the parser refuses bare line ends and folded headers, tried with CR, LF, CRLF and a tab). Items whose path or headers are no Latin-1 are not sent either; MIXED allows them no result before retention_s, at which they are given up: no rule, and now a test.

Change: send raises ValueError; the item waits, with its line, until its retention ends, and others go on.

Before: 2 of 4 rows of StoredItemTest fail (completed, where nothing may be sent). After: 12 of 12 of test_gateway_odd_jobs; test_gateway_client, _routing and _fuzz pass.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
@@ -252,6 +252,9 @@
         lines.extend(f'{name}: {text}' for name, text in headers)
         if body or method not in {'GET', 'DELETE'}:
             lines.append(f'Content-Length: {len(body)}')
+        if any('\r' in line or '\n' in line for line in lines):
+            # The rest of the line would be read as another request.
+            raise ValueError('line end inside a line of the head')
         head = '\r\n'.join([*lines, '', '']).encode('latin-1')
         self._sock.settimeout(timeout)
         self._sock.sendall(head + body)
--- a/tests/test_gateway_odd_jobs.py
+++ b/tests/test_gateway_odd_jobs.py
@@ -1,10 +1,13 @@
 """Odd jobs of callers, and odd answers of engines to items."""
 
 import json
+from unittest import mock
 
+from bendlead_gateway._jobs import candidates
+from bendlead_gateway.types import ItemId, JobId, JobItem, Submission
 from parameterized import parameterized
 
-from tests.gateway_cases import OwnerCase, job
+from tests.gateway_cases import OwnerCase, job, node_shard
 from tests.gateway_standins import chunked, event, eventually
 
 _DEEP = '[' * 3000 + ']' * 3000
@@ -50,6 +53,46 @@
         self.assertNotIn(b'transfer-encoding', head)
 
 
+class StoredItemTest(OwnerCase):
+    """An accepted item of an earlier version that no request can hold."""
+
+    @parameterized.expand(
+        [
+            ('header_not_in_heads', '/x/1', {'X-Model': '→'}),
+            ('path_not_in_heads', '/x/→', {}),
+            ('header_with_line_end', '/x/1', {'X-Model': 'a\r\nX-Y: 1'}),
+            (
+                'path_with_line_end',
+                '/x/1 HTTP/1.1\r\n\r\nPOST /x/2',
+                {},
+            ),
+        ]
+    )
+    def test_is_not_sent_and_ends_with_its_retention(
+        self, _name, path, headers
+    ):
+        """Guards against an item without an end, and smuggled requests."""
+        self.configure([_ANSWER] * 9, retention_s=1)
+        node = self.start_sole_owner()
+        items = [
+            JobItem(ItemId('odd'), path, headers, b'p', 1),
+            JobItem(ItemId('sound'), '/x/3', {}, b'p', 1),
+        ]
+        shard = node._shard_manager.owned[node_shard()]
+        with mock.patch.object(candidates, '_RETENTION_SLACK_SECONDS', 0.5):
+            shard.accept(Submission(JobId('j1'), 'a.example', '/x/', items))
+            results = eventually(
+                lambda: (
+                    found if len(found := self.results(node)) == 2 else None
+                ),
+                6,
+            )
+        states = {one['id']: one['state'] for one in results}
+        self.assertEqual({'odd': 'dead_lettered', 'sound': 'completed'}, states)
+        (request,) = self.engine.requests
+        self.assertIn(b'POST /x/3 ', request)
+
+
 def _job_with(changed):
     sent = json.loads(job())
     sent['items'][0].update(changed)
