Claims: an owner that can't write is replaced where only an entry hears it

What callers saw: by reading, 503 for each call of a shard's jobs and items without results (LOST once they are due) for as long as its owner can't write and the other owners hear it through entries alone.

Cause: relayed claims have a shard and an epoch. They count as those of a live owner, but whether it can write was read in its own reports only.

Ruled out: leaving such claims out of what is relayed: the others would take the shard over at once, also in an outage that concerns all, without the grace period.

Change: a relayed claim tells that its holder said it can't write (HeldShard.stuck, sent only then; earlier versions pass over it). It counts where there is no direct report of the owner at that epoch. The replacement waits for the grace period as before.

Before: 1 of 4 new rows of test_gateway_peers fails (stuck). After: 29 of 29; test_gateway_changes_told, _odd_messages, _takeover and _paused_owners pass. Not played with a cut between halls.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/claims.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/claims.py
@@ -4,6 +4,7 @@
 
 from bendlead_schema.gateway import HeldShard, NodeReport
 from msgspec import Struct
+from msgspec.structs import replace
 
 from bendlead_gateway._fleet.peer import Peer
 from bendlead_gateway.types import NodeName, NodeRole
@@ -57,18 +58,25 @@
         )
 
     def owner_cannot_write(self, shard: int, epoch: int) -> bool:
-        """Return whether the owner at an epoch reports that it cannot write."""
+        """Return whether the owner at an epoch reports that it cannot write.
+
+        Relayed claims count where this node has no report of the owner.
+        """
+        reports = [peer.report for peer in self._live() if peer.report]
+        for report in reports:
+            if _epoch_among(report.shards, shard) == epoch:
+                return not report.sound
         return any(
-            peer.report is not None
-            and not peer.report.sound
-            and _owned_epoch(peer, shard) == epoch
-            for peer in self._live()
+            claim.stuck is True
+            for report in reports
+            for claim in report.heard
+            if claim.shard == shard and claim.epoch == epoch
         )
 
     def direct_claims(self) -> list[HeldShard]:
         """List the claims in reports received from peers directly."""
         return [
-            claim
+            claim if peer.report.sound else replace(claim, stuck=True)
             for peer in self._live()
             if peer.report
             for claim in peer.report.shards
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import Annotated, Any, TypeAlias
 
-from msgspec import Meta, Struct, UnsetType, field
+from msgspec import UNSET, Meta, Struct, UnsetType, field
 
 Model: TypeAlias = Any
 
@@ -18,6 +18,15 @@
 
     shard: Annotated[int, Meta(ge=0, le=9007199254740991)]
     epoch: Annotated[int, Meta(ge=0, le=9007199254740991)]
+    stuck: (
+        Annotated[
+            bool,
+            Meta(
+                description="Whether the holder told that it can't write; for claims of others alone."
+            ),
+        ]
+        | UnsetType
+    ) = UNSET
 
 
 OnlineAdditionalProperty: TypeAlias = Annotated[
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -109,6 +109,41 @@
             expected, self.peers.claims.owner_cannot_write(1, epoch)
         )
 
+    @parameterized.expand(
+        [
+            ('sound', True, 3, False),
+            ('stuck', False, 3, True),
+            ('stuck_at_an_earlier_epoch', False, 4, False),
+        ],
+    )
+    def test_stuck_owner_that_only_an_entry_hears(
+        self, _name, sound, epoch, expected
+    ):
+        """Guards against an owner that can't write and is not replaced."""
+        own = NodeReport(
+            node='a', sound=sound, leaving=False, shards=shards((1, 3))
+        )
+        self.peers.exchange(msgspec.json.encode(own))
+        heard = self.peers.claims.direct_claims()
+        self.peers.peer('a').last_report_at = 0
+        relayed = NodeReport(node='e', sound=True, leaving=False, heard=heard)
+        self.peers.exchange(msgspec.json.encode(relayed))
+        self.assertEqual(3, self.peers.claims.highest_epoch(1))
+        self.assertEqual(
+            expected, self.peers.claims.owner_cannot_write(1, epoch)
+        )
+
+    def test_own_report_of_an_owner_is_newer_than_a_relayed_one(self):
+        stuck = NodeReport(
+            node='a', sound=False, leaving=False, shards=shards((1, 3))
+        )
+        self.peers.exchange(msgspec.json.encode(stuck))
+        heard = self.peers.claims.direct_claims()
+        relayed = NodeReport(node='e', sound=True, leaving=False, heard=heard)
+        self.peers.exchange(msgspec.json.encode(relayed))
+        self.receive('a', [(1, 3)])
+        self.assertFalse(self.peers.claims.owner_cannot_write(1, 3))
+
     @parameterized.expand([('stays', False, 'e'), ('leaves', True, None)])
     def test_route_by_an_entry(self, _name, leaving, route):
         """An entry that is leaving may stop before it has responded."""
