Scheduling rounds: an error of the precedence holds up no start

What callers saw: by reading and in a test, no item starts at an owner whose count of the other owners' items raises each time: accepted items without results (LOST).

Cause: that step came before those that run whatever another one raises.

Ruled out: the other steps, each of which had a test or has one now (stopping, backlog).

Change: it is the first of these steps.

Before: 1 of the 3 rows of test_step_that_always_raises_keeps_no_item_waiting fails (precedence), the one that was there and the backlog pass. After: 27 of 27 of test_gateway_item_errors, and test_gateway_item_preemption passes.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -130,9 +130,9 @@
     def run(self) -> None:
         """Run scheduling rounds forever: stop runs, then start items."""
         while True:
-            self._precedence.update_others(self._loads.item_owners())
             capacity = BatchCapacity(self._fleet.balancer, self._precedence)
             run_all(
+                self._update_precedence,
                 partial(self._stopper.check, self._runs, capacity),
                 partial(self._backlog_monitor.update, len(self._runs)),
                 partial(self._start_runs, capacity),
@@ -141,6 +141,9 @@
             self._wake.wait(_ROUND_INTERVAL_SECONDS)
             self._wake.clear()
 
+    def _update_precedence(self) -> None:
+        self._precedence.update_others(self._loads.item_owners())
+
     def _start_runs(self, capacity: BatchCapacity) -> None:
         scheduling_round = _Round(
             capacity, Counter(run.engine.service for run in self._runs)
--- a/tests/test_gateway_item_errors.py
+++ b/tests/test_gateway_item_errors.py
@@ -75,10 +75,20 @@
         gevent.sleep(0.5)
         self.assertLessEqual(len(failure_lines(node)), 6)
 
-    def test_stopping_that_always_raises_keeps_no_item_waiting(self):
+    @parameterized.expand(
+        [
+            ('stopping', '_stopper', 'check'),
+            ('precedence', '_precedence', 'update_others'),
+            ('backlog', '_backlog_monitor', 'update'),
+        ]
+    )
+    def test_step_that_always_raises_keeps_no_item_waiting(
+        self, _name, part, step
+    ):
         self.configure([_WHOLE] * 4)
         node = self.start_sole_owner()
-        node._runner._stopper.check = mock.Mock(side_effect=ValueError('fd'))
+        failing = mock.Mock(side_effect=ValueError('fd'))
+        setattr(getattr(node._runner, part), step, failing)
         self.submit(node)
         self.assertEqual(1, len(eventually(lambda: self.results(node), 5)))
 
