Team limits: refund a request whose handler failed before any run

What callers saw: 429 within the limit of their team, after unforeseen errors that had ended requests with 503.

Cause: a request is counted before it is served, and given back only where it was refused; an exception passed by.

Ruled out: requests that an engine may have run (500, or 504 as the process ends); they stay counted, as their certainty tells, which a shutdown now sets as an error does.

Change: what ends with an exception and has certainly not run is given back.

Before: 1 of 2 rows of test_request_whose_handler_failed fails (429 for 200).

--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -311,9 +311,17 @@
         team = admitted.team
         if not self._admission.check_limit(facts, responder, team):
             return
-        outcome = self._online.serve(request, responder, facts, route, team)
-        if team and outcome == REFUSED:
-            self.limits.refund(team)
+        has_run = True
+        try:
+            has_run = REFUSED != self._online.serve(
+                request, responder, facts, route, team
+            )
+        except Exception:
+            has_run = responder.certainty is not Certainty.NOT_RUN
+            raise
+        finally:
+            if team and not has_run:
+                self.limits.refund(team)
 
     def _reject_late(
         self, request: Request, responder: Responder, stop: StopSchedule
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/path.py
@@ -124,13 +124,11 @@
         except ClientDisconnectedError:
             # There is no client to answer.
             outcome = 'client_gone'
-        except ServerShutdownError:
-            # The server answers the client.
-            outcome = 'process_ends'
-            raise
-        except Exception:
+        except Exception as error:
             # The server answers the client.
             outcome = 'handler_error'
+            if isinstance(error, ServerShutdownError):
+                outcome = 'process_ends'
             if exchange.may_have_run:
                 responder.certainty = Certainty.UNKNOWN
             raise
--- a/tests/test_gateway_teams.py
+++ b/tests/test_gateway_teams.py
@@ -1,6 +1,8 @@
 """Authentication by key, limits of teams, and teams of jobs."""
 
+import functools
 import json
+from unittest import mock
 
 import gevent
 from bendlead_gateway._entry import EntryNode
@@ -185,6 +187,23 @@
         self.begin([_SHED])
         self.assertEqual([503] * 4, [self.status().status for _ in range(4)])
 
+    @parameterized.expand(
+        [
+            ('not_sent', 'fleet.balancer', 'choose', 503, 200),
+            ('sent', 'dialect', 'engine_answer', 500, 429),
+        ]
+    )
+    def test_request_whose_handler_failed(
+        self, _name, part, step, failed, later
+    ):
+        """Guards against a limit that counts what no engine has run."""
+        self.begin([_PLAIN])
+        owner = functools.reduce(getattr, part.split('.'), self.entry)
+        with mock.patch.object(type(owner), step, side_effect=KeyError('i')):
+            statuses = [self.status().status for _ in range(2)]
+        self.assertEqual([failed] * 2, statuses)
+        self.assertEqual(later, self.status().status)
+
     def test_a_limit_is_counted_over_entries(self):
         self.begin([_PLAIN])
         made = settings('entry-2', NodeRole.ENTRY, self.store.address)
