Server: answer a request before the unreadable bytes behind it

What callers saw: a request on a kept connection, passed on to a sound engine, ends without an answer where its client sends bytes behind it that are no request or over a limit.

Cause: such bytes ended the connection at once, and with it the request that was running.

Ruled out: unreadable bytes in the same read as the request: nothing runs yet, it gets 400, 413 or 431 as before.

Change: the running request is answered, with Connection: close; what follows is read and dropped, so that a client that leaves still stops its request (GONE). Requests that wait between are not handled, as before.

Tests: the rows invalid_bytes_behind and large_body_behind asked for the end without an answer. In their place four rows ask for the whole answer, two that the client's leaving is told and stops the request, one that the waiting request is told. Before: these 7 of 24 fail. After: 24 of 24 of test_gateway_unanswered; test_gateway_gone, _server, _handler_failures, _fuzz, _resets and _bad_input pass.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
@@ -62,6 +62,8 @@
         self._task: gevent.Greenlet | None = None
         self._responder: Responder | None = None
         self._closing = False
+        #: Why what follows the running request is not parsed, if it is not.
+        self._unreadable = ''
         self._end: ConnectionEnd | None = None
         self._request_count = 0
         #: Time at which the connection became idle.
@@ -139,12 +141,13 @@
 
     def _feed(self, received: bytes) -> bool:
         """Parse received bytes; return False if they were rejected."""
+        if self._unreadable:
+            # They are read all the same, to notice that the client leaves.
+            return True
         try:
             self._parser.feed(received)
         except InvalidRequestError as error:
-            self._reject(error.status)
-            self._note_end(EndReason.INVALID_BYTES, f'status {error.status}')
-            return False
+            return self._reject_invalid(error.status)
         self._update_buffered_bytes()
         # A request that is being handled may have run, so it is not aborted.
         if self._body_budget.exceeded and self._task is None:
@@ -154,6 +157,21 @@
             return False
         return True
 
+    def _reject_invalid(self, status: int) -> bool:
+        """Reject unreadable bytes; return True if a request is running.
+
+        Its response comes first, and then the connection is closed.
+        """
+        detail = f'status {status}'
+        if self._task is None:
+            self._reject(status)
+            self._note_end(EndReason.INVALID_BYTES, detail)
+            return False
+        self._unreadable = detail
+        if self._responder is not None:
+            self._responder.close_after()
+        return True
+
     def _update_buffered_bytes(self) -> None:
         buffered = self._parser.body_bytes + self._handled_body_bytes
         self._body_budget.used_bytes += buffered - self._buffered_bytes
@@ -202,7 +220,7 @@
         responder = Responder(
             self._sock,
             _WRITE_TIMEOUT_SECONDS,
-            keep_alive=request.keep_alive,
+            keep_alive=request.keep_alive and not self._unreadable,
             earlier_requests=self._request_count,
         )
         self._request_count += 1
@@ -224,6 +242,8 @@
         self.idle_since = self._now()
         if not responder.keep_alive:
             self._closing = True
+            if self._unreadable:
+                self._note_end(EndReason.INVALID_BYTES, self._unreadable)
             self._note_end(EndReason.EARLIER_RESPONSE)
             # The client may have closed the connection already.
             with contextlib.suppress(OSError):
