Entry: a SIGTERM that was held during start-up counts from the process's start

Cause: the launcher holds SIGTERM until its handler is installed, and the schedule of the stop began with the handler. The margin before the kill is 0.6 s.

Ruled out: signals that come later, which count from when they are handled; owners, which are through after 3 s.

Change: a SIGTERM that is pending when the entry is made counts from the start of the process, as it may have come as early as that. New work is refused, and the process ends, the earlier by that time; after a start-up of over 2.5 s connections that nobody has read are closed unread.

Before: test_gateway_stopping does not load (no held_signal_time).

--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -20,7 +20,7 @@
     ResourceUse,
     sheds_connections,
 )
-from bendlead_gateway._stopping import StopSchedule
+from bendlead_gateway._stopping import StopSchedule, held_signal_time
 from bendlead_gateway._teams.admission import TeamAdmission
 from bendlead_gateway._teams.limits import TeamLimits
 from bendlead_gateway._teams.reported_counts import TeamCounts
@@ -115,6 +115,7 @@
         self._overload = OverloadDetector()
         self._sheds_connections = False
         self._stop: StopSchedule | None = None
+        self._signalled_at = held_signal_time()
         self._readiness_server = HttpServer(
             settings.ready_address or '',
             self._answer_ready,
@@ -172,10 +173,10 @@
         then rejects new requests on all connections, kept-alive ones
         included, and waits for the running ones until the deadline.
         """
-        stop = StopSchedule.start(self.settings.grace)
+        stop = StopSchedule.start(self.settings.grace, self._signalled_at)
         self._stop = stop
         self._client_server.close_after_responses()
-        gevent.sleep(stop.closes_at - stop.started_at)
+        gevent.sleep(stop.accept_seconds_left)
         self._client_server.stop_accepting()
         self.log.event('clients-refused', busy=self._client_server.busy)
         while stop.seconds_left > 0:
