Attempts: note a request whose handler failed for the search for crashes

Cause: such notes were made where the client left, the deadline passed or the process ended, and an unforeseen exception closes the connection to the engine just the same.

Ruled out: failures of the engine, which are reported where they are raised.

Change: whatever else ends an attempt leaves the note.

Before: both rows of test_engine_that_crashes_then fail (no note). After: 17 of 17 of test_gateway_handler_failures; test_gateway_gone, _crash_detector, _suspects, _unanswered, _request_trials and _crashes pass.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -19,16 +19,11 @@
     ResponseTimeoutError,
 )
 from bendlead_gateway._http.limits import MAX_REFUSAL_BYTES
-from bendlead_gateway._http.messages import (
-    ClientDisconnectedError,
-    ServerShutdownError,
-)
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._online.exchange import Choice, Exchange
 from bendlead_gateway._online.outcomes import (
     BrokenStreamError,
-    DeadlineError,
     LostConnectionError,
     NotRunError,
     Step,
@@ -43,13 +38,8 @@
 from bendlead_gateway.dialect import Dialect
 from bendlead_gateway.types import Engine
 
-#: Raised into an attempt whose response is no longer needed.
-_ABANDONED = (
-    ClientDisconnectedError,
-    DeadlineError,
-    ServerShutdownError,
-    gevent.GreenletExit,
-)
+#: Ends of an attempt that are reported where they are raised.
+_REPORTED = (NotRunError, UnknownOutcomeError, BrokenStreamError)
 #: Longest read of a refusal's body so that the connection can be reused.
 _REFUSAL_READ_SECONDS = 0.03
 
@@ -94,7 +84,10 @@
         try:
             connection = self._connect(engine)
             idle_seconds = self._run(exchange, view, connection)
-        except _ABANDONED:
+        except _REPORTED:
+            raise
+        except (Exception, gevent.GreenletExit):
+            # The engine loses the connection, as where the client leaves.
             self._fleet.suspects.record_abandoned(
                 engine, _broken(exchange, response_started=False)
             )
--- a/tests/test_gateway_handler_failures.py
+++ b/tests/test_gateway_handler_failures.py
@@ -4,6 +4,7 @@
 and the engine's slot and connection are given back.
 """
 
+import contextlib
 from unittest import mock
 
 import gevent
@@ -59,6 +60,20 @@
         self.assertEqual(sent, self.count_engine_requests())
         self._assert_released()
 
+    @parameterized.expand(
+        [
+            ('reading_the_head', 'dialect.engine_answer', _STREAM),
+            ('inside_the_response', 'fleet.pace.observe_gap', _in_halves),
+        ]
+    )
+    def test_engine_that_crashes_then(self, _name, step, answer):
+        """Guards against a crash that is tied to no request."""
+        self.start(route('streaming'), answers=[answer])
+        detector = self.entry.fleet.suspects.crash_detector
+        with self._failing(step), contextlib.suppress(OSError):
+            self.read(self.send_request())
+        self.assertEqual(1, len(detector._abandoned))
+
     def test_after_a_run(self):
         """An earlier engine may have run it, so nothing is promised."""
         self.start(route('safe'), answers=[b'no answer', b'no answer'])
