Streams: go on without an event at an engine that has just begun to drain

What callers saw: by reading, a stream whose head has gone out and whose connection is lost before the first event ends at once, with seconds left, where its only engine has just begun to drain.

Cause: engines that have only just begun to drain were looked at for streams with a version, which the first event gives.

Ruled out: requests without a head, which may be refused; streams beside a ready engine of any version.

Before: 1 of 2 rows of test_gateway_resume_choice fails (begun). After: 2 of 2; test_gateway_still_conditions, _cut_engines, _versions, _broken_answers and _stream_origins pass.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/resume_choice.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/resume_choice.py
@@ -8,7 +8,12 @@
 from bendlead_gateway._online.exchange import Exchange
 from bendlead_gateway._scheduling.queue_policy import latest_send_time
 from bendlead_gateway._scheduling.view import EngineView
-from bendlead_gateway.types import EngineId, RouteKind, ServiceName
+from bendlead_gateway.types import (
+    EngineId,
+    EngineVersion,
+    RouteKind,
+    ServiceName,
+)
 
 
 class ResumeChoice:
@@ -30,7 +35,7 @@
                 service,
                 self._without_bound(exchange, service, excluded),
                 once=True,
-                version=exchange.stream_version,
+                version=self._version(exchange, service),
             )
             if placement is not None:
                 return placement.view
@@ -43,9 +48,25 @@
         never = exchange.tried - exchange.may_resume_at.keys()
         excluded = self._without_bound(exchange, service, never)
         return bool(
-            self._balancer.views(service, excluded, exchange.stream_version)
+            self._balancer.views(
+                service, excluded, self._version(exchange, service)
+            )
         )
 
+    def _version(
+        self, exchange: Exchange, service: ServiceName
+    ) -> EngineVersion | None:
+        """Return the version that the engine must have, ``None`` for any.
+
+        With a version, engines that have only just begun to drain are used if
+        there are no others; a begun stream would end without them.
+        """
+        version = exchange.stream_version
+        if version is None and exchange.responder.started:
+            if not self._balancer.views(service):
+                return exchange.choice.version
+        return version
+
     def _without_bound(
         self,
         exchange: Exchange,
@@ -58,7 +79,9 @@
             others = {
                 view.name
                 for view in self._balancer.views(
-                    service, (exchange.bound_to,), exchange.stream_version
+                    service,
+                    (exchange.bound_to,),
+                    self._version(exchange, service),
                 )
             }
         return others.union(excluded)
