--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -8,7 +8,11 @@
 
 from bendlead_gateway._fleet.fleet import Fleet
 from bendlead_gateway._health.observation import FailureKind
-from bendlead_gateway._http.client import HttpConnection, ResponseHead
+from bendlead_gateway._http.client import (
+    HttpConnection,
+    ResponseHead,
+    ResponseTimeoutError,
+)
 from bendlead_gateway._jobs.item_states import ItemReason
 from bendlead_gateway._jobs.owned_job import ITEM_METHOD, OwnedJob, Progress
 from bendlead_gateway._jobs.owned_shard import OwnedShard
@@ -25,6 +29,8 @@
 
 #: Timeout of each read and write on a connection to an engine.
 _IO_TIMEOUT_SECONDS = 2.0
+#: The timeout doubles this many times at most for an item of late starts.
+_MAX_DOUBLINGS = 2
 #: Timeout of the claim of a trial, which takes a few calls.
 _CLAIM_SECONDS = 4.0
 #: A run that is refused has a line if that took as long as this.
@@ -32,6 +38,8 @@
 _REFUSED_PAUSE_SECONDS = 0.1
 #: Greatest age of the last proof of shard ownership when an item starts.
 _OWNERSHIP_MAX_AGE_SECONDS = 1.5
+#: Numbers of a first event; no engine goes on behind a number that is too high.
+_FIRST_EVENTS = (0, 1)
 
 
 class RunFailedError(Exception):
@@ -76,6 +84,12 @@
             self.progress.shared_parts or (), self.response_started_at
         )
 
+    @property
+    def read_timeout(self) -> float:
+        """Return the longest silence (s) of the engine."""
+        doublings = min(self.progress.late_starts, _MAX_DOUBLINGS)
+        return _IO_TIMEOUT_SECONDS * 2**doublings
+
     @property
     def silent_seconds(self) -> float:
         """Return the seconds since the last output, 0 before the first."""
@@ -128,8 +142,13 @@
         if run.stopped or run.job.state.ended:
             connection.close()
             return None
-        head = self._send(run, connection)
-        return self._read_response(run, connection, head)
+        try:
+            head = self._send(run, connection)
+            return self._read_response(run, connection, head)
+        except ResponseTimeoutError:
+            # Its queue and prompt may take longer than a silence may last.
+            run.progress.late_starts += not run.last_output_at
+            raise
 
     def record_progress(self, run: ItemRun) -> None:
         """Clear the item and its parts if its answer has gone on for long."""
@@ -192,7 +211,7 @@
         connection.send(
             ITEM_METHOD, item.path, headers, item.body, _IO_TIMEOUT_SECONDS
         )
-        until = clock.uptime() + _IO_TIMEOUT_SECONDS
+        until = clock.uptime() + run.read_timeout
         while True:
             head = connection.read_head(until - clock.uptime())
             answer = self._dialect.engine_answer(head.status, head.headers)
@@ -256,7 +275,7 @@
             self._fleet.suspects.crash_detector,
             splitter,
         )
-        for part in body.parts(_IO_TIMEOUT_SECONDS):
+        for part in body.parts(run.read_timeout):
             if run.stopped:
                 raise RunFailedError('run was stopped')
             run.last_output_at = clock.uptime()
@@ -271,7 +290,8 @@
     previous = progress.last_event
     if event.number is None:
         raise RunFailedError('event without an event number')
-    if previous is not None and event.number != previous + 1:
+    expected = _FIRST_EVENTS if previous is None else (previous + 1,)
+    if event.number not in expected:
         raise RunFailedError(
             f'event {event.number} received after event {previous}'
         )
