Connects that fail in one moment count as one failure

Callers of a fleet with an engine that accepted no connection for a moment lost its slots for up to 4 s: four requests that met it at once were four failures, so it was ejected with a pause for four.

Cause: `SharedHealth.record_failure` was called without the time of the try for failed connects and for refusals by another engine at the address, so the count of `EvidenceTable` rose by one for each request (up to 6). An item's failed connect also counted twice for the pause of `EngineHealth`.

Ruled out: `EngineHealth`, which already counts one moment once if it is told the time, and whose pause placement does not use beside shared health; the crash detector, which only confirms crashes found elsewhere.

Change: `record_unreachable` counts requests that were tried before the engine was found out of reach once, for online requests and items, connects and status 421. A refusal still weighs 2 and ejects at once.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_health/evidence.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_health/evidence.py
@@ -7,6 +7,7 @@
 for all engines would send too many updates.
 """
 
+import math
 from collections.abc import Iterator, Mapping
 
 from msgspec import Struct
@@ -61,6 +62,8 @@
         self._revision = 0
         self._unsent: dict[EngineIncarnation, int] = {}
         self._silences: dict[EngineIncarnation, _Silence] = {}
+        #: When this process last found an engine out of reach.
+        self._unreachable_at: dict[EngineIncarnation, float] = {}
 
     @property
     def revision(self) -> int:
@@ -107,6 +110,23 @@
             replace(own, failures=failures, good=0, failed_at=now),
         )
 
+    def record_unreachable(
+        self,
+        incarnation: EngineIncarnation,
+        kind: FailureKind,
+        now: float,
+        stamp: float,
+        since: float,
+    ) -> None:
+        """Record that a request did not reach its engine.
+
+        ``since`` is when it was tried. Requests that were tried before the
+        engine was found out of reach tell of the same moment.
+        """
+        if since > self._unreachable_at.get(incarnation, -math.inf):
+            self._unreachable_at[incarnation] = now
+            self.record_failure(incarnation, kind, now, stamp, since)
+
     def record_success(
         self,
         incarnation: EngineIncarnation,
@@ -180,6 +200,7 @@
         self._first_observed_at.pop(incarnation, None)
         self._unsent.pop(incarnation, None)
         self._silences.pop(incarnation, None)
+        self._unreachable_at.pop(incarnation, None)
 
     def expire(self, now: float) -> None:
         """Drop decayed observations, and incarnations without failures."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_health/shared.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_health/shared.py
@@ -111,6 +111,23 @@
         self.monitor.invalidate()
         self._metrics.load.engine_evidence[kind.value] += 1
 
+    def record_unreachable(
+        self, engine: Engine, kind: FailureKind | None, since: float
+    ) -> None:
+        """Record that a request did not reach the engine, unless it is local.
+
+        ``since`` is when it was tried, on the monotonic clock (s).
+        """
+        if kind is None:
+            return
+        incarnation = incarnation_of(engine)
+        self._trials.pop(incarnation, None)
+        self._evidence.record_unreachable(
+            incarnation, kind, clock.uptime(), time.time(), since
+        )
+        self.monitor.invalidate()
+        self._metrics.load.engine_evidence[kind.value] += 1
+
     def record_success(
         self,
         engine: Engine,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -55,6 +55,8 @@
     route: Route
     connection: HttpConnection | None = None
     stopped: bool = False
+    #: When it began to connect (uptime, s).
+    connect_began_at: float = 0
     #: When the request was sent (uptime, s); whether a response has begun.
     sent_at: float = 0
     response_started: bool = False
@@ -153,12 +155,10 @@
             )
 
     def _connect(self, run: ItemRun) -> HttpConnection:
+        run.connect_began_at = clock.uptime()
         try:
             run.connection = self._fleet.pool.acquire(run.engine)
         except OSError as error:
-            self._fleet.health.record_failure(
-                run.engine.engine, unreachable=True
-            )
             raise RunFailedError(
                 f'cannot connect to engine: {error}'
             ) from error
@@ -214,10 +214,10 @@
             run.postpone(ItemReason.ENGINE_REFUSED)
             if answer.misdirected:
                 self._fleet.health.record_failure(
-                    run.engine.engine, unreachable=True
+                    run.engine.engine, unreachable=True, since=run.sent_at
                 )
-                self._fleet.shared_health.record_failure(
-                    run.engine, FailureKind.REFUSED, None
+                self._fleet.shared_health.record_unreachable(
+                    run.engine, FailureKind.REFUSED, run.sent_at
                 )
             return None
         return self._classify_failure(run, head)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -344,7 +344,6 @@
                 self._fleet.suspects.crash_detector.record_broken(
                     run.engine, broken
                 )
-            self._fleet.health.record_failure(run.engine.engine)
             self._report_failure(run, error)
             run.progress.reason = ItemReason.RETRY
             run.progress.failed_at = clock.uptime()
@@ -354,11 +353,19 @@
 
     def _report_failure(self, run: ItemRun, error: Exception) -> None:
         """Report an engine's failure, unless this process caused it."""
+        engine = run.engine
         cause = error if isinstance(error, OSError) else error.__cause__
         kind: FailureKind | None = FailureKind.ERROR
         if isinstance(cause, OSError):
             kind = classify_error(cause)
         elif isinstance(error, RunFailedError) and error.status:
             kind = classify_status(error.status)
-        digest = run.digest if run.sent_at else None
-        self._fleet.shared_health.record_failure(run.engine, kind, digest)
+        if run.sent_at:
+            self._fleet.health.record_failure(engine.engine)
+            self._fleet.shared_health.record_failure(engine, kind, run.digest)
+        else:
+            since = run.connect_began_at
+            self._fleet.health.record_failure(
+                engine.engine, unreachable=True, since=since
+            )
+            self._fleet.shared_health.record_unreachable(engine, kind, since)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -105,16 +105,18 @@
                 self._fleet.pool.release(engine, connection, idle_seconds)
 
     def _connect(self, engine: Engine) -> HttpConnection:
+        began_at = clock.uptime()
         try:
             return self._fleet.pool.acquire(engine)
         except OSError as error:
             if isinstance(error, ConnectionRefusedError):
                 self._fleet.suspects.crash_detector.record_refused(engine)
             paused = self._health.record_failure(
-                engine.engine, unreachable=True
+                engine.engine, unreachable=True, since=began_at
             )
             self._log_failure(engine, Step.CONNECT, error, paused)
-            self._shared.record_failure(engine, classify_error(error), None)
+            kind = classify_error(error)
+            self._shared.record_unreachable(engine, kind, began_at)
             raise UnreachableError(f'connect: {error}') from error
 
     def _run(
@@ -131,8 +133,13 @@
         if answer.not_run:
             self._read_refusal(connection, head)
             if answer.misdirected:
-                self._health.record_failure(engine.engine, unreachable=True)
-                self._shared.record_failure(engine, FailureKind.REFUSED, None)
+                sent_at = exchange.sent_at
+                self._health.record_failure(
+                    engine.engine, unreachable=True, since=sent_at
+                )
+                self._shared.record_unreachable(
+                    engine, FailureKind.REFUSED, sent_at
+                )
             raise NotRunError(
                 f'engine responded with status {head.status}, request not run'
             )
--- a/tests/test_gateway_engine_health.py
+++ b/tests/test_gateway_engine_health.py
@@ -1,5 +1,6 @@
 """Engines that fail while their health checks are good."""
 
+import errno
 import math
 import unittest
 from types import SimpleNamespace
@@ -15,12 +16,14 @@
     ServiceEngines,
 )
 from bendlead_gateway._health.evidence import EvidenceTable
+from bendlead_gateway._health.failure_kinds import classify_error
 from bendlead_gateway._health.health_state import HealthState
 from bendlead_gateway._health.observation import (
     EngineIncarnation,
     FailureKind,
     Observation,
     incarnation_of,
+    weight_of,
 )
 from bendlead_gateway._health.preference import prefer_trusted
 from bendlead_gateway._health.trial import (
@@ -37,6 +40,7 @@
     NodeName,
     ServiceName,
 )
+from bendlead_store import clock
 from gevent.server import StreamServer
 from parameterized import parameterized
 
@@ -51,6 +55,14 @@
 
 _ERROR = b'HTTP/1.1 500 x\r\nX-Response-Seal: s1\r\nContent-Length: 0\r\n\r\n'
 _COMPLETE = chunked(event(1, 'a'), headers='X-Response-Seal: s1\r\n')
+_MISDIRECTED = (
+    b'HTTP/1.1 421 x\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n'
+)
+_CONNECT_ERRORS = [
+    ('refused', ConnectionRefusedError('refused')),
+    ('timed_out', TimeoutError('timed out')),
+    ('no_route', OSError(errno.EHOSTUNREACH, 'no route')),
+]
 _HALLS = ('north', 'south')
 _NOW = 100.0
 
@@ -266,6 +278,21 @@
             self.table.record_failure(self.incarnation, kind, now, now, since)
         self.assertAlmostEqual(counted, self.own.failures[kind], delta=0.2)
 
+    @parameterized.expand(
+        [
+            ('one_moment', (9.8, 9.9, 10), 1),
+            ('moments_one_after_the_other', (9.8, 9.9, 10.1), 2),
+        ]
+    )
+    def test_unreachable_counts_once_a_moment(self, _name, tried, counted):
+        kind = FailureKind.REFUSED
+        for number, since in enumerate(tried):
+            now = 10 + number * 0.1
+            self.table.record_unreachable(
+                self.incarnation, kind, now, now, since
+            )
+        self.assertAlmostEqual(counted, self.own.failures[kind], delta=0.1)
+
     def test_failure_on_any_process_resets_consecutive_successes(self):
         self.record_failure(10)
         self.record_success(10.1, 10.2)
@@ -390,10 +417,12 @@
 
 
 class FailingEngine:
-    """Engine that answers every request, with a 500 while ``failing``."""
+    """Engine that answers every request, with an error while ``failing``."""
 
-    def __init__(self, *, failing=True):
+    def __init__(self, *, failing=True, answer=_ERROR, seconds=0):
         self.failing = failing
+        self.answer = answer
+        self.seconds = seconds
         self.requests = 0
         self._server = StreamServer(('127.0.0.1', 0), self._serve)
         self._server.start()
@@ -407,7 +436,8 @@
         with sock:
             while read_request_body(sock):
                 self.requests += 1
-                sock.sendall(_ERROR if self.failing else _COMPLETE)
+                gevent.sleep(self.seconds)
+                sock.sendall(self.answer if self.failing else _COMPLETE)
 
 
 class OnlineTest(EntryCase):
@@ -488,6 +518,61 @@
         self.assertIn('engine=i-0', self.lines('engine-trial'))
 
 
+class FailedConnectsTest(EntryCase):
+    """Many requests fail to reach an engine at the same moment."""
+
+    def begin(self, address):
+        """Start an entry, a good engine, and list i-0 at an address."""
+        good = FailingEngine(failing=False)
+        self.addCleanup(good.close)
+        # Most requests go to the engine with most slots.
+        self.store.set('servers', 'i-0', engine(address, slots=64))
+        self.store.set('servers', 'i-1', engine(good.address))
+        self.start(route('safe'), others=2)
+
+    def send_all(self):
+        """Send requests at once and check that each was answered."""
+        tasks = [
+            gevent.spawn(self.read, self.send_request(f'/x/{uuid4()}'))
+            for _request in range(12)
+        ]
+        gevent.joinall(tasks)
+        self.assertEqual({200}, {task.value[0].status for task in tasks})
+
+    @parameterized.expand(_CONNECT_ERRORS)
+    def test_connects_of_one_moment_count_once(self, _name, error):
+        self.begin('127.0.0.1:1')
+        failed = fail_connects(self, self.entry.fleet, 'i-0', error)
+        self.send_all()
+        self.assertGreater(len(failed), 2)
+        assert_counted_once(self, self.entry.fleet, 'i-0', error)
+
+    def test_refusals_of_one_moment_count_once(self):
+        """Another engine has got the address meanwhile."""
+        other = FailingEngine(answer=_MISDIRECTED, seconds=0.03)
+        self.addCleanup(other.close)
+        self.begin(other.address)
+        self.send_all()
+        self.assertGreater(other.requests, 2)
+        error = ConnectionRefusedError()
+        assert_counted_once(self, self.entry.fleet, 'i-0', error)
+
+
+class FailedItemConnectsTest(OwnerCase):
+    """Many items fail to reach an engine at the same moment."""
+
+    @parameterized.expand(_CONNECT_ERRORS)
+    def test_connects_of_one_moment_count_once(self, _name, error):
+        self.configure(answers=[_COMPLETE] * 8)
+        owner = self.start_owner()
+        eventually(lambda: len(owner._shard_manager.owned) == 4)
+        eventually(lambda: len(owner.fleet.engines.all()) == 1)
+        failed = fail_connects(self, owner.fleet, 'i-1', error)
+        self.assertEqual(202, self.submit(owner, job(items=4)))
+        eventually(lambda: len(failed) == 4)
+        assert_counted_once(self, owner.fleet, 'i-1', error)
+
+
 class ItemTest(OwnerCase):
     """Items as trials of ejected engines."""
 
@@ -517,6 +602,35 @@
         eventually(tried, 12)
 
 
+def fail_connects(case, fleet, name, error):
+    """Have connects to an engine fail after a while; return their times."""
+    failed = []
+    acquire = fleet.pool.acquire
+
+    def fail(listed):
+        if listed.engine != name:
+            return acquire(listed)
+        gevent.sleep(0.1)
+        failed.append(clock.uptime())
+        raise error
+
+    # The pool takes no further attributes.
+    patched = mock.patch.object(type(fleet.pool), 'acquire', side_effect=fail)
+    patched.start()
+    case.addCleanup(patched.stop)
+    return failed
+
+
+def assert_counted_once(case, fleet, name, error):
+    """Check that an engine is not trusted, for one failure."""
+    listed = fleet.engines.find(EngineId(name))
+    assessment = fleet.shared_health.assess(listed)
+    case.assertIsNot(HealthState.TRUSTED, assessment.state)
+    case.assertAlmostEqual(
+        weight_of(classify_error(error)), assessment.failures, delta=0.2
+    )
+
+
 def read_request_body(sock):
     """Read one request head; return nothing once the peer has closed."""
     received = b''
