Connects that time out beside a standstill eject no engine

Operators saw a sound engine out of rotation after it went on, because it had accepted no connection for 1.2 s (a full backlog).

Cause: two moments of connects that time out are two failures, which eject; an engine that nobody tries then stays on trial. A silence of requests on kept connections weighs at most 1.5 until sound engines would have gone on.

Change: timeouts without a success between are one silence from the first connect on, which ejects nothing for 1.5 s. The process leaves an engine out of reach out at the first moment (before: only when ejected), and one request at a time tries it, every 0.5 s, until one is answered. A refused connection ejects at once as before.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/balancer.py
@@ -84,7 +84,9 @@
             paused = self._health.paused(name)
         else:
             assessment = self._shared.assess(engine)
-            paused = assessment.out_of_rotation
+            paused = assessment.out_of_rotation or self._shared.is_unreachable(
+                engine
+            )
         return EngineView(
             engine,
             online=self._loads.online(name) + assessment.failure_load,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_health/evidence.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_health/evidence.py
@@ -7,7 +7,6 @@
 for all engines would send too many updates.
 """
 
-import math
 from collections.abc import Iterator, Mapping
 
 from msgspec import Struct
@@ -35,6 +34,9 @@
 #: Weight of the failures counted for one such silence: too little to eject.
 _MAX_SILENCE_WEIGHT = 1.5
 
+#: Time without requests for an engine that is out of reach.
+_UNREACHABLE_PAUSE_SECONDS = 0.5
+
 _Key = tuple[EngineIncarnation, NodeName]
 
 
@@ -45,6 +47,14 @@
     counted: float = 0
 
 
+class _Unreachable(Struct):
+    """A time without a success in which an engine was out of reach."""
+
+    since: float
+    noticed_at: float
+    paused_until: float = 0
+
+
 class EvidenceTable:
     """Latest observation by each process of each failing engine incarnation.
 
@@ -62,8 +72,7 @@
         self._revision = 0
         self._unsent: dict[EngineIncarnation, int] = {}
         self._silences: dict[EngineIncarnation, _Silence] = {}
-        #: When this process last found an engine out of reach.
-        self._unreachable_at: dict[EngineIncarnation, float] = {}
+        self._unreachable: dict[EngineIncarnation, _Unreachable] = {}
 
     @property
     def revision(self) -> int:
@@ -121,11 +130,33 @@
         """Record that a request did not reach its engine.
 
         ``since`` is when it was tried. Requests that were tried before the
-        engine was found out of reach tell of the same moment.
+        engine was found out of reach tell of the same moment. Timeouts one
+        after the other are one silence.
         """
-        if since > self._unreachable_at.get(incarnation, -math.inf):
-            self._unreachable_at[incarnation] = now
-            self.record_failure(incarnation, kind, now, stamp, since)
+        found = self._unreachable.get(incarnation)
+        if found is not None and since <= found.noticed_at:
+            return
+        if found is None:
+            found = _Unreachable(since, now)
+            self._unreachable[incarnation] = found
+        found.noticed_at = now
+        self.pause_unreachable(incarnation, now)
+        self.record_failure(incarnation, kind, now, stamp, found.since)
+
+    def pause_unreachable(
+        self, incarnation: EngineIncarnation, now: float
+    ) -> None:
+        """Leave out an engine that was out of reach while it is tried."""
+        found = self._unreachable.get(incarnation)
+        if found is not None:
+            found.paused_until = now + _UNREACHABLE_PAUSE_SECONDS
+
+    def is_unreachable(
+        self, incarnation: EngineIncarnation, now: float
+    ) -> bool:
+        """Return whether this process leaves out an engine out of reach."""
+        found = self._unreachable.get(incarnation)
+        return found is not None and now < found.paused_until
 
     def record_success(
         self,
@@ -142,6 +173,9 @@
         """
         if sent_at < self._first_observed_at.get(incarnation, now):
             return
+        found = self._unreachable.get(incarnation)
+        if found is not None and sent_at > found.noticed_at:
+            self._unreachable.pop(incarnation)
         own = self._own_observation(incarnation, now, stamp)
         previous = self._observations[incarnation].get(self._own)
         failed_at = self.latest_failure_at(incarnation)
@@ -200,7 +234,7 @@
         self._first_observed_at.pop(incarnation, None)
         self._unsent.pop(incarnation, None)
         self._silences.pop(incarnation, None)
-        self._unreachable_at.pop(incarnation, None)
+        self._unreachable.pop(incarnation, None)
 
     def expire(self, now: float) -> None:
         """Drop decayed observations, and incarnations without failures."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_health/shared.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_health/shared.py
@@ -85,6 +85,21 @@
         """Return the assessment of an engine."""
         return self.monitor.assess(incarnation_of(engine), clock.uptime())
 
+    def is_unreachable(self, engine: Engine) -> bool:
+        """Return whether this process leaves out an engine out of reach."""
+        return self._evidence.is_unreachable(
+            incarnation_of(engine), clock.uptime()
+        )
+
+    def start_connect(self, engine: Engine) -> float:
+        """Have one request at a time try an engine that was out of reach.
+
+        Returns the time on the monotonic clock (s).
+        """
+        now = clock.uptime()
+        self._evidence.pause_unreachable(incarnation_of(engine), now)
+        return now
+
     def record_failure(
         self,
         engine: Engine,
@@ -229,6 +244,8 @@
         assessment = self.assess(view.engine)
         if assessment.state is not HealthState.ON_TRIAL:
             return False
+        if self.is_unreachable(view.engine):
+            return False
         incarnation = incarnation_of(view.engine)
         if (
             now - self._trials.get(incarnation, -_TRIAL_TIMEOUT_SECONDS)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -155,7 +155,9 @@
             )
 
     def _connect(self, run: ItemRun) -> HttpConnection:
-        run.connect_began_at = clock.uptime()
+        run.connect_began_at = self._fleet.shared_health.start_connect(
+            run.engine
+        )
         try:
             run.connection = self._fleet.pool.acquire(run.engine)
         except OSError as error:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -105,7 +105,7 @@
                 self._fleet.pool.release(engine, connection, idle_seconds)
 
     def _connect(self, engine: Engine) -> HttpConnection:
-        began_at = clock.uptime()
+        began_at = self._shared.start_connect(engine)
         try:
             return self._fleet.pool.acquire(engine)
         except OSError as error:
--- a/tests/test_gateway_engine_health.py
+++ b/tests/test_gateway_engine_health.py
@@ -293,6 +293,40 @@
             )
         self.assertAlmostEqual(counted, self.own.failures[kind], delta=0.1)
 
+    @parameterized.expand(
+        [
+            ('sound_engine', (10, 10.7, 11.3), 1),
+            ('longer_than_sound_engines', (10, 10.7, 11.3, 11.9, 12.5), 3),
+        ]
+    )
+    def test_timeouts_of_one_silence(self, _name, tried, counted):
+        """A full backlog of an engine that stands still ejected it."""
+        kind = FailureKind.SILENT
+        for since in tried:
+            now = since + 0.15
+            self.table.record_unreachable(
+                self.incarnation, kind, now, now, since
+            )
+        self.assertAlmostEqual(counted, self.own.failures[kind], delta=0.5)
+
+    def test_timeouts_with_a_success_between(self):
+        """Then the engine does not stand still: each counts."""
+        kind = FailureKind.SILENT
+        self.table.record_unreachable(self.incarnation, kind, 10, 10, 9.85)
+        self.record_success(10.1, 10.2)
+        self.table.record_unreachable(self.incarnation, kind, 10.6, 10.6, 10.5)
+        self.assertAlmostEqual(2, self.own.failures[kind], delta=0.2)
+
+    def test_engine_out_of_reach_is_tried_by_one_request_at_a_time(self):
+        kind = FailureKind.SILENT
+        self.table.record_unreachable(self.incarnation, kind, 10, 10, 9.85)
+        self.assertTrue(self.table.is_unreachable(self.incarnation, 10.4))
+        self.assertFalse(self.table.is_unreachable(self.incarnation, 10.6))
+        self.table.pause_unreachable(self.incarnation, 10.6)
+        self.assertTrue(self.table.is_unreachable(self.incarnation, 10.7))
+        self.record_success(10.7, 10.8)
+        self.assertFalse(self.table.is_unreachable(self.incarnation, 10.8))
+
     def test_failure_on_any_process_resets_consecutive_successes(self):
         self.record_failure(10)
         self.record_success(10.1, 10.2)
