Soak: an engine that flaps leaves no life behind

Cause: the end of "flap engine" killed the task that ends and starts the engine. `Popen` lets other tasks run between the fork and the program's start; killed there, `Process.start` never learns of the process, which runs on with the port while the next life is started.

Ruled out: another run's port (ports are locked while a run's processes live) and two starts at once (held by `Process`).

Change: an event ends the task between its steps, and the heal waits for it.

--- a/testing/src/bendlead_testing/gateway_soak/disruptions.py
+++ b/testing/src/bendlead_testing/gateway_soak/disruptions.py
@@ -7,6 +7,7 @@
 from types import MappingProxyType
 
 import gevent
+from gevent.event import Event
 
 from bendlead_testing.gateway_soak.deployment import Deployment, Process
 from bendlead_testing.gateway_soak.engine_process import (
@@ -178,21 +179,26 @@
 def _flap(fleet: Deployment, name: str, chance: random.Random) -> Heal:
     """Have an engine end and start again in turns."""
     process = _process(fleet, name)
-    flapping = gevent.spawn(_end_in_turns, process, chance)
+    ended = Event()
+    flapping = gevent.spawn(_end_in_turns, process, chance, ended)
 
     def rest() -> None:
-        flapping.kill()
+        # Killed while it starts a life, it would leave that one behind.
+        ended.set()
+        flapping.join()
         process.start()
 
     return rest
 
 
-def _end_in_turns(process: Process, chance: random.Random) -> None:
-    while True:
+def _end_in_turns(
+    process: Process, chance: random.Random, ended: Event
+) -> None:
+    while not ended.is_set():
         process.end()
-        gevent.sleep(chance.uniform(*_FLAP_SECONDS))
+        ended.wait(chance.uniform(*_FLAP_SECONDS))
         process.start()
-        gevent.sleep(chance.uniform(*_FLAP_SECONDS))
+        ended.wait(chance.uniform(*_FLAP_SECONDS))
 
 
 def _all_disruptions() -> dict[str, Disruption]:
--- a/tests/test_soak_ports.py
+++ b/tests/test_soak_ports.py
@@ -12,12 +12,13 @@
 from unittest import mock
 
 import gevent
-from bendlead_testing.gateway_soak import deployment
+from bendlead_testing.gateway_soak import deployment, disruptions
 from bendlead_testing.gateway_soak.clients import Clients
 from bendlead_testing.gateway_soak.deployment import Process
 from bendlead_testing.gateway_soak.disruptions import EVERY_DISRUPTION
 from bendlead_testing.gateway_soak.sightings import Sightings
 from bendlead_testing.ports import Ports, free_port, lock_block
+from gevent import monkey
 from gevent.server import StreamServer
 from parameterized import parameterized
 
@@ -45,6 +46,20 @@
 _OUTGOING = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
 
 
+#: Time that a process takes from its fork to its program.
+_BEGIN_SECONDS = 0.2
+
+
+def _begin_slowly(_parent: int) -> None:
+    monkey.get_original('time', 'sleep')(_BEGIN_SECONDS)
+
+
+def _children() -> set[str]:
+    own = os.getpid()
+    path = pathlib.Path(f'/proc/{own}/task/{own}/children')
+    return {child for child in path.read_text().split() if _is_running(child)}
+
+
 def _is_running(process: str) -> bool:
     try:
         status = pathlib.Path(f'/proc/{process}/stat').read_text()
@@ -145,6 +160,48 @@
         self.assertEqual([], asked)
 
 
+class FlapTest(unittest.TestCase):
+    """An engine that ends and starts again in turns."""
+
+    def setUp(self):
+        self.ports = Ports()
+        self.addCleanup(self.ports.free)
+        # A port to pass on.
+        self.ports.take()
+        self.others = _children()
+
+    def lives(self):
+        """Return the processes that this test has started and not ended."""
+        return _children() - self.others
+
+    def end_lives(self):
+        """End what a failed test has left."""
+        for life in self.lives():
+            os.kill(int(life), signal.SIGKILL)
+
+    def test_end_while_a_life_is_started(self):
+        """It ran on unnoticed and kept the engine's port."""
+        log = pathlib.Path(os.devnull)
+        process = Process('engine-0', ['sleep', '60'], log, self.ports)
+        self.addCleanup(self.end_lives)
+        self.addCleanup(process.end)
+        process.start()
+        spot = SimpleNamespace(name='engine-0', process=process)
+        fleet = SimpleNamespace(nodes={}, engines=[spot])
+        with (
+            mock.patch.object(disruptions, '_FLAP_SECONDS', (0, 0)),
+            mock.patch.object(deployment, 'end_with_parent', _begin_slowly),
+        ):
+            flap = EVERY_DISRUPTION['flap engine']
+            heal = flap.begin(fleet, 'engine-0', random.Random(1))
+            eventually(lambda: process.starts == 2)
+            gevent.sleep(_BEGIN_SECONDS / 2)
+            heal()
+        gevent.sleep(2 * _BEGIN_SECONDS)
+        self.assertEqual({str(process._popen.pid)}, self.lives())
+        self.assertTrue(process.running)
+
+
 class ProcessEndTest(unittest.TestCase):
     """Ends that nobody asked for are noted, and only these."""
 
