--- a/packages/bendlead-gateway/src/bendlead_gateway/_health/shared.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_health/shared.py
@@ -85,6 +85,21 @@
         """Return the assessment of an engine."""
         return self.monitor.assess(incarnation_of(engine), clock.uptime())
 
+    def is_unreachable(self, engine: Engine) -> bool:
+        """Return whether this process leaves out an engine out of reach."""
+        return self._evidence.is_unreachable(
+            incarnation_of(engine), clock.uptime()
+        )
+
+    def start_connect(self, engine: Engine) -> float:
+        """Have one request at a time try an engine that was out of reach.
+
+        Returns the time on the monotonic clock (s).
+        """
+        now = clock.uptime()
+        self._evidence.pause_unreachable(incarnation_of(engine), now)
+        return now
+
     def record_failure(
         self,
         engine: Engine,
@@ -111,6 +126,23 @@
         self.monitor.invalidate()
         self._metrics.load.engine_evidence[kind.value] += 1
 
+    def record_unreachable(
+        self, engine: Engine, kind: FailureKind | None, since: float
+    ) -> None:
+        """Record that a request did not reach the engine, unless it is local.
+
+        ``since`` is when it was tried, on the monotonic clock (s).
+        """
+        if kind is None:
+            return
+        incarnation = incarnation_of(engine)
+        self._trials.pop(incarnation, None)
+        self._evidence.record_unreachable(
+            incarnation, kind, clock.uptime(), time.time(), since
+        )
+        self.monitor.invalidate()
+        self._metrics.load.engine_evidence[kind.value] += 1
+
     def record_success(
         self,
         engine: Engine,
@@ -212,6 +244,8 @@
         assessment = self.assess(view.engine)
         if assessment.state is not HealthState.ON_TRIAL:
             return False
+        if self.is_unreachable(view.engine):
+            return False
         incarnation = incarnation_of(view.engine)
         if (
             now - self._trials.get(incarnation, -_TRIAL_TIMEOUT_SECONDS)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -63,6 +63,8 @@
     route: Route
     connection: HttpConnection | None = None
     stopped: bool = False
+    #: When it began to connect (uptime, s).
+    connect_began_at: float = 0
     #: When the request was sent (uptime, s); whether a response has begun.
     sent_at: float = 0
     response_started: bool = False
@@ -182,12 +184,12 @@
             )
 
     def _connect(self, run: ItemRun) -> HttpConnection:
+        run.connect_began_at = self._fleet.shared_health.start_connect(
+            run.engine
+        )
         try:
             run.connection = self._fleet.pool.acquire(run.engine)
         except OSError as error:
-            self._fleet.health.record_failure(
-                run.engine.engine, unreachable=True
-            )
             raise RunFailedError(
                 f'cannot connect to engine: {error}'
             ) from error
@@ -243,10 +245,10 @@
             run.postpone(ItemReason.ENGINE_REFUSED)
             if answer.misdirected:
                 self._fleet.health.record_failure(
-                    run.engine.engine, unreachable=True
+                    run.engine.engine, unreachable=True, since=run.sent_at
                 )
-                self._fleet.shared_health.record_failure(
-                    run.engine, FailureKind.REFUSED, None
+                self._fleet.shared_health.record_unreachable(
+                    run.engine, FailureKind.REFUSED, run.sent_at
                 )
             return None
         return self._classify_failure(run, head)
