Keep a request released that the operator has released

What callers saw: nothing, where all went well. Where an entry still had a crash to write as the operator deleted the record of a request, the request was refused on: the entry found no record and wrote it anew.

Cause: SuspectTable writes a record up to six times within 9 s, and takes a missing record for one that was never written. A record that the configuration holds and the object service does not was deleted.

Ruled out: news of the configuration that come late; they clear the request on each entry, and the new record suspects it again.

Change: such a record is not written.

Figures: tests.test_own_face_release: test_record_is_not_written_again failed on the code before and passes; the other test guards against the reverse fault, crashes that no longer count, and was not run on it in this form.

--- a/packages/bendlead-node/src/bendlead_node/_entry/suspects.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/suspects.py
@@ -163,6 +163,10 @@
         if isinstance(found, Err):
             return found
         entry = found.ok_value
+        self._merge()
+        if entry is None and digest in self._merged:
+            # The operator has released it, and the news are on their way.
+            return Ok(None)
         if entry is not None:
             stored = parse_object(KIND, entry.body)
             self._history.merge(stored, time.time())
