Try quarantined requests of the own face again in the calm

What callers saw: after a series of engine crashes a sound request that many callers send alike was refused for an hour ("request_quarantined"), however long engines had been sound again.

Cause: SuspectTable had no trials. A request that was at three crashes was sent to no endpoint until an hour had passed, and what is not sent can't be answered whole, which alone clears it.

Ruled out: a higher number of crashes (a longer series uses up any); trials without a claim (three entries, which have the same record, begin theirs at the same moment).

Change: one request is sent 2 s behind the latest crash, once no engine has crashed for 2 s (15 s of waiting at most), claimed in its record in the object service before. A trial under which an engine crashed makes the next one wait for 15 s, from the third late one on 30 s and twice as long each time, up to an hour; beside crashes without the request for 2 s. Three late ones use up the minute behind the third crash. Any other end costs 4 s. While the object service is away each entry has its own trials.

--- a/packages/bendlead-node/src/bendlead_node/_entry/dispatch.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/dispatch.py
@@ -56,6 +56,8 @@
     deadline: float
     avoid: set[str] = field(default_factory=set)
     may_have_run: bool = False
+    #: Name of its trial, until an engine may have run it; empty if it is none.
+    trial: str = ''
 
 
 class Suspects(Protocol):
@@ -65,7 +67,10 @@
         """Name a request, whichever attempt of its caller it is."""
 
     def check(self, request: OnlineRequest) -> None:
-        """Refuse a request that must reach no engine."""
+        """Refuse a request that must reach no engine now."""
+
+    def begin(self, request: OnlineRequest, endpoint: str) -> None:
+        """Make a quarantined request a trial, or refuse it."""
 
     def await_news(self, request: OnlineRequest) -> None:
         """Wait for news of an engine that broke off a request."""
@@ -178,6 +183,7 @@
             peer = self._next_peer(request)
             if peer is None:
                 break
+            self._suspects.begin(request, peer.heartbeat.endpoint)
             tried = self._try(request, peer, resume_after)
             if isinstance(tried, Ok):
                 return tried.ok_value
@@ -200,6 +206,7 @@
         self._note_retry(request, peer, refused)
         if not refused.had_no_effect:
             request.may_have_run = True
+            request.trial = ''
             self._require_repeatable(request)
             self._suspects.await_news(request)
 
@@ -259,6 +266,7 @@
         failure: Failure,
     ) -> None:
         request.may_have_run = True
+        request.trial = ''
         request.avoid.add(sent.peer.heartbeat.endpoint)
         self._router.failed(sent.peer)
         self._note_retry(request, sent.peer, failure)
--- a/packages/bendlead-node/src/bendlead_node/_entry/relay.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/relay.py
@@ -70,6 +70,12 @@
         """Tell whether the store or a peer has been heard since the start."""
         return self._in_sync
 
+    @property
+    def rank(self) -> int:
+        """Tell the place of this process in the order of those alive."""
+        _by_name, ranked = self._ranked()
+        return ranked.index(self._node)
+
     def watch(self, store: ObjectStore) -> None:
         """Follow the store for ever, while this process is a watcher."""
         seen = Version(0)
--- a/packages/bendlead-node/src/bendlead_node/_entry/suspects.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/suspects.py
@@ -1,5 +1,6 @@
 """Keep requests from engines under which others have ended."""
 
+import math
 import time
 from http import HTTPStatus
 
@@ -25,8 +26,8 @@
 from bendlead_node._common.web import CallError
 from bendlead_node._entry.dispatch import OnlineRequest
 from bendlead_node._entry.relay import Relay
+from bendlead_node._entry.trials import KIND, RequestTrials
 
-KIND = 'suspect'
 #: Ends under a request from which on all entries are to know it.
 _ENDS_UNTIL_KEPT = 2
 #: Pauses before a record is written and written again (s); others may write it
@@ -59,6 +60,9 @@
         self._journal = journal
         self._history = CrashHistory()
         self._merged: dict[str, SuspectRecord] = {}
+        self._trials = RequestTrials(
+            store, config, relay, self._history, self._keep_soon
+        )
 
     def digest(self, request: OnlineRequest) -> RequestDigest:
         """Name a request, whichever attempt of its caller it is."""
@@ -71,30 +75,29 @@
         )
 
     def check(self, request: OnlineRequest) -> None:
-        """Refuse a request that must reach no engine."""
+        """Refuse a request that must reach no engine now."""
         self._merge()
-        left = self._history.remaining_quarantine(
-            self.digest(request), time.time()
-        )
-        if not left:
+        if request.trial:
             return
-        outcome = ErrorOutcome.not_run
-        if request.may_have_run:
-            outcome = ErrorOutcome.unknown
-        self._journal.decide(
-            'request-quarantined',
-            request=request.request,
-            digest=self.digest(request),
-            seconds=round(left),
-        )
-        raise CallError(
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            'request_quarantined',
-            'engines ended while they ran this request; change it, or ask the '
-            'operator to release it',
-            outcome,
-            retry_after=round(left),
-        )
+        pause = self._trials.remaining_pause(self.digest(request))
+        if pause:
+            raise self._refusal(request, pause)
+
+    def begin(self, request: OnlineRequest, endpoint: str) -> None:
+        """Make a quarantined request a trial, or refuse it."""
+        if request.trial:
+            return
+        digest = self.digest(request)
+        request.trial, pause = self._trials.begin(digest, endpoint)
+        if pause:
+            raise self._refusal(request, pause)
+        if request.trial:
+            self._journal.decide(
+                'request-tried',
+                request=request.request,
+                digest=digest,
+                endpoint=endpoint,
+            )
 
     def await_news(self, request: OnlineRequest) -> None:
         """Wait for news of an engine, where the next end is the last one.
@@ -114,6 +117,7 @@
         for end in heartbeat.ends:
             digest = RequestDigest(end.digest)
             if self._history.add_crash(digest, end.life, end.at_ms / _MS):
+                self._trials.record_crash(end.life, end.at_ms)
                 self._note(digest, heartbeat.endpoint)
 
     def answered(self, request: OnlineRequest) -> None:
@@ -124,7 +128,26 @@
         if self._history.clear(digest, time.time()):
             self._journal.event('suspect-cleared', digest=digest)
             if digest in self._config.suspects():
-                gevent.spawn(self._keep, digest)
+                self._keep_soon(digest)
+
+    def _refusal(self, request: OnlineRequest, pause: float) -> CallError:
+        outcome = ErrorOutcome.not_run
+        if request.may_have_run:
+            outcome = ErrorOutcome.unknown
+        self._journal.decide(
+            'request-quarantined',
+            request=request.request,
+            digest=self.digest(request),
+            seconds=math.ceil(pause),
+        )
+        return CallError(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'request_quarantined',
+            'engines ended while they ran this request; change it, send it '
+            'again later, or ask the operator to release it',
+            outcome,
+            retry_after=math.ceil(pause),
+        )
 
     def _note(self, digest: RequestDigest, endpoint: str) -> None:
         ends = self._history.crash_count(digest)
@@ -132,7 +155,7 @@
             'request-suspected', digest=digest, endpoint=endpoint, ends=ends
         )
         if ends >= _ENDS_UNTIL_KEPT:
-            gevent.spawn(self._keep, digest)
+            self._keep_soon(digest)
 
     def _merge(self) -> None:
         """Take what the configuration holds now; what is gone is released."""
@@ -146,6 +169,9 @@
                 self._merged[digest] = record
                 self._history.merge(record, now)
 
+    def _keep_soon(self, digest: RequestDigest) -> None:
+        gevent.spawn(self._keep, digest)
+
     def _keep(self, digest: RequestDigest) -> None:
         """Write a record until the object service holds what is known here."""
         failure: Failure | None = None
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -64,6 +64,9 @@
     def check(self, _request):
         """Let every request go on."""
 
+    def begin(self, _request, _endpoint):
+        """Let every attempt go on."""
+
     def await_news(self, _request):
         """Wait for nothing."""
 
