Give an item back whose engine answers that it is full or away

What callers saw: items of the own face were given up after three attempts (`item_attempts_exhausted`), or came back failed with 429, though no engine had run them. An engine that loads behind a crash answers 503 to each item that is sent to it.

Cause: BatchItem counted each status from 500 on as a failed attempt, and took each one below for the item's result.

Ruled out: crashes themselves. Runs that are cut off, and those of endpoints that are lost, count as cut and give no item up (test_ledger_cut_items); in a series of 60 s in which each run is cut off an item is run again 2 s later, and behind the series as soon (test_sound_item_in_a_dense_series, which passed on the code before too).

Change: 429, 502, 503 and 504 give the item back, without an attempt, and the endpoint takes no items for 1 s, as where nothing listens.

--- a/packages/bendlead-node/src/bendlead_node/_endpoint/item.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/item.py
@@ -17,6 +17,15 @@
 _ID_FIELD = b'id: '
 _DATA_FIELD = b'data: '
 _DONE = b'[DONE]'
+#: Answers of an engine that is full or away, or of something in front of it.
+_AWAY = frozenset(
+    (
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.BAD_GATEWAY,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        HTTPStatus.GATEWAY_TIMEOUT,
+    )
+)
 _OBJECT_NAMES = {
     '/v1/chat/completions': 'chat.completion',
     '/v1/completions': 'text_completion',
@@ -137,6 +146,8 @@
     def _refused(self, response: HTTPSocketPoolResponse) -> ItemState:
         status = response.status_code
         body = read_body(response).unwrap_or(b'{}').decode()
+        if status in _AWAY:
+            return self._ended(ItemState.UNREACHED)
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             return self._ended(ItemState.FAILED)
         self.report = self._reported(status, body, failed=True)
--- a/tests/test_ledger_cut_items.py
+++ b/tests/test_ledger_cut_items.py
@@ -19,7 +19,7 @@
 _PAUSE_SECONDS = 2.0
 
 
-class CutItemTest(unittest.TestCase):
+class CutItemCase(unittest.TestCase):
     """Reports of one item of a job, with an attempt limit of three."""
 
     def setUp(self):
@@ -71,6 +71,10 @@
         job = self.state.jobs['j']
         return 0 in set(self.commands._candidates(job))
 
+
+class CutItemTest(CutItemCase):
+    """An item is given up for failed attempts alone, and pauses."""
+
     @parameterized.expand(
         [
             ('cut', 9, 0, False),
