Reject lines of batch files that are no UTF-8

What callers saw: a job whose file has such bytes in a prompt was accepted and never done, and items beside the one with these bytes waited as well.

Cause: msgspec checks the text of fields that it keeps, and skips the rest of a body. The line passed, and each grant with it raised UnicodeDecodeError; its items were leased meanwhile and came back as cut off 5 s later, again and again.

Ruled out: text that the decoder keeps (id, path, model); it is checked.

Change: such a line is listed as invalid_line. A stored one, of an earlier version, is sent with replacement characters, so that its job goes on.

How often a job with such a line is granted was read, not run.

--- a/packages/bendlead-ledger/src/bendlead_ledger/_input.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_input.py
@@ -115,9 +115,8 @@
         if len(line) > self._line_bytes:
             return 'line_too_long', f'over {self._line_bytes} bytes'
         try:
-            parsed = _LINE_DECODER.decode(line)
-            model = _MODEL_DECODER.decode(parsed.body).model
-        except msgspec.DecodeError as error:
+            parsed, model = _parsed(line)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
             return 'invalid_line', str(error)
         if model not in self._models:
             return 'model_not_found', f'no service offers model {model!r}'
@@ -143,6 +142,14 @@
         return Err(Failure(FailureKind.REFUSED, 'upload', self._file, detail))
 
 
+def _parsed(line: bytes) -> tuple[BatchLine, str]:
+    """Return a line and its model; raise if it cannot be run."""
+    # The decoder skips the text of other fields of the body than the model.
+    line.decode()
+    parsed = _LINE_DECODER.decode(line)
+    return parsed, _MODEL_DECODER.decode(parsed.body).model
+
+
 class ChunkReader:
     """Reader of stored files with a cache of decompressed chunks."""
 
--- a/packages/bendlead-ledger/src/bendlead_ledger/_jobs.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_jobs.py
@@ -396,7 +396,8 @@
         position=position,
         path=line.url,
         custom_id=line.custom_id,
-        body=bytes(line.body).decode(),
+        # Earlier versions accepted bodies that are no UTF-8.
+        body=bytes(line.body).decode(errors='replace'),
         alone=position in job.attempts,
     )
 
