Answer messages that are nested too deeply with 400

What callers saw: 500 as plain text for a completion, a job, an operator's object or a file with a value that is nested 100,000 deep; a file with one such line was refused as a whole.

Cause: msgspec raises RecursionError there, which is no DecodeError, also in fields that it skips. In the client of the object service no error of decoding was caught, so that an odd answer ended the task that asked.

Ruled out: answers of engines; BatchItem catches all errors of an item's stream, and online answers are passed on without being decoded.

Change: DECODE_ERRORS of the gateway are caught where callers' messages and peers' answers are decoded, in the ledger and the client of the object service the same errors by name, as both are below the gateway. A line is listed as invalid_line, an answer of the object service fails with UNKNOWN. Messages of peers (PeerGate.read) still give 500 for any odd body; only processes with the peer key send them.

--- a/packages/bendlead-ledger/src/bendlead_ledger/_input.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_input.py
@@ -29,6 +29,8 @@
     model: str
 
 
+#: The last one is raised for values that are nested too deeply.
+_LINE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 _LINE_DECODER = msgspec.json.Decoder(BatchLine)
 _MODEL_DECODER = msgspec.json.Decoder(_BodyModel)
 
@@ -116,7 +118,7 @@
             return 'line_too_long', f'over {self._line_bytes} bytes'
         try:
             parsed, model = _parsed(line)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except _LINE_ERRORS as error:
             return 'invalid_line', str(error)
         if model not in self._models:
             return 'model_not_found', f'no service offers model {model!r}'
--- a/packages/bendlead-node/src/bendlead_node/_common/upstream.py
+++ b/packages/bendlead-node/src/bendlead_node/_common/upstream.py
@@ -5,6 +5,7 @@
 from typing import TypeVar
 
 import msgspec
+from bendlead_gateway.json_values import DECODE_ERRORS
 from bendlead_store import Failure, FailureKind
 from bendlead_store.framing import read_framed
 from bendlead_store.sending import BoundedClient
@@ -131,6 +132,6 @@
         return Err(Failure(FailureKind.UNKNOWN, path, address, detail))
     try:
         return Ok(msgspec.json.decode(body.ok_value, type=reply))
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         kind = FailureKind.UNKNOWN
         return Err(Failure(kind, path, address, str(error)))
--- a/packages/bendlead-node/src/bendlead_node/_entry/admin.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/admin.py
@@ -3,6 +3,7 @@
 from http import HTTPStatus
 
 import msgspec
+from bendlead_gateway.json_values import DECODE_ERRORS
 from bendlead_schema.messages import (
     EndpointHeartbeat,
     EntryHeartbeat,
@@ -198,7 +199,7 @@
 def _check(kind: str, name: str, body: bytes) -> None:
     try:
         found = parse_object(kind, body)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise CallError(
             HTTPStatus.BAD_REQUEST,
             'invalid_object',
--- a/packages/bendlead-node/src/bendlead_node/_entry/batches.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/batches.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+from bendlead_gateway.json_values import DECODE_ERRORS
 from bendlead_ledger import ShardId, digest, job_id, shard_of
 from bendlead_schema.messages import (
     CancelJob,
@@ -73,14 +74,7 @@
         """Accept a job once its record is durable."""
         team = self._gate.team(call)
         body = call.body(_BODY_BYTES)
-        try:
-            wanted = msgspec.json.decode(body, type=_Created)
-        except msgspec.DecodeError as error:
-            raise CallError(
-                HTTPStatus.BAD_REQUEST,
-                'invalid_body',
-                str(error),
-            ) from error
+        wanted = _wanted(body)
         manifest = self._files.manifest(team, wanted.input_file_id)
         key = call.header('Idempotency-Key')
         job = job_id(team.name, key, self._shards.count)
@@ -227,3 +221,14 @@
 
 def _accepted_at(view: JobView) -> float:
     return view.accepted_at
+
+
+def _wanted(body: bytes) -> _Created:
+    try:
+        return msgspec.json.decode(body, type=_Created)
+    except DECODE_ERRORS as error:
+        raise CallError(
+            HTTPStatus.BAD_REQUEST,
+            'invalid_body',
+            str(error),
+        ) from error
--- a/packages/bendlead-node/src/bendlead_node/_entry/online.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/online.py
@@ -5,6 +5,7 @@
 from urllib.parse import quote
 
 import msgspec
+from bendlead_gateway.json_values import DECODE_ERRORS
 from bendlead_schema.objects import Service, ServiceKind, Team
 from bendlead_schema.settings import LimitSettings
 from bendlead_store import clock
@@ -170,7 +171,7 @@
 def _parsed(body: bytes) -> _CompletionBody:
     try:
         return msgspec.json.decode(body, type=_CompletionBody)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise CallError(
             HTTPStatus.BAD_REQUEST,
             'invalid_body',
--- a/packages/bendlead-node/src/bendlead_node/_entry/outputs.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/outputs.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 import msgspec
+from bendlead_gateway.json_values import DECODE_ERRORS
 from bendlead_ledger import (
     ChunkReader,
     decode,
@@ -150,7 +151,7 @@
 def _rejected(position: int, line: bytes) -> bytes:
     try:
         name = msgspec.json.decode(line, type=_Named).custom_id
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         name = ''
     detail = msgspec.json.encode(
         {
--- a/packages/bendlead-store/src/bendlead_store/_http.py
+++ b/packages/bendlead-store/src/bendlead_store/_http.py
@@ -1,7 +1,8 @@
 """Client of the object service over HTTP."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from http import HTTPStatus
+from typing import TypeVar
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -23,6 +24,10 @@
 VERSION_HEADER = 'X-Version'
 _POOL_SIZE = 64
 _DEFAULT_RETRY_AFTER_SECONDS = 0.2
+#: The last one is raised for values that are nested too deeply.
+_DECODE_ERRORS = (msgspec.DecodeError, RecursionError)
+
+DecodedT = TypeVar('DecodedT')
 
 
 class WireEntry(msgspec.Struct):
@@ -91,7 +96,7 @@
         """Return up to ``limit`` entries after a key, without bodies."""
         query = _query(prefix=prefix, after=after, limit=str(limit))
         answer = self._call('GET', f'/objects?{query}')
-        return answer.map(_entries)
+        return self._decoded(answer, _entries)
 
     def watch(
         self,
@@ -102,11 +107,11 @@
         """Wait up to ``timeout`` seconds for changes after a revision."""
         query = _query(prefix=prefix, after=str(after), timeout=str(timeout))
         answer = self._call('GET', f'/watch?{query}', client=self._watcher)
-        return answer.map(_changes)
+        return self._decoded(answer, _changes)
 
     def machines(self) -> Result[Sequence[VirtualMachine], Failure]:
         """Return the platform's list of VMs, which may be out of date."""
-        return self._call('GET', '/machines').map(_machines)
+        return self._decoded(self._call('GET', '/machines'), _machines)
 
     def _connect(
         self, timeout: float, resends: int = 0, longest_wait: float = 0
@@ -163,6 +168,19 @@
             return self._failed(FailureKind.UNKNOWN, step, detail)
         return self._check_status(step, response)
 
+    def _decoded(
+        self,
+        answer: Result[_Response, Failure],
+        decode: Callable[[_Response], DecodedT],
+    ) -> Result[DecodedT, Failure]:
+        """Decode an answer; it fails where that is not possible."""
+        if isinstance(answer, Err):
+            return answer
+        try:
+            return Ok(decode(answer.ok_value))
+        except _DECODE_ERRORS as error:
+            return self._failed(FailureKind.UNKNOWN, 'decode', str(error))
+
     def _check_status(
         self, step: str, response: _Response
     ) -> Result[_Response, Failure]:
