--- a/packages/bendlead-gateway/src/bendlead_gateway/_log.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_log.py
@@ -11,13 +11,13 @@
 from bendlead_store import clock
 from bendlead_store.tasks import TaskFailure
 
+from bendlead_gateway.log_text import quote_field
+
 #: Token bucket; lines beyond it are dropped and counted.
 _LINES_PER_SECOND = 300
 _BURST_LINES = 600
 _RECENT_LINES = 200
 _STDOUT_DESCRIPTOR = 1
-#: Limit of one value: some come from other programs.
-_MAX_CHARACTERS = 4000
 
 
 class Log:
@@ -56,7 +56,7 @@
         parts = [f'time={time.time():.6f}', f'event={kind}']
         parts.append(f'node={self._node}')
         parts.extend(
-            f'{name}={_quoted(shown)}' for name, shown in fields.items()
+            f'{name}={quote_field(shown)}' for name, shown in fields.items()
         )
         line = ' '.join(parts)
         self._recent.append(line)
@@ -102,20 +102,3 @@
             return False
         self._tokens -= 1
         return True
-
-
-def _quoted(field: Any) -> str:
-    try:
-        text = str(field)
-    except Exception:
-        # The line has more to tell than this value.
-        return f'<{type(field).__name__}>'
-    if len(text) > _MAX_CHARACTERS:
-        text = f'{text[:_MAX_CHARACTERS]}...'
-    if text and text.isprintable() and ' ' not in text and '"' not in text:
-        return text
-    # Surrogates can't be encoded, and line breaks would end the line.
-    encodable = text.encode(errors='backslashreplace').decode()
-    escaped = encodable.replace('"', "'")
-    shown = (char if char.isprintable() else ' ' for char in escaped)
-    return f'"{"".join(shown)}"'
--- a/packages/bendlead-node/src/bendlead_node/_common/telemetry.py
+++ b/packages/bendlead-node/src/bendlead_node/_common/telemetry.py
@@ -9,6 +9,7 @@
 
 import eliot
 import gevent
+from bendlead_gateway.log_text import quote_field
 from bendlead_store.tasks import (
     TaskFailure,
     keep_running,
@@ -139,12 +140,6 @@
 
 
 def _line(fields: Mapping[str, Any]) -> str:
-    return ' '.join(f'{name}={_quoted(text)}' for name, text in fields.items())
-
-
-def _quoted(text: Any) -> str:
-    plain = str(text)
-    if ' ' in plain or '"' in plain or not plain:
-        escaped = plain.replace('"', "'").replace('\n', ' ')
-        return f'"{escaped}"'
-    return plain
+    return ' '.join(
+        f'{name}={quote_field(shown)}' for name, shown in fields.items()
+    )
