Answer unforeseen errors of the own face as errors.md says

What callers saw: 500 as plain text, without the shape of an error, an outcome or anything to find it by; an entry passed such an answer of an endpoint process on as whole.

Cause: WebApp caught CallError alone, and gevent's server answered the rest and wrote a traceback to standard error.

Ruled out: errors within a stream that has begun; its head is out, and the server ends the connection as before.

Change: 500 `internal_error` with outcome `unknown` and an id, and a line `handler-failed` with that id, the error and where it was raised. An entry takes it for an attempt that may have run.

--- a/packages/bendlead-node/src/bendlead_node/_common/web.py
+++ b/packages/bendlead-node/src/bendlead_node/_common/web.py
@@ -1,6 +1,7 @@
 """HTTP serving: typed calls and answers over gevent's WSGI engine."""
 
 import socket
+import uuid
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -8,6 +9,7 @@
 
 import msgspec
 from bendlead_schema.messages import ErrorOutcome
+from bendlead_store.tasks import error_fields
 from gevent.pywsgi import WSGIServer
 
 OUTCOME_HEADER: Final = 'X-Bendlead-Outcome'
@@ -126,11 +128,21 @@
     handler: Handler
 
 
+def _ignore(_kind: str, **_fields: object) -> None:
+    """Report nothing."""
+
+
 class WebApp:
     """Find the handler of a call: exact paths first, patterns after."""
 
-    def __init__(self, routes: Iterable[Route]) -> None:
+    def __init__(
+        self,
+        routes: Iterable[Route],
+        report: Callable[..., None] = _ignore,
+    ) -> None:
+        """Serve routes; ``report`` is told of handlers that raise."""
         routes = list(routes)
+        self._report = report
         self._exact = {
             (route.method, route.path): route.handler
             for route in routes
@@ -177,6 +189,24 @@
             return handler(call)
         except CallError as error:
             return error.answer()
+        except Exception as error:
+            return self._failed(call, error)
+
+    def _failed(self, call: Call, error: Exception) -> Answer:
+        name = uuid.uuid4().hex
+        self._report(
+            'handler-failed',
+            id=name,
+            method=call.method,
+            path=call.path,
+            **error_fields(error),
+        )
+        return CallError(
+            HTTPStatus.INTERNAL_SERVER_ERROR,
+            'internal_error',
+            f'an unforeseen error; the operator finds it by {name}',
+            ErrorOutcome.unknown,
+        ).answer()
 
 
 class _PatternTable:
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/process.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/process.py
@@ -99,7 +99,7 @@
         server = WebServer(
             self._settings.host,
             self._settings.port,
-            WebApp(self._routes()),
+            WebApp(self._routes(), self._journal.event),
         )
         self._address = server.address
         server.start()
--- a/packages/bendlead-node/src/bendlead_node/_entry/process.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/process.py
@@ -98,7 +98,7 @@
         )
         self._shards = self._shard_table(self._server.address)
         recorder, routes = self._callers_side()
-        self._app = WebApp(routes)
+        self._app = WebApp(routes, self._journal.event)
         self._server.use(self._app)
         self._server.start()
         self._journal.event('listening', address=self._server.address)
