Several suspects, series of crashes 4 to 5 s apart, and new processes

- The hour by another way: trials that failed beside others prolonged the first pause behind one that failed alone: 30, 60, 120, 480 and 3600 s behind 2, 3, 4, 6 and 12 of them.
- A wait that nothing ended: with one of nine engines crashing each 4.2 s, each crash began a new series, and the bound of the wait for calm never came (118 s without a trial).
The gap of a series is longer than any calm now (6 s).
- Two or three suspects took each other's trials for other crashes, so that neither waited: three items for ever were sent 4 to 8 times late in a minute, 22 in three.
- A process that starts knew no crashes of others, and took trials of a series for trials alone: stored records feed the table of crashes as reports do.
- A request in trial whose suspected part has to wait polled until its deadline: it is refused at once.

Tests: longest wait for calm, trial of another suspect, trials beside others, stored records, second_that_runs; each fails on the code before.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/quarantine.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/quarantine.py
@@ -66,6 +66,7 @@
         if not suspects:
             return True
         if turn.pause:
+            self._refuse_claim(exchange)
             return False
         claims = self._suspects.claims
         began = clock.uptime()
@@ -78,8 +79,7 @@
         )
         if not claimed:
             claims.end(id(exchange), may_have_run=False)
-            exchange.claim_refused = exchange.in_trial
-            exchange.in_trial = False
+            self._refuse_claim(exchange)
             exchange.held_seconds += clock.uptime() - began + _POLL_SECONDS
         return claimed
 
@@ -94,6 +94,10 @@
             return f'quarantined: engines crashed on part {parts[0]}'
         return 'quarantined: engines crashed while running it'
 
+    def _refuse_claim(self, exchange: Exchange) -> None:
+        exchange.claim_refused = exchange.in_trial
+        exchange.in_trial = False
+
     def _trial_pause(self, exchange: Exchange) -> float:
         """Return the seconds until a request may be a trial."""
         pause = self._suspects.trial_pause(
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/calm.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/calm.py
@@ -4,8 +4,9 @@
 
 from bendlead_store import clock
 
-#: Crashes nearer to each other than this are of one series.
-_SERIES_GAP_SECONDS = 4.0
+#: Crashes nearer to each other than this are of one series. It is longer than
+#: any calm that is waited for.
+_SERIES_GAP_SECONDS = 6.0
 
 
 class EngineCalm:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
@@ -41,8 +41,8 @@
 _MS_PER_SECOND = 1000
 
 
-def ignore_cleared(record: SuspectRecord, cleared_ms: int) -> None:
-    """Ignore a suspect that was cleared."""
+def ignore_change(known: SuspectRecord, merged: SuspectRecord) -> None:
+    """Ignore a changed record."""
 
 
 class _Suspect(Struct, frozen=True):
@@ -65,9 +65,10 @@
         self._suspects: dict[RequestDigest, _Suspect] = {}
         self._revision = 0
         self._quarantined: set[RequestDigest] = set()
-        #: Called with the record of a suspect that is cleared, as it was, and
-        #: the time (Unix ms).
-        self.on_cleared: Callable[[SuspectRecord, int], None] = ignore_cleared
+        #: Called with a record before and after a change, whatever its source.
+        self.on_change: Callable[[SuspectRecord, SuspectRecord], None] = (
+            ignore_change
+        )
 
     @property
     def any_suspects(self) -> bool:
@@ -167,8 +168,7 @@
         if merged == known:
             return False
         self._put(digest, merged, now)
-        if merged.cleared_ms > known.cleared_ms:
-            self.on_cleared(known, merged.cleared_ms)
+        self.on_change(known, merged)
         return True
 
     def changes_after(
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_table.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_table.py
@@ -1,6 +1,6 @@
 """Recent engine crashes and the requests that were running at each."""
 
-from collections.abc import Container, Iterable, Iterator, Mapping
+from collections.abc import Container, Iterable, Iterator, Mapping, Set
 
 from msgspec import Struct, field
 
@@ -35,6 +35,18 @@
 
     def __init__(self) -> None:
         self._crashes: dict[str, _Crash] = {}
+        #: Engine incarnations that crashed in trials of suspects.
+        self._tried: set[str] = set()
+
+    @property
+    def tried(self) -> Set[str]:
+        """Engine incarnations that crashed in the trial of a suspect."""
+        return self._tried
+
+    def add_tried(self, incarnation: str) -> None:
+        """Add a crash that a trial explains."""
+        if incarnation in self._crashes:
+            self._tried.add(incarnation)
 
     def add(self, digest: RequestDigest, ends: Mapping[str, int]) -> None:
         """Add the crashes at which a request was running."""
@@ -43,7 +55,9 @@
             crash.at_ms = min(crash.at_ms, at_ms)
             crash.requests.add(digest)
         while len(self._crashes) > _MAX_CRASHES:
-            self._crashes.pop(min(self._crashes, key=self._time_of))
+            dropped = min(self._crashes, key=self._time_of)
+            self._crashes.pop(dropped)
+            self._tried.discard(dropped)
 
     def covers(self, since_ms: int) -> bool:
         """Return whether no crash since a time has been dropped."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_probation.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/part_probation.py
@@ -15,7 +15,6 @@
 from bendlead_gateway._suspects.digest import RequestDigest
 from bendlead_gateway._suspects.trial_schedule import (
     PART_RULES,
-    UNKNOWN_PAUSE_SECONDS,
     failed_trials,
     pause_after_failed,
     trial_times,
@@ -34,6 +33,7 @@
 #: Pause after a trial, or a crash since. It doubles with each failed one but
 #: the first, and with others until a crash would be known.
 _TRIAL_PAUSE_SECONDS = 2.0
+_MAX_UNKNOWN_PAUSE_SECONDS = 8.0
 #: Time in which a trial clears its parts, if they are sound.
 _TRIAL_SECONDS = 1.2
 #: A crash of the engine of a trial is noticed within this time.
@@ -103,7 +103,7 @@
         return 0
     failed = list(failed_trials(record))
     pause = max(
-        min(_doubled(len(trials)), UNKNOWN_PAUSE_SECONDS),
+        min(_doubled(len(trials)), _MAX_UNKNOWN_PAUSE_SECONDS),
         min(
             _doubled(len(failed)),
             pause_after_failed(record, failed, PART_RULES),
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -37,6 +37,7 @@
     PART_RULES,
     REQUEST_RULES,
     TrialSchedule,
+    failed_trials,
 )
 from bendlead_gateway._suspects.trial_turns import TrialTurns
 from bendlead_gateway.types import (
@@ -81,7 +82,7 @@
         self.calm = EngineCalm()
         self.turns = TrialTurns()
         self._schedule = TrialSchedule(self._crashes, self.calm)
-        self._history.on_cleared = self._schedule.record_cleared
+        self._history.on_change = self._record_change
         self.crash_detector = CrashDetector(
             takes_requests, last_response_at, log, metrics
         )
@@ -215,7 +216,7 @@
                 self._log.event('suspect-unreadable', digest=record.digest)
             elif self._history.merge(record, now):
                 suspect = RequestDigest(record.digest)
-                self._log_suspect(suspect, 'a peer')
+                _log_suspect(self._log, self._history, suspect, 'a peer')
                 self._record_crashes(suspect, record.ends)
 
     def updates_after(self, after: int) -> tuple[int, list[SuspectRecord]]:
@@ -260,7 +261,7 @@
             if self._history.add_crash(
                 suspect, incarnation, now, share, repeat_chance
             ):
-                self._log_suspect(suspect, engine.engine)
+                _log_suspect(self._log, self._history, suspect, engine.engine)
                 self.store.save(suspect)
             ends = {incarnation: round(now * _MS_PER_SECOND)}
             self._record_crashes(suspect, ends)
@@ -275,6 +276,19 @@
             self._crashes.add(suspect, ends)
         self._search_soon()
 
+    def _record_change(
+        self, known: SuspectRecord, merged: SuspectRecord
+    ) -> None:
+        """Use what any source tells of crashes, stored records as well."""
+        if merged.cleared_ms > known.cleared_ms:
+            self._schedule.record_cleared(known, merged.cleared_ms)
+        suspect = RequestDigest(merged.digest)
+        if not names_part(suspect):
+            self.calm.record_crashes(merged.ends)
+            self._crashes.add(suspect, merged.ends)
+        for trial in failed_trials(merged):
+            self._crashes.add_tried(trial.incarnation)
+
     def _search_soon(self) -> None:
         if self._searching is None or self._searching.dead:
             self._searching = gevent.spawn_later(
@@ -298,14 +312,17 @@
             self._history.record_found(tested.suspect, now)
             self.store.save(tested.suspect)
 
-    def _log_suspect(self, digest: RequestDigest, source: str) -> None:
-        self._log.event(
-            'request-suspected',
-            digest=digest,
-            source=source,
-            ends=self._history.crash_count(digest),
-            quarantined=self._history.is_quarantined(digest),
-        )
+
+def _log_suspect(
+    log: Log, history: CrashHistory, digest: RequestDigest, source: str
+) -> None:
+    log.event(
+        'request-suspected',
+        digest=digest,
+        source=source,
+        ends=history.crash_count(digest),
+        quarantined=history.is_quarantined(digest),
+    )
 
 
 def _repeat_chance(earlier_crashes: int, engines: int) -> float:
