--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/trial_schedule.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/trial_schedule.py
@@ -114,17 +114,10 @@
         alone = [one for one in failed if self._crashed_alone(record, one)]
         pause, calm = self._pause(record, failed, alone, rules)
         longest = _longest_calm_wait(len(failed) - len(alone))
-        tried = [one.began for one in failed]
-        unknown = set(trial_times(record)).difference(tried)
-        unknown_pause = _UNKNOWN_PAUSE_SECONDS
-        if len(unknown) > 1:
-            unknown_pause = _LONG_UNKNOWN_PAUSE_SECONDS
-        not_run = max(map(int, record.trials), default=0)
         return max(
             self._remaining_calm(calm, longest, now - latest / _MS_PER_SECOND),
             _remaining(pause + turn, latest, now),
-            _remaining(unknown_pause, max(unknown, default=0), now),
-            _remaining(_NOT_RUN_PAUSE_SECONDS, not_run, now),
+            _remaining_untold(record, failed, now),
         )
 
     def _remaining_calm(
@@ -226,6 +219,21 @@
     return max([record.found_ms, *record.ends.values(), *trial_times(record)])
 
 
+def _remaining_untold(
+    record: SuspectRecord, failed: Sequence[FailedTrial], now: float
+) -> float:
+    """Return the rest of the pause after trials that told nothing (s)."""
+    unknown = set(trial_times(record)).difference(one.began for one in failed)
+    pause = _UNKNOWN_PAUSE_SECONDS
+    if len(unknown) > 1:
+        pause = _LONG_UNKNOWN_PAUSE_SECONDS
+    not_run = max(map(int, record.trials), default=0)
+    return max(
+        _remaining(pause, max(unknown, default=0), now),
+        _remaining(_NOT_RUN_PAUSE_SECONDS, not_run, now),
+    )
+
+
 def _remaining(pause: float, since_ms: int, now: float) -> float:
     """Return the rest of a pause (s), 0 if its begin lies ahead."""
     elapsed = now - since_ms / _MS_PER_SECOND
