--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/trial_schedule.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/trial_schedule.py
@@ -27,8 +27,8 @@
 _NOTICED_MS = 8000
 #: Pause after a trial that no engine has run.
 _NOT_RUN_PAUSE_SECONDS = 0.1
-#: Pause after a failed trial. Accepted items that fail no more often than every
-#: 20 s count as lost.
+#: Pause after a failed trial. An accepted item counts as lost once its latest
+#: failure is 20 s old.
 _FAILED_PAUSE_SECONDS = 15.0
 #: Late trials that the users allow for what crashes engines; the pause doubles
 #: with each further one.
