Runner: new failures are named last

Ruled out: a failure outside the tests (lint, generated code and model passed). Change: known red tests are printed first, new failures behind them, then the counts. The new test failed before, passes now.

--- a/testing/src/bendlead_testing/runner.py
+++ b/testing/src/bendlead_testing/runner.py
@@ -114,9 +114,11 @@
     for name in _slowest(tally):
         sys.stdout.write(f'{tally.seconds[name]:7.1f} s  {name}\n')
     known = set(tally.broken) & _known_red()
-    for name in sorted(tally.broken):
-        word = 'known red' if name in known else 'failed'
-        sys.stdout.write(f'{word}: {name}\n')
+    # What is new comes last: some readers see only the end of the output.
+    for name in sorted(known):
+        sys.stdout.write(f'known red: {name}\n')
+    for name in sorted(set(tally.broken) - known):
+        sys.stdout.write(f'failed: {name}\n')
     passed = tally.run - len(tally.broken)
     sys.stdout.write(f'{passed} passed, {len(tally.broken)} failed\n')
     return set(tally.broken) == known and tally.run > 0
