Tests: a run of the same entry that tries the suspect

Change: a request comes while the claim of one alike is being stored, and 5.1, 11.9 and 12.1 s after it; the same for a suspected part.

Each fails when its part is undone: - without `any_claimed` in _trial_pause: "Lists differ: [0.1] != [0]" while the claim is stored, "0.1 != 0" after 5.1 and 11.9 s; - `busy=False` in part_turn: "0 is not true" while the claim is stored, "(True, True) != (False, False)" after 5.1 and 11.9 s; - `any_claimed` without `has_claimed`: "0 != 0.1" and "(False, False) != (True, True)" after 12.1 s. Ruled out: the pause of 5 s after a trial that told nothing holds the request up only until then.

--- a/tests/test_gateway_trial_claims.py
+++ b/tests/test_gateway_trial_claims.py
@@ -9,8 +9,10 @@
 from unittest import mock
 
 from bendlead_gateway._online.quarantine import Quarantine
+from bendlead_gateway._scheduling.retry import RETRY_AFTER_SECONDS
 from bendlead_gateway._suspects.digest import RequestDigest, name_part
 from bendlead_gateway._suspects.suspects import Suspects
+from bendlead_gateway._suspects.trial_claims import MAX_TRIAL_SECONDS
 from bendlead_gateway.types import EngineId, PromptPart
 from bendlead_store import clock
 from parameterized import parameterized
@@ -25,6 +27,9 @@
 _ENGINE = EngineId('i-1')
 _VIEW = SimpleNamespace(free=1, name=_ENGINE)
 _AWAY = Err('away')
+#: A trial of which nothing is known holds the next one up for so long by its
+#: record.
+_UNKNOWN_SECONDS = 5.0
 
 
 class ClaimCase(unittest.TestCase):
@@ -123,5 +128,76 @@
         self.assertFalse(trials.claim('run', _ITEM, _ENGINE))
 
 
+class OneTrialTest(ClaimCase):
+    """A run of the same entry tries the suspect."""
+
+    @parameterized.expand(
+        [
+            ('request', _REQUEST, (), False),
+            ('found_part', name_part(_PART), (_PART,), True),
+        ]
+    )
+    def test_claim_that_is_being_stored(self, _name, suspect, parts, found):
+        """Guards against two trials, as no record tells of the first yet."""
+        entry = self.start_entry(suspect, found=found)
+        first, second = exchange(parts=parts), exchange(parts=parts)
+        self.assertEqual(0, entry.begin_trial(first, _VIEW))
+        pauses = []
+
+        def put(*_written):
+            pauses.append(entry.begin_trial(second, _VIEW))
+            return Ok(1)
+
+        self.store.put.side_effect = put
+        self.assertTrue(entry.claim(first, _ENGINE))
+        self.assertEqual([RETRY_AFTER_SECONDS], pauses)
+
+    def test_claim_of_a_suspected_part_that_is_being_stored(self):
+        """Guards against as many trials as requests come at once."""
+        entry = self.start_entry(name_part(_PART))
+        asking = exchange(parts=(_PART,))
+        turns = []
+
+        def put(*_written):
+            turns.append(entry.part_turn(asking))
+            return Ok(1)
+
+        self.store.put.side_effect = put
+        self.assertTrue(entry.claim(exchange(parts=(_PART,)), _ENGINE))
+        self.assertTrue(turns[0].pause)
+        self.assertTrue(turns[0].in_trial)
+
+    @parameterized.expand(
+        [
+            ('unknown', _UNKNOWN_SECONDS + 0.1, RETRY_AFTER_SECONDS),
+            ('longest', MAX_TRIAL_SECONDS - 0.1, RETRY_AFTER_SECONDS),
+            ('endless', MAX_TRIAL_SECONDS + 0.1, 0),
+        ]
+    )
+    def test_request_waits_for_the_trial(self, _name, elapsed, expected):
+        """Its answer may begin late, and an endless one holds none up."""
+        entry = self.start_entry()
+        first = exchange()
+        self.assertEqual(0, entry.begin_trial(first, _VIEW))
+        self.assertTrue(entry.claim(first, _ENGINE))
+        self.now = elapsed
+        self.assertEqual(expected, entry.begin_trial(exchange(), _VIEW))
+
+    @parameterized.expand(
+        [
+            ('unknown', _UNKNOWN_SECONDS + 0.1, True),
+            ('longest', MAX_TRIAL_SECONDS - 0.1, True),
+            ('endless', MAX_TRIAL_SECONDS + 0.1, False),
+        ]
+    )
+    def test_suspected_part_waits_for_the_trial(self, _name, elapsed, busy):
+        entry = self.start_entry(name_part(_PART))
+        asking = exchange(parts=(_PART,))
+        self.assertTrue(entry.claim(exchange(parts=(_PART,)), _ENGINE))
+        self.now = elapsed
+        turn = entry.part_turn(asking)
+        self.assertEqual((busy, busy), (bool(turn.pause), turn.in_trial))
+
+
 if __name__ == '__main__':
     unittest.main()
