Tests: what a refused claim ends

Cause: no test failed without `claim_refused` in Quarantine.begin_trial, nor with the refusal in Quarantine.claim of (a request in trial whose suspected part has to wait) undone.

Change: a request whose claim was refused is refused, also once it is the entry's turn; one in trial whose part another entry tries as well; one that is no trial waits for its part.

Each fails when its part is undone: - without `claim_refused` in begin_trial, or never set: "0.1 != 0", so the request would be tried on each poll; - `turn.pause` without _refuse_claim: "0 not greater than 0", so it would be sent on as a trial until its deadline; - `claim_refused` always set: "True is not false".

--- a/tests/test_gateway_trial_claims.py
+++ b/tests/test_gateway_trial_claims.py
@@ -14,6 +14,7 @@
 from bendlead_gateway._suspects.suspects import Suspects
 from bendlead_gateway._suspects.trial_claims import MAX_TRIAL_SECONDS
 from bendlead_gateway.types import EngineId, PromptPart
+from bendlead_schema.gateway import SuspectRecord
 from bendlead_store import clock
 from parameterized import parameterized
 from result import Err, Ok
@@ -21,6 +22,7 @@
 #: The first of three entries has its turn.
 _NOW = 999_999.0
 _ENTRIES = 3
+_MS = 1000
 _REQUEST = RequestDigest('d')
 _ITEM = RequestDigest('item-d')
 _PART = PromptPart('p')
@@ -199,5 +201,46 @@
         self.assertEqual((busy, busy), (bool(turn.pause), turn.in_trial))
 
 
+class RefusedClaimTest(ClaimCase):
+    """A request could be tried, and its claim was refused."""
+
+    def test_request_is_refused_for_good(self):
+        """Guards against claims each 20 ms until the deadline passes."""
+        self.leave()
+        entry = self.start_entry(rank=1)
+        asking = exchange()
+        self.assertEqual(0, entry.begin_trial(asking, _VIEW))
+        self.assertFalse(entry.claim(asking, _ENGINE))
+        for elapsed in (0.2, 1.0):
+            self.now = elapsed
+            pause = entry.begin_trial(asking, _VIEW)
+            self.assertEqual(RETRY_AFTER_SECONDS, pause)
+        self.assertEqual(0, entry.begin_trial(exchange(), _VIEW))
+
+    def test_request_whose_part_another_entry_tries(self):
+        """Guards against a request in trial that polls to its deadline."""
+        entry = self.start_entry()
+        part = self.start(name_part(_PART))._history.record(name_part(_PART))
+        asking = exchange(parts=(_PART,))
+        self.assertEqual(0, entry.begin_trial(asking, _VIEW))
+        part.trials[str(round(_NOW * _MS))] = 'i-2'
+        entry._suspects._history.merge(part, _NOW)
+        self.assertFalse(entry.claim(asking, _ENGINE))
+        self.assertGreater(entry.begin_trial(asking, _VIEW), 0)
+
+    def test_request_that_is_no_trial_waits_for_its_part(self):
+        """Guards against sound requests refused for a claim of another."""
+        entry = self.start_entry(name_part(_PART))
+        asking = exchange(parts=(_PART,))
+        trial = SuspectRecord(
+            digest=name_part(_PART), trials={str(round(_NOW * _MS)): 'i-2'}
+        )
+        entry._suspects._history.merge(trial, _NOW)
+        self.assertFalse(entry.claim(asking, _ENGINE))
+        self.assertFalse(asking.claim_refused)
+        self.now = 3
+        self.assertTrue(entry.claim(asking, _ENGINE))
+
+
 if __name__ == '__main__':
     unittest.main()
