Tests: the gap of a series of crashes

Cause: no test failed with another gap than 6 s, also not with the 4 s before; `longest_wait` of the replay was used nowhere.

Change: crashes 0.5, 5.9 and 6.1 s apart, and in the replay what crashes engines for ever beside another crash each 4.2 s: no wait is longer than 60 s.

--- /dev/null
+++ b/tests/test_gateway_crash_series.py
@@ -0,0 +1,62 @@
+"""Crashes of engines in series, and the calm between them.
+
+Guards against trials in a series, and against waits that no calm ends.
+"""
+
+import unittest
+from itertools import product
+from unittest import mock
+
+from bendlead_gateway._suspects.calm import EngineCalm
+from bendlead_store import clock
+from bendlead_testing.trial_replay import (
+    SuspectKind,
+    TrialLoad,
+    TrialReplay,
+)
+from parameterized import parameterized
+
+#: Most suspects wait for a calm that is longer than this, 5 s at most.
+_APART_SECONDS = 4.2
+#: A trial is due after so long, however engines crash.
+_LONGEST_WAIT_SECONDS = 60
+_SECONDS = 200
+
+
+class CalmCase(unittest.TestCase):
+    """A calm with a simulated clock."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.calm = EngineCalm()
+        patched = mock.patch.object(clock, 'uptime', lambda: self.now)
+        patched.start()
+        self.addCleanup(patched.stop)
+
+
+class GapTest(CalmCase):
+    """Crashes at even intervals."""
+
+    @parameterized.expand(
+        [('dense', 0.5, 30), ('longest_gap', 5.9, 30), ('apart', 6.1, 0)]
+    )
+    def test_series(self, _name, gap, gaps):
+        """A series is longer than any calm that trials wait for."""
+        for number in range(31):
+            self.now = number * gap
+            self.calm.record_crashes({f'x-{number}@0': number + 1})
+        self.assertAlmostEqual(gaps * gap, self.calm.series_seconds)
+
+    @parameterized.expand(product(SuspectKind))
+    def test_trials_go_on_in_a_series(self, kind):
+        """Guards against crashes that each begin a new wait for calm."""
+        load = TrialLoad(
+            kind, deadly_until=1000, every=_APART_SECONDS, crashes_until=1000
+        )
+        outcome = TrialReplay(load, seed=1).play(_SECONDS)
+        longest = outcome.longest_wait(0, _SECONDS)
+        self.assertLess(longest, _LONGEST_WAIT_SECONDS + 1)
+
+
+if __name__ == '__main__':
+    unittest.main()
