Tests: old news of crashes starts no new calm

Change: reports of older crashes, of the known one, of both and of none, 3 s and 60 s after the latest crash, and of a later one.

Each row but none and later fails when every report starts a calm ("0 != 2.0", "60 != 0.0" for the series); those of the known crash and of one of the same time also with `>=` in place of `>`.

Not covered, and seen while this was written: a process that knows no crash takes the first it hears of as one of this moment, however old.

--- a/tests/test_gateway_crash_series.py
+++ b/tests/test_gateway_crash_series.py
@@ -16,6 +16,7 @@
 )
 from parameterized import parameterized
 
+_CALM = 2.0
 #: Most suspects wait for a calm that is longer than this, 5 s at most.
 _APART_SECONDS = 4.2
 #: A trial is due after so long, however engines crash.
@@ -34,6 +35,35 @@
         self.addCleanup(patched.stop)
 
 
+class NewsTest(CalmCase):
+    """Reports of crashes come later than that of the latest one."""
+
+    @parameterized.expand(
+        [
+            ('older', {'y@0': 4000}, 0),
+            ('known', {'x@0': 5000}, 0),
+            ('older_and_known', {'y@0': 4000, 'x@0': 5000}, 0),
+            ('none', {}, 0),
+            ('of_the_same_time', {'y@0': 5000}, 0),
+            ('later', {'y@0': 5001}, _CALM),
+        ]
+    )
+    def test_only_later_crashes_start_a_new_calm(self, _name, news, remaining):
+        """Guards against a wait for calm with each report of a peer."""
+        self.calm.record_crashes({'x@0': 5000})
+        self.now = 3.0
+        self.calm.record_crashes(news)
+        self.assertEqual(remaining, self.calm.remaining(_CALM))
+        self.assertEqual(3, self.calm.series_seconds)
+
+    def test_old_news_begins_no_series(self):
+        """Guards against a wait for calm that begins anew."""
+        self.calm.record_crashes({'x@0': 5000})
+        self.now = 60.0
+        self.calm.record_crashes({'y@0': 4000})
+        self.assertEqual(60, self.calm.series_seconds)
+
+
 class GapTest(CalmCase):
     """Crashes at even intervals."""
 
