Tests: trials beside crashes that the table has dropped

Cause: no test failed without `covers`: a trial that failed beside crashes which are no longer known would count as one that failed alone.

Change: a failed trial with 128 later crashes in the table, and with 127 and one before it, when all are still known.

Without `covers` in _crashed_alone the first row fails ("0 != 11.0"), with a `covers` that is false for each full table the second one ("11 != 0").

--- a/tests/test_gateway_trial_schedule.py
+++ b/tests/test_gateway_trial_schedule.py
@@ -185,6 +185,18 @@
         self.crashes.add_tried('x@0')
         self.assertGreater(self.pause(suspect), 10)
 
+    @parameterized.expand([('no_longer_known', 128, 0), ('known', 127, 11)])
+    def test_trial_beside_crashes_that_may_be_dropped(
+        self, _name, later, expected
+    ):
+        """Guards against trials taken for such that failed alone."""
+        suspect = record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')])
+        self.crashes.add(RequestDigest('old'), {'old@0': at_ms(-30)})
+        for number in range(later):
+            newer = {f'x-{number}@0': at_ms(-3 + number / 100)}
+            self.crashes.add(RequestDigest('other'), newer)
+        self.assertAlmostEqual(expected, self.pause(suspect), 2)
+
     @parameterized.expand([(2,), (12,)])
     def test_trials_beside_others_prolong_no_later_pause(self, count):
         """Guards against the hour by another way."""
