Tests: the wait for calm after two, three and six trials beside others

Change: rows for two, three and six trials: 15, 30 and 60 s.

With _QUICK_TRIALS 1 the rows of two and three fail ("0 != 4.49", the rest of the calm), with a bound of 3600 s that of six ("0 != 4.49"). That it doubles at all, from the third on and to 60 s, had a row (four trials).

--- a/tests/test_gateway_trial_schedule.py
+++ b/tests/test_gateway_trial_schedule.py
@@ -159,7 +159,15 @@
         self.calm.record_crashes({'x@0': 1})
         self.assertLess(self.pause(suspect), 5)
 
-    @parameterized.expand([('once', 1, 15), ('often', 4, 60)])
+    @parameterized.expand(
+        [
+            ('once', 1, 15),
+            ('twice', 2, 15),
+            ('three_times', 3, 30),
+            ('often', 4, 60),
+            ('six_times', 6, 60),
+        ]
+    )
     def test_longest_wait_for_calm(self, _name, count, expected):
         """It grows while engines go on crashing, and calm ends it."""
         seconds = [-9 - 20 * number for number in range(count)]
