Tests: what a process learns of crashes, trials and recoveries of others

Cause: of what lets each changed record do (Suspects._record_change), only the table of crashes had a test. test_gateway_trial_schedule, test_gateway_trial_lines and test_gateway_suspects passed with each other part undone (trials on a scratch copy).

Change: records come from the object service or from a peer. The clock is simulated there too; a name that hid it is another one now.

--- a/tests/test_gateway_trial_schedule.py
+++ b/tests/test_gateway_trial_schedule.py
@@ -18,7 +18,7 @@
 )
 from bendlead_gateway._suspects.trial_turns import TrialTurns
 from bendlead_schema.gateway import SuspectRecord
-from bendlead_store import Entry
+from bendlead_store import Entry, clock
 from parameterized import parameterized
 
 _NOW = 1_000_000.0
@@ -60,8 +60,8 @@
         self.schedule = TrialSchedule(self.crashes, self.calm)
 
     def pause(self, suspect, rules=ITEM_RULES, now=0):
-        with mock.patch.object(trial_schedule, 'time') as clock:
-            clock.time.return_value = _NOW + now
+        with mock.patch.object(trial_schedule, 'time') as replaced:
+            replaced.time.return_value = _NOW + now
             return self.schedule.remaining_pause(suspect, rules)
 
     @parameterized.expand(
@@ -256,19 +256,91 @@
 
 
 class StoredRecordTest(unittest.TestCase):
-    """A process starts and reads what others stored."""
+    """A process learns what others know, as it starts and later."""
+
+    def setUp(self):
+        self.suspects = Suspects(*[mock.Mock() for _argument in range(7)])
+        for patched in (
+            mock.patch.object(self.suspects, '_search_soon'),
+            mock.patch.object(clock, 'uptime', lambda: _NOW),
+        ):
+            patched.start()
+            self.addCleanup(patched.stop)
+
+    def learn(self, known, source='stored'):
+        """Merge a record that is stored, or that a peer reports."""
+        if source == 'stored':
+            self.suspects.store._load(stored(known))
+        else:
+            self.suspects.receive([known])
+
+    def pause(self, suspect, rules=ITEM_RULES):
+        with mock.patch.object(trial_schedule, 'time') as replaced:
+            replaced.time.return_value = _NOW
+            return self.suspects._schedule.remaining_pause(suspect, rules)
+
+    def pause_of(self, digest):
+        """Return the pause of an item by what is known of it."""
+        return self.pause(self.suspects._history.record(RequestDigest(digest)))
 
     def test_crashes_of_stored_records_are_other_causes(self):
         """Guards against a series that a new process takes for one suspect."""
-        suspects = Suspects(*[mock.Mock() for _argument in range(7)])
-        suspects.store._load(stored(record(crashed(-5), digest='d')))
-        failed = record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')])
-        suspects.store._load(stored(failed))
-        with mock.patch.object(trial_schedule, 'time') as clock:
-            clock.time.return_value = _NOW
-            pause = suspects.item_trials.remaining_pause('item-d')
+        self.learn(record(crashed(-5), digest='d'))
+        self.learn(record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')]))
+        with mock.patch.object(trial_schedule, 'time') as replaced:
+            replaced.time.return_value = _NOW
+            pause = self.suspects.item_trials.remaining_pause('item-d')
         self.assertLess(pause, 5)
 
+    def test_stored_crashes_end_the_calm(self):
+        """Guards against a new process that tries suspects in a series."""
+        suspect = record(crashed(-5, -4, -3), digest='d')
+        self.assertEqual(0, self.pause(suspect, REQUEST_RULES))
+        self.learn(record(crashed(-0.1), digest='e'))
+        pause = self.pause(suspect, REQUEST_RULES)
+        self.assertAlmostEqual(_CALM, pause, 2)
+
+    def test_crashes_of_parts_are_those_of_requests(self):
+        """Guards against a crash that counts with a further request."""
+        self.learn(record(crashed(-3, -2, -1), digest='part-p'))
+        incidents = self.suspects._crashes.incidents(at_ms(0), ())
+        self.assertEqual([], list(incidents))
+        self.assertEqual(0, self.suspects.calm.remaining(_CALM))
+
+    @parameterized.expand([('stored',), ('of_a_peer',)])
+    def test_trial_of_another_suspect_is_no_other_cause(self, source):
+        """Guards against two suspects that never wait for each other."""
+        other = record(
+            crashed(-29, -28, -27, -5), [(-5.5, 'i--5')], digest='item-e'
+        )
+        self.learn(other, source)
+        self.learn(record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')]), source)
+        self.assertGreater(self.pause_of('item-d'), 10)
+
+    @parameterized.expand([('stored',), ('of_a_peer',)])
+    def test_another_suspect_that_recovered(self, source):
+        """Guards against pauses that outlast the cause in other processes."""
+        other = record(
+            crashed(-29, -28, -27, -24), [(-24.5, 'i--24')], digest='item-e'
+        )
+        self.learn(other, source)
+        self.learn(record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')]), source)
+        self.assertGreater(self.pause_of('item-d'), 10)
+        cleared = SuspectRecord(digest='item-e', cleared_ms=at_ms(-1))
+        self.learn(cleared, source)
+        self.assertLess(self.pause_of('item-d'), 5)
+
+    def test_suspect_that_was_cleared_before_it_crashed_an_engine(self):
+        """Guards against pauses that further crashes end."""
+        self.learn(record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')]))
+        other = record(
+            crashed(-2.9, -2.8, -2.7, -1), [(-1.5, 'i--1')], digest='item-e'
+        )
+        other.cleared_ms = at_ms(-3)
+        self.learn(other)
+        self.learn(record((), [(-0.5, 'i-9')], digest='item-e'))
+        self.assertGreater(self.pause_of('item-d'), 10)
+
 
 def stored(suspect):
     """Return a record as the object service has it."""
@@ -302,8 +374,8 @@
                 turns.configure_peers(lambda _key, at=rank: (at, count))
                 with mock.patch(
                     'bendlead_gateway._suspects.trial_turns.time'
-                ) as clock:
-                    clock.time.return_value = _NOW + tenth / 10 + 0.01
+                ) as replaced:
+                    replaced.time.return_value = _NOW + tenth / 10 + 0.01
                     if turns.has_turn(RequestDigest('d')):
                         began.append((tenth, rank))
         times = [tenth for tenth, _rank in began]
