Tests: which failed trials count as late, and by which crash

Change: two trials that failed alone and one beside another crash: the next pause is 30 s. An engine that crashed in a trial and again 5.8 s later, another one in between: the trial failed alone.

Each fails when its part is undone: "29 != 14.0" without `beside`, "14 != 1.0" with max for min. That all or two of those beside count had a test.

--- a/tests/test_gateway_trial_schedule.py
+++ b/tests/test_gateway_trial_schedule.py
@@ -221,6 +221,23 @@
             self.crashes.add(RequestDigest('other'), other)
         self.assertAlmostEqual(14, self.pause(suspect), 2)
 
+    def test_one_trial_beside_others_counts_as_late(self):
+        """Guards against late sends beyond the three of the first minute."""
+        seconds = (-1, -41, -81)
+        suspect = record(
+            crashed(-999, -998, -997, *seconds),
+            [(second - 0.2, f'i-{second}') for second in seconds],
+        )
+        self.crashes.add(RequestDigest('other'), {'x@0': at_ms(-82)})
+        self.assertAlmostEqual(29, self.pause(suspect), 2)
+
+    def test_engine_that_crashes_again_after_a_trial(self):
+        """Its second crash is none of the trial, nor are those before it."""
+        suspect = record(crashed(-9, -8, -7.5), [(-7, 'i-1')])
+        suspect.ends.update({'i-1@0': at_ms(-6.8), 'i-1@1': at_ms(-1)})
+        self.crashes.add(RequestDigest('other'), {'x@0': at_ms(-3)})
+        self.assertAlmostEqual(_FAILED - 1, self.pause(suspect), 2)
+
     def test_another_suspect_that_recovered(self):
         """Guards against pauses that outlast the cause for all but one."""
         suspect = record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')])
