Tests: crashes of trials are dropped with the table's

Cause: keeps the engines that crashed in trials beside the table of 128 crashes; test_gateway_trial_schedule, test_gateway_trial_lines and test_gateway_suspects passed when nothing left that set, and when it took crashes that the table has dropped (trials on a scratch copy).

Change: 137 crashes in trials, and a record that tells of a dropped one again.

Each fails when its part is undone: without `discard`, and without the look into the table, "Items in the second set but not the first".

--- a/tests/test_gateway_crash_series.py
+++ b/tests/test_gateway_crash_series.py
@@ -8,6 +8,8 @@
 from unittest import mock
 
 from bendlead_gateway._suspects.calm import EngineCalm
+from bendlead_gateway._suspects.crash_table import CrashTable
+from bendlead_gateway._suspects.digest import RequestDigest
 from bendlead_store import clock
 from bendlead_testing.trial_replay import (
     SuspectKind,
@@ -22,6 +24,8 @@
 #: A trial is due after so long, however engines crash.
 _LONGEST_WAIT_SECONDS = 60
 _SECONDS = 200
+#: Crashes that the table keeps.
+_MOST_CRASHES = 128
 
 
 class CalmCase(unittest.TestCase):
@@ -88,5 +92,27 @@
         self.assertLess(longest, _LONGEST_WAIT_SECONDS + 1)
 
 
+class TriedTest(unittest.TestCase):
+    """Which crashes are known as those of trials."""
+
+    def test_tried_are_known_crashes(self):
+        """Guards against a set that grows for as long as the process runs."""
+        table = CrashTable()
+        for number in range(_MOST_CRASHES + 9):
+            table.add(RequestDigest('d'), {f'x-{number}@0': number})
+            table.add_tried(f'x-{number}@0')
+        newest = {f'x-{number}@0' for number in range(9, _MOST_CRASHES + 9)}
+        self.assertEqual(newest, table.tried)
+
+    def test_crash_that_has_been_dropped(self):
+        """A record may tell of it again."""
+        table = CrashTable()
+        for number in range(_MOST_CRASHES):
+            table.add(RequestDigest('d'), {f'x-{number}@0': 10 + number})
+        table.add(RequestDigest('d'), {'old@0': 1})
+        table.add_tried('old@0')
+        self.assertEqual(set(), table.tried)
+
+
 if __name__ == '__main__':
     unittest.main()
