Known red: what crashes engines for ever, beside crashes of other causes

Cause: a failed trial within 4 s behind another crash counts as one beside others, which makes no long pause; only the latest such trial counts as late. Where crashes are 5 to 9 s apart each ends in calm, so the wait for calm does not hold trials up either.

Change: a test, four kinds, another crash each 0.5, 2.5, 5 and 9 s, 60 s. No product change.

--- a/tests/test_gateway_trials_used_up.py
+++ b/tests/test_gateway_trials_used_up.py
@@ -26,6 +26,7 @@
 #: Crashes after which a request and a part are known to crash engines.
 _KNOWN = {False: 3, True: 5}
 _SEEDS = range(20)
+_FEW_SEEDS = range(4)
 _ONE_AT_A_TIME = 1
 
 
@@ -110,6 +111,18 @@
             late = outcome.late(_KNOWN[kind.is_part], _CONTACT_SECONDS)
             self.assertLessEqual(late, _LATE_SENDS)
 
+    @parameterized.expand(product(SuspectKind, (0.5, 2.5, 5.0, 9.0)))
+    def test_few_engines_get_it_beside_other_crashes(self, kind, every):
+        """Guards against trials that no crash of another cause excuses."""
+        late = []
+        for seed in _FEW_SEEDS:
+            load = TrialLoad(
+                kind, deadly_until=1000, every=every, crashes_until=1000
+            )
+            outcome = TrialReplay(load, seed).play(60)
+            late.append(outcome.late(_KNOWN[kind.is_part], _CONTACT_SECONDS))
+        self.assertLessEqual(max(late), _LATE_SENDS, late)
+
 
 if __name__ == '__main__':
     unittest.main()
