--- a/tests/test_gateway_trial_schedule.py
+++ b/tests/test_gateway_trial_schedule.py
@@ -18,7 +18,7 @@
 )
 from bendlead_gateway._suspects.trial_turns import TrialTurns
 from bendlead_schema.gateway import SuspectRecord
-from bendlead_store import Entry
+from bendlead_store import Entry, clock
 from parameterized import parameterized
 
 _NOW = 1_000_000.0
@@ -60,8 +60,8 @@
         self.schedule = TrialSchedule(self.crashes, self.calm)
 
     def pause(self, suspect, rules=ITEM_RULES, now=0):
-        with mock.patch.object(trial_schedule, 'time') as clock:
-            clock.time.return_value = _NOW + now
+        with mock.patch.object(trial_schedule, 'time') as replaced:
+            replaced.time.return_value = _NOW + now
             return self.schedule.remaining_pause(suspect, rules)
 
     @parameterized.expand(
@@ -159,7 +159,15 @@
         self.calm.record_crashes({'x@0': 1})
         self.assertLess(self.pause(suspect), 5)
 
-    @parameterized.expand([('once', 1, 15), ('often', 4, 60)])
+    @parameterized.expand(
+        [
+            ('once', 1, 15),
+            ('twice', 2, 15),
+            ('three_times', 3, 30),
+            ('often', 4, 60),
+            ('six_times', 6, 60),
+        ]
+    )
     def test_longest_wait_for_calm(self, _name, count, expected):
         """It grows while engines go on crashing, and calm ends it."""
         seconds = [-9 - 20 * number for number in range(count)]
@@ -185,6 +193,18 @@
         self.crashes.add_tried('x@0')
         self.assertGreater(self.pause(suspect), 10)
 
+    @parameterized.expand([('no_longer_known', 128, 0), ('known', 127, 11)])
+    def test_trial_beside_crashes_that_may_be_dropped(
+        self, _name, later, expected
+    ):
+        """Guards against trials taken for such that failed alone."""
+        suspect = record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')])
+        self.crashes.add(RequestDigest('old'), {'old@0': at_ms(-30)})
+        for number in range(later):
+            newer = {f'x-{number}@0': at_ms(-3 + number / 100)}
+            self.crashes.add(RequestDigest('other'), newer)
+        self.assertAlmostEqual(expected, self.pause(suspect), 2)
+
     @parameterized.expand([(2,), (12,)])
     def test_trials_beside_others_prolong_no_later_pause(self, count):
         """Guards against the hour by another way."""
@@ -201,6 +221,23 @@
             self.crashes.add(RequestDigest('other'), other)
         self.assertAlmostEqual(14, self.pause(suspect), 2)
 
+    def test_one_trial_beside_others_counts_as_late(self):
+        """Guards against late sends beyond the three of the first minute."""
+        seconds = (-1, -41, -81)
+        suspect = record(
+            crashed(-999, -998, -997, *seconds),
+            [(second - 0.2, f'i-{second}') for second in seconds],
+        )
+        self.crashes.add(RequestDigest('other'), {'x@0': at_ms(-82)})
+        self.assertAlmostEqual(29, self.pause(suspect), 2)
+
+    def test_engine_that_crashes_again_after_a_trial(self):
+        """Its second crash is none of the trial, nor are those before it."""
+        suspect = record(crashed(-9, -8, -7.5), [(-7, 'i-1')])
+        suspect.ends.update({'i-1@0': at_ms(-6.8), 'i-1@1': at_ms(-1)})
+        self.crashes.add(RequestDigest('other'), {'x@0': at_ms(-3)})
+        self.assertAlmostEqual(_FAILED - 1, self.pause(suspect), 2)
+
     def test_another_suspect_that_recovered(self):
         """Guards against pauses that outlast the cause for all but one."""
         suspect = record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')])
@@ -236,19 +273,91 @@
 
 
 class StoredRecordTest(unittest.TestCase):
-    """A process starts and reads what others stored."""
+    """A process learns what others know, as it starts and later."""
+
+    def setUp(self):
+        self.suspects = Suspects(*[mock.Mock() for _argument in range(7)])
+        for patched in (
+            mock.patch.object(self.suspects, '_search_soon'),
+            mock.patch.object(clock, 'uptime', lambda: _NOW),
+        ):
+            patched.start()
+            self.addCleanup(patched.stop)
+
+    def learn(self, known, source='stored'):
+        """Merge a record that is stored, or that a peer reports."""
+        if source == 'stored':
+            self.suspects.store._load(stored(known))
+        else:
+            self.suspects.receive([known])
+
+    def pause(self, suspect, rules=ITEM_RULES):
+        with mock.patch.object(trial_schedule, 'time') as replaced:
+            replaced.time.return_value = _NOW
+            return self.suspects._schedule.remaining_pause(suspect, rules)
+
+    def pause_of(self, digest):
+        """Return the pause of an item by what is known of it."""
+        return self.pause(self.suspects._history.record(RequestDigest(digest)))
 
     def test_crashes_of_stored_records_are_other_causes(self):
         """Guards against a series that a new process takes for one suspect."""
-        suspects = Suspects(*[mock.Mock() for _argument in range(7)])
-        suspects.store._load(stored(record(crashed(-5), digest='d')))
-        failed = record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')])
-        suspects.store._load(stored(failed))
-        with mock.patch.object(trial_schedule, 'time') as clock:
-            clock.time.return_value = _NOW
-            pause = suspects.item_trials.remaining_pause('item-d')
+        self.learn(record(crashed(-5), digest='d'))
+        self.learn(record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')]))
+        with mock.patch.object(trial_schedule, 'time') as replaced:
+            replaced.time.return_value = _NOW
+            pause = self.suspects.item_trials.remaining_pause('item-d')
         self.assertLess(pause, 5)
 
+    def test_stored_crashes_end_the_calm(self):
+        """Guards against a new process that tries suspects in a series."""
+        suspect = record(crashed(-5, -4, -3), digest='d')
+        self.assertEqual(0, self.pause(suspect, REQUEST_RULES))
+        self.learn(record(crashed(-0.1), digest='e'))
+        pause = self.pause(suspect, REQUEST_RULES)
+        self.assertAlmostEqual(_CALM, pause, 2)
+
+    def test_crashes_of_parts_are_those_of_requests(self):
+        """Guards against a crash that counts with a further request."""
+        self.learn(record(crashed(-3, -2, -1), digest='part-p'))
+        incidents = self.suspects._crashes.incidents(at_ms(0), ())
+        self.assertEqual([], list(incidents))
+        self.assertEqual(0, self.suspects.calm.remaining(_CALM))
+
+    @parameterized.expand([('stored',), ('of_a_peer',)])
+    def test_trial_of_another_suspect_is_no_other_cause(self, source):
+        """Guards against two suspects that never wait for each other."""
+        other = record(
+            crashed(-29, -28, -27, -5), [(-5.5, 'i--5')], digest='item-e'
+        )
+        self.learn(other, source)
+        self.learn(record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')]), source)
+        self.assertGreater(self.pause_of('item-d'), 10)
+
+    @parameterized.expand([('stored',), ('of_a_peer',)])
+    def test_another_suspect_that_recovered(self, source):
+        """Guards against pauses that outlast the cause in other processes."""
+        other = record(
+            crashed(-29, -28, -27, -24), [(-24.5, 'i--24')], digest='item-e'
+        )
+        self.learn(other, source)
+        self.learn(record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')]), source)
+        self.assertGreater(self.pause_of('item-d'), 10)
+        cleared = SuspectRecord(digest='item-e', cleared_ms=at_ms(-1))
+        self.learn(cleared, source)
+        self.assertLess(self.pause_of('item-d'), 5)
+
+    def test_suspect_that_was_cleared_before_it_crashed_an_engine(self):
+        """Guards against pauses that further crashes end."""
+        self.learn(record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')]))
+        other = record(
+            crashed(-2.9, -2.8, -2.7, -1), [(-1.5, 'i--1')], digest='item-e'
+        )
+        other.cleared_ms = at_ms(-3)
+        self.learn(other)
+        self.learn(record((), [(-0.5, 'i-9')], digest='item-e'))
+        self.assertGreater(self.pause_of('item-d'), 10)
+
 
 def stored(suspect):
     """Return a record as the object service has it."""
@@ -282,8 +391,8 @@
                 turns.configure_peers(lambda _key, at=rank: (at, count))
                 with mock.patch(
                     'bendlead_gateway._suspects.trial_turns.time'
-                ) as clock:
-                    clock.time.return_value = _NOW + tenth / 10 + 0.01
+                ) as replaced:
+                    replaced.time.return_value = _NOW + tenth / 10 + 0.01
                     if turns.has_turn(RequestDigest('d')):
                         began.append((tenth, rank))
         times = [tenth for tenth, _rank in began]
