Test of the pause of a part on probation behind trials that failed beside others

Cause: `part_probation.remaining_pause` doubles with each failed trial, whatever else crashed, up to the pause of late trials, which doubles as well: 30 s behind five, 60 behind six, 120 and 240 s behind seven and eight. A found part has the alone rule and a wait for calm that ends; one on probation has neither, so a series of other crashes uses its trials up, and its items wait for longer than the 20 s of LOST.

A part has to be hit five times in a row and not be found.

--- a/tests/test_gateway_trial_evidence.py
+++ b/tests/test_gateway_trial_evidence.py
@@ -11,13 +11,14 @@
 import msgspec
 from bendlead_gateway._online.quarantine import Quarantine
 from bendlead_gateway._scheduling.view import EngineView
-from bendlead_gateway._suspects.digest import RequestDigest
+from bendlead_gateway._suspects.digest import RequestDigest, name_part
 from bendlead_gateway._suspects.suspects import Suspects
 from bendlead_gateway.types import (
     DataHall,
     Engine,
     EngineId,
     EngineState,
+    PromptPart,
     ServiceName,
 )
 from bendlead_schema.gateway import SuspectRecord
@@ -104,6 +105,18 @@
         self.start(sound)
         self.assertLess(self.pause('a'), _OWED_SECONDS)
 
+    @parameterized.expand([(2,), (5,), (7,)])
+    def test_part_on_probation_is_tried_soon(self, failed):
+        """Its trials failed beside crashes of other causes."""
+        crashes = [-1 - 10 * number for number in range(failed)]
+        part = name_part(PromptPart('p'))
+        others = [record(f'o{at}', (at - 1, at + 0.2)) for at in crashes]
+        probed = record(part, (-90, -89, -88, *crashes), trials=crashes)
+        self.start(probed, *others)
+        trials = self.suspects.item_trials
+        pause = trials.remaining_part_pause(PromptPart('p'))
+        self.assertLess(pause, _OWED_SECONDS)
+
     @parameterized.expand(
         [
             ('idle', 0, 0, 0, True),
