A client may rest with a full window for the write timeout

Cause: TCP_USER_TIMEOUT (1.2 s) ends a connection whose window stays full for that long, also if its client's kernel answers each probe. The write timeout is 5 s.

Change: behind each send of a response, TCP_INFO tells whether bytes are unsent. If so, and if the client is not silent already, the connection's TCP_USER_TIMEOUT is the write timeout until all are sent, and a greenlet looks every 0.2 s: six times in a row with an unanswered probe or retransmission end the connection as `no acknowledgement`. Others keep the 1.2 s, and so do connections to engines and processes. A process that is paused notices silence later, and resets no client for it.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/messages.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/messages.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from bendlead_gateway._http.connection_end import ConnectionEnd, EndReason
+from bendlead_gateway._http.full_window import FullWindow
 from bendlead_gateway.types import Headers
 
 
@@ -72,8 +73,10 @@
         *,
         keep_alive: bool,
         earlier_requests: int = 0,
+        window: FullWindow | None = None,
     ) -> None:
         self._sock = sock
+        self._window = window
         self._write_timeout = write_timeout
         self._keep_alive = keep_alive
         #: Number of earlier requests on the same connection.
@@ -195,6 +198,8 @@
                 sent = self._sock.send(remaining)
                 self.sent_bytes += sent
                 remaining = remaining[sent:]
+                if self._window is not None:
+                    self._window.check()
         except OSError as error:
             self.abort(str(error), EndReason.WRITE_FAILED)
             raise ClientDisconnectedError(str(error)) from error
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/server.py
@@ -13,6 +13,7 @@
 
 from bendlead_gateway._http.body_budget import BodyBudget
 from bendlead_gateway._http.connection_end import ConnectionEnd, EndReason
+from bendlead_gateway._http.full_window import FullWindow
 from bendlead_gateway._http.handling import run_handler
 from bendlead_gateway._http.messages import (
     Handler,
@@ -51,6 +52,7 @@
         events: ServerEvents,
     ) -> None:
         self._sock = sock
+        self._window = FullWindow(sock, _WRITE_TIMEOUT_SECONDS, self._note_end)
         self._handler = handler
         self._limits = limits
         self._now = now
@@ -222,6 +224,7 @@
             _WRITE_TIMEOUT_SECONDS,
             keep_alive=request.keep_alive and not self._unreadable,
             earlier_requests=self._request_count,
+            window=self._window,
         )
         self._request_count += 1
         self._responder = responder
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/sockets.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/sockets.py
@@ -6,7 +6,7 @@
 from gevent import socket
 
 #: Short enough to leave time for a retry within a client's deadline.
-_USER_TIMEOUT_MS = 1200
+_USER_TIMEOUT_SECONDS = 1.2
 #: Idle time before the first keep-alive probe, and between probes.
 _PROBE_SECONDS = 1
 _PROBE_COUNT = 2
@@ -25,13 +25,24 @@
     """Set short keep-alive and retransmission timeouts on a socket."""
     level = stdlib_socket.IPPROTO_TCP
     sock.setsockopt(level, stdlib_socket.TCP_NODELAY, 1)
-    sock.setsockopt(level, stdlib_socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+    set_user_timeout(sock)
     sock.setsockopt(stdlib_socket.SOL_SOCKET, stdlib_socket.SO_KEEPALIVE, 1)
     sock.setsockopt(level, stdlib_socket.TCP_KEEPIDLE, _PROBE_SECONDS)
     sock.setsockopt(level, stdlib_socket.TCP_KEEPINTVL, _PROBE_SECONDS)
     sock.setsockopt(level, stdlib_socket.TCP_KEEPCNT, _PROBE_COUNT)
 
 
+def set_user_timeout(
+    sock: socket.socket, seconds: float = _USER_TIMEOUT_SECONDS
+) -> None:
+    """Set how long a peer may leave bytes unacknowledged or unread."""
+    sock.setsockopt(
+        stdlib_socket.IPPROTO_TCP,
+        stdlib_socket.TCP_USER_TIMEOUT,
+        int(seconds * 1000),
+    )
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split an address of the form IP:PORT; raise AddressError for others."""
     host, _colon, port = address.rpartition(':')
