A clear removes what it knows of, by name, whatever the clocks

Cause: a clear was a time, `cleared_ms`, by the clock of the process that got the whole answer, and every process dropped each crash, trial and finding stamped up to it. With that clock 60 s ahead nothing of the next minute counted anywhere; the same after a crash or a finding stamped ahead, as a clear takes the latest stamp, and for processes whose clocks are behind.

Ruled out: - The latest stamp that the clear knows of in place of its own time, one line: the two cases pass, but a crash stamped ahead and cleared still hides the next minute (by reading). - The same with later crashes stamped behind the clear: they would all be stamped alike, and crashes within 0.1 s count as one (by reading). - A count of clears: a crash noticed while the news of a clear are on their way would be dropped (by reading).

Change: a clear names the crashes by engine life, the trials by their begin and the finding that its process knows of, each with the time until which it does not count (`cleared`). A later crash of the same life counts, a second notice of the first does not. Records keep 32 names of ten minutes; older ones give way to a time (`all_cleared_ms`), and so does what a full record no longer told. `cleared_ms` is as before, so earlier versions clear too. A record without names is of an earlier version: its `cleared_ms` is the time until which all is cleared. While both versions run, a clear by a clock ahead that an earlier version tells on hides crashes as before.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
@@ -13,6 +13,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
+from bendlead_gateway._suspects.clears import Clears, merge_clears, name_all
 from bendlead_gateway._suspects.digest import (
     RequestDigest,
     names_item,
@@ -155,10 +156,19 @@
         """Drop the crashes of a request; return whether there were any."""
         if not self.crash_count(digest) and not self.is_quarantined(digest):
             return False
+        record = self.record(digest)
         # Clocks that are ahead may have noticed its crashes.
-        latest = max(now, _latest_change(self.record(digest)))
-        cleared = round(latest * _MS_PER_SECOND)
-        return self.merge(SuspectRecord(digest=digest, cleared_ms=cleared), now)
+        latest = max(now, _latest_change(record))
+        cleared_ms = round(latest * _MS_PER_SECOND)
+        clear = SuspectRecord(
+            digest=digest,
+            cleared_ms=cleared_ms,
+            cleared=name_all(record, cleared_ms),
+        )
+        if len(record.ends) == _MAX_CRASHES:
+            # Earlier ones that it no longer tells have no name.
+            clear.all_cleared_ms = min(record.ends.values())
+        return self.merge(clear, now)
 
     def merge(self, received: SuspectRecord, now: float) -> bool:
         """Merge a record; return whether that changed anything."""
@@ -240,23 +250,25 @@
 
 
 def _merge(known: SuspectRecord, received: SuspectRecord) -> SuspectRecord:
-    cleared = max(known.cleared_ms, received.cleared_ms)
-    crashes = dict(_after_clear(known.ends, cleared))
-    for incarnation, crashed_ms in _after_clear(received.ends, cleared):
+    clears = merge_clears(known, received)
+    crashes = dict(clears.remaining_crashes(known.ends))
+    for incarnation, crashed_ms in clears.remaining_crashes(received.ends):
         # Several processes notice the same crash at different times.
         crashes[incarnation] = min(
             crashed_ms, crashes.get(incarnation, crashed_ms)
         )
     newest = dict(sorted(crashes.items(), key=_time_of)[-_MAX_CRASHES:])
-    found = max(known.found_ms, received.found_ms)
+    found = map(clears.remaining_finding, (known.found_ms, received.found_ms))
     return replace(
         known,
         ends=newest,
         shares=_merge_shares(known.shares, received.shares, newest),
         repeats=_merge_repeats(known, received, newest),
-        trials=_merge_trials(known.trials, received.trials, cleared),
-        cleared_ms=cleared,
-        found_ms=found if found > cleared else 0,
+        trials=_merge_trials(known.trials, received.trials, clears),
+        cleared_ms=max(known.cleared_ms, received.cleared_ms),
+        cleared=clears.named,
+        all_cleared_ms=clears.all_until if clears.named else 0,
+        found_ms=max(found),
     )
 
 
@@ -295,12 +307,12 @@
 
 
 def _merge_trials(
-    known: Mapping[str, str], received: Mapping[str, str], cleared: int
+    known: Mapping[str, str], received: Mapping[str, str], clears: Clears
 ) -> dict[str, str]:
     merged = {
         began: min(known.get(began, engine), received.get(began, engine))
         for began, engine in (known | received).items()
-        if int(began) > cleared
+        if not clears.include(began, int(began))
     }
     ordered = sorted(merged.items(), key=_began)
     # Trials that none ran may be many, and must not push others out.
@@ -313,15 +325,6 @@
     return int(trial[0])
 
 
-def _after_clear(
-    crashes: Mapping[str, int], cleared: int
-) -> Iterator[tuple[str, int]]:
-    """Yield the crashes after the last complete response."""
-    for incarnation, crashed_ms in crashes.items():
-        if crashed_ms > cleared:
-            yield incarnation, crashed_ms
-
-
 def _time_of(crash: tuple[str, int]) -> int:
     return crash[1]
 
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/gateway.py
@@ -159,6 +159,11 @@
 ]
 
 
+ClearedAdditionalProperty: TypeAlias = Annotated[
+    int, Meta(ge=-9007199254740991, le=9007199254740991)
+]
+
+
 class SuspectRecord(Struct, kw_only=True):
     """
     Tell under which engines' ends a request ran; also kept in the object service.
@@ -210,7 +215,27 @@
         Annotated[
             int,
             Meta(
-                description='Unix millisecond at which an engine answered it whole; 0 for never. Earlier ends do not count.',
+                description='Unix millisecond at which an engine answered it whole; 0 for never. Without names in cleared, earlier ends do not count.',
+                ge=0,
+                le=9007199254740991,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    cleared: (
+        Annotated[
+            dict[str, ClearedAdditionalProperty],
+            Meta(
+                description='Unix millisecond until which an end, by the life of its engine, a trial, by its begin, or a finding do not count: those that were known when an engine answered it whole.'
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=dict)
+    all_cleared_ms: (
+        Annotated[
+            int,
+            Meta(
+                description='Unix millisecond until which nothing counts, where cleared has names.',
                 ge=0,
                 le=9007199254740991,
             ),
--- a/packages/bendlead-schema/src/bendlead_schema/gateway.py
+++ b/packages/bendlead-schema/src/bendlead_schema/gateway.py
@@ -2,6 +2,7 @@
 
 from bendlead_schema._generated.gateway import (
     BatchAdditionalProperty,
+    ClearedAdditionalProperty,
     EndsAdditionalProperty,
     EngineEvidence,
     HeldShard,
@@ -24,6 +25,7 @@
 
 __all__ = (
     'BatchAdditionalProperty',
+    'ClearedAdditionalProperty',
     'EndsAdditionalProperty',
     'EngineEvidence',
     'HeldShard',
