A recovery releases only those whose crashes were known by then

Cause: once a suspect is cleared that had crashed an engine alone, each other one may be tried at once, until it has a crash or a trial stamped behind the clear. With the clock of that clear 60 s ahead, what crashed engines alone had no pause of 15 s after any failed trial until that time came.

Ruled out: the own time at which a recovery is heard of. A process that hears late would release what has crashed engines since (by reading).

Change: a recovery keeps which crashes were known as it was heard of. A suspect with a crash that came to be known since is not released; the time is compared as before. It releases no more than before.

Before: 3 of the 7 new cases of test_gateway_trial_schedule failed, item, request and part with the clock ahead: no pause where 11 s are left. After: 45 of 45, 5 times in a row.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/trial_schedule.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/trial_schedule.py
@@ -8,7 +8,7 @@
 
 import math
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Sequence, Set
 from hashlib import sha256
 
 from bendlead_schema.gateway import SuspectRecord
@@ -90,6 +90,8 @@
         self._calm = calm
         #: When a suspect was last cleared that had crashed engines alone.
         self._recovered_ms = 0
+        #: Engine incarnations whose crashes were known by then.
+        self._crashed_before: Set[str] = frozenset()
 
     def record_cleared(self, record: SuspectRecord, cleared_ms: int) -> None:
         """Record that a suspect was cleared, with its record until then.
@@ -100,6 +102,7 @@
             self._crashed_alone(record, one) for one in failed_trials(record)
         ):
             self._recovered_ms = max(self._recovered_ms, cleared_ms)
+            self._crashed_before = frozenset(self._crashes.incarnations)
 
     def remaining_pause(
         self, record: SuspectRecord, rules: TrialRules, turn: float = 0
@@ -148,11 +151,22 @@
             beside = len(failed) - len(alone)
             calm = min(CALM_SECONDS + beside, _MAX_CALM_SECONDS)
             return rules.first_pause, calm + _spread(record)
-        if self._recovered_ms > _latest(record):
+        if self._recovered_since(record):
             return rules.first_pause, CALM_SECONDS
         counted = _some_beside(failed, alone)
         return pause_after_failed(record, counted, rules), CALM_SECONDS
 
+    def _recovered_since(self, record: SuspectRecord) -> bool:
+        """Return whether another suspect has recovered since the latest crash.
+
+        The clock that tells when may be ahead: later crashes are those that
+        were not known.
+        """
+        since = self._crashes.incarnations - self._crashed_before
+        if not since.isdisjoint(record.ends):
+            return False
+        return self._recovered_ms > _latest(record)
+
     def _crashed_alone(self, record: SuspectRecord, trial: FailedTrial) -> bool:
         """Return whether no other engine crashed near the one of a trial.
 
--- a/tests/test_gateway_trial_schedule.py
+++ b/tests/test_gateway_trial_schedule.py
@@ -216,6 +216,41 @@
         history.clear(RequestDigest('item-e'), _NOW - 1)
         self.assertEqual(0, self.pause(suspect))
 
+    @parameterized.expand(
+        [
+            (f'{name}_{kind}', rules, cleared_at)
+            for name, cleared_at in (('ahead', 60), ('right', -5))
+            for kind, rules in (
+                ('item', ITEM_RULES),
+                ('request', REQUEST_RULES),
+                ('part', PART_RULES),
+            )
+        ]
+    )
+    def test_crash_after_another_suspect_recovered(
+        self, _name, rules, cleared_at
+    ):
+        """Guards against trials without a pause until a clock's time comes."""
+        other = record(
+            crashed(-29, -28, -27, -24), [(-24.5, 'i--24')], digest='item-e'
+        )
+        earlier = record(crashed(-9, -8, -7))
+        self.crashes.add(RequestDigest('d'), earlier.ends)
+        self.schedule.record_cleared(other, at_ms(cleared_at))
+        suspect = record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')])
+        self.crashes.add(RequestDigest('d'), suspect.ends)
+        self.assertGreater(self.pause(suspect, rules), 10)
+
+    def test_crashes_before_a_recovery_by_a_clock_ahead(self):
+        """What had crashed engines before is tried at once all the same."""
+        suspect = record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')])
+        self.crashes.add(RequestDigest('item-d'), suspect.ends)
+        other = record(
+            crashed(-29, -28, -27, -24), [(-24.5, 'i--24')], digest='item-e'
+        )
+        self.schedule.record_cleared(other, at_ms(60))
+        self.assertEqual(0, self.pause(suspect))
+
     def test_sound_suspect_that_is_cleared_tells_nothing_of_others(self):
         suspect = record(crashed(-9, -8, -7, -4), [(-4.5, 'i--4')])
         other = record(crashed(-29, -28, -27), digest='item-e')
