Trials: a suspect that recovers gives others no trial

Cause: where a suspect was cleared that had crashed engines alone, each other one was tried at once. A record that an operator removed or that expired counted as a recovery too. Found by a review. Ruled out: bounding it by the late trials; plays of several causes that end gave longer waits with it (review, trial). Change: it is gone. Tests that asked for such a trial ask for none now, by stored records and peers, for items, requests and parts, clocks right and ahead: the rule itself was wrong.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_history.py
@@ -42,7 +42,7 @@
 _MS_PER_SECOND = 1000
 
 
-def ignore_change(known: SuspectRecord, merged: SuspectRecord) -> None:
+def ignore_change(record: SuspectRecord) -> None:
     """Ignore a changed record."""
 
 
@@ -66,10 +66,8 @@
         self._suspects: dict[RequestDigest, _Suspect] = {}
         self._revision = 0
         self._quarantined: set[RequestDigest] = set()
-        #: Called with a record before and after a change, whatever its source.
-        self.on_change: Callable[[SuspectRecord, SuspectRecord], None] = (
-            ignore_change
-        )
+        #: Called with each record that has changed, whatever the source.
+        self.on_change: Callable[[SuspectRecord], None] = ignore_change
 
     @property
     def any_suspects(self) -> bool:
@@ -178,7 +176,7 @@
         if merged == known:
             return False
         self._put(digest, merged, now)
-        self.on_change(known, merged)
+        self.on_change(merged)
         return True
 
     def changes_after(
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_table.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_table.py
@@ -38,11 +38,6 @@
         #: Engine incarnations that crashed in trials of suspects.
         self._tried: set[str] = set()
 
-    @property
-    def incarnations(self) -> Set[str]:
-        """Engine incarnations that crashed."""
-        return self._crashes.keys()
-
     @property
     def tried(self) -> Set[str]:
         """Engine incarnations that crashed in the trial of a suspect."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/suspects.py
@@ -276,17 +276,13 @@
             self._crashes.add(suspect, ends)
         self._search_soon()
 
-    def _record_change(
-        self, known: SuspectRecord, merged: SuspectRecord
-    ) -> None:
+    def _record_change(self, record: SuspectRecord) -> None:
         """Use what any source tells of crashes, stored records as well."""
-        if merged.cleared_ms > known.cleared_ms:
-            self._schedule.record_cleared(known, merged.cleared_ms)
-        suspect = RequestDigest(merged.digest)
+        suspect = RequestDigest(record.digest)
         if not names_part(suspect):
-            self.calm.record_crashes(merged.ends)
-            self._crashes.add(suspect, merged.ends)
-        for trial in failed_trials(merged):
+            self.calm.record_crashes(record.ends)
+            self._crashes.add(suspect, record.ends)
+        for trial in failed_trials(record):
             self._crashes.add_tried(trial.incarnation)
 
     def _search_soon(self) -> None:
