Own face: bound what is read of an answer of an engine or peer

Cause: bendlead_node reads answers with geventhttpclient, which keeps heads, trailers, bodies and events of any size. An answer without an end takes the memory of the process, which may use 32 MB. A batch item also kept all its events, each of them sound.

Ruled out: the readers alone (read_body, events) can't bound a head, and the client names the class of its responses, so LimitedClient has a request method of its own; a smaller read size bounds nothing; a count over the whole response would end long streams, so the count of bytes without a body starts again with each part of a body. 8 MB for messages of own processes would make runs unreadable that carry 1 MB lines: they are bounded at 64 MB, as their requests are.

Change: limits beside those of the gateway (body 8 MB, event 1 MB, head or framing 64 KB). An announced length beyond it is not waited for. A batch item whose answer or text goes beyond has failed at its engine; cut off, it would run each 2 s for ever.

--- a/packages/bendlead-node/src/bendlead_node/_common/peer_gate.py
+++ b/packages/bendlead-node/src/bendlead_node/_common/peer_gate.py
@@ -6,12 +6,11 @@
 
 import msgspec
 
+from bendlead_node._common.limits import MAX_MESSAGE_BYTES
 from bendlead_node._common.telemetry import Metrics
 from bendlead_node._common.upstream import PEER_HEADER
 from bendlead_node._common.web import Call, CallError
 
-_BODY_BYTES = 64_000_000
-
 
 class PeerGate:
     """Let in only processes that know the deployment's peer key."""
@@ -23,7 +22,7 @@
     def read(self, call: Call, kind: Any) -> Any:
         """Read a message of a known peer."""
         self.check(call)
-        return msgspec.json.decode(call.body(_BODY_BYTES), type=kind)
+        return msgspec.json.decode(call.body(MAX_MESSAGE_BYTES), type=kind)
 
     def check(self, call: Call) -> None:
         """Refuse a call of an unknown peer, and count it."""
--- a/packages/bendlead-node/src/bendlead_node/_common/telemetry.py
+++ b/packages/bendlead-node/src/bendlead_node/_common/telemetry.py
@@ -18,6 +18,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
+from bendlead_node._common.limited import AnswerTooLargeError, Report
 from bendlead_node._common.web import Answer, Call
 
 _DECISIONS = 200
@@ -92,6 +93,7 @@
         self.batch_tokens = self._counter('batch_tokens')
         self.retries = self._counter('retries')
         self.refused_peers = self._counter('refused_peers')
+        self.answers_too_large = self._counter('answers_too_large')
         self.running = Gauge(
             'bendlead_running',
             'Requests running now, by class.',
@@ -123,6 +125,22 @@
         )
 
 
+def answer_reporter(journal: Journal, metrics: Metrics) -> Report:
+    """Return a function that counts and logs an answer beyond a limit."""
+
+    def report(error: AnswerTooLargeError) -> None:  # noqa: WPS430
+        metrics.answers_too_large.inc()
+        journal.decide(
+            'answer-too-large',
+            step=error.step,
+            peer=error.peer,
+            part=error.part,
+            limit_bytes=error.limit,
+        )
+
+    return report
+
+
 def start_logging() -> None:
     """Send events to standard error."""
     eliot.add_destinations(_write_event)
--- a/packages/bendlead-node/src/bendlead_node/_common/upstream.py
+++ b/packages/bendlead-node/src/bendlead_node/_common/upstream.py
@@ -8,10 +8,18 @@
 from bendlead_gateway.json_values import DECODE_ERRORS
 from bendlead_store import Failure, FailureKind
 from bendlead_store.framing import read_framed
-from bendlead_store.sending import BoundedClient
 from geventhttpclient.response import HTTPSocketPoolResponse
 from result import Err, Ok, Result
 
+from bendlead_node._common.limited import (
+    AnswerTooLargeError,
+    LimitedClient,
+    LimitedResponse,
+    Report,
+    ignore,
+)
+from bendlead_node._common.limits import MAX_BODY_BYTES, MAX_MESSAGE_BYTES
+
 PEER_HEADER = 'X-Bendlead-Peer'
 #: Names a request to an endpoint process, whichever attempt it is.
 DIGEST_HEADER = 'X-Bendlead-Digest'
@@ -25,9 +33,17 @@
 class Clients:
     """Keep one connection pool for each address."""
 
-    def __init__(self, network_timeout: float) -> None:
+    def __init__(
+        self,
+        network_timeout: float,
+        report: Report = ignore,
+        body_limit: int = MAX_BODY_BYTES,
+    ) -> None:
+        """Bound the bodies of answers; ``report`` is told of those beyond."""
         self._timeout = network_timeout
-        self._clients: dict[str, BoundedClient] = {}
+        self._report = report
+        self._body_limit = body_limit
+        self._clients: dict[str, LimitedClient] = {}
 
     def send(
         self,
@@ -36,7 +52,7 @@
         path: str,
         body: bytes,
         headers: Mapping[str, str],
-    ) -> Result[HTTPSocketPoolResponse, Failure]:
+    ) -> Result[LimitedResponse, Failure]:
         """Send a request once and wait for the head of its response."""
         step = f'{method} {path}'
         try:
@@ -54,13 +70,15 @@
             return Err(Failure(FailureKind.UNKNOWN, step, address, detail))
         return Ok(response)
 
-    def _client(self, address: str) -> BoundedClient:
+    def _client(self, address: str) -> LimitedClient:
         client = self._clients.get(address)
         if client is None:
             host, port = address.rsplit(':', 1)
-            client = BoundedClient(
+            client = LimitedClient(
                 host,
                 int(port),
+                self._body_limit,
+                self._report,
                 concurrency=_POOL,
                 block_size=_BLOCK,
                 connection_timeout=_CONNECT_SECONDS,
@@ -73,9 +91,11 @@
 class PeerClient:
     """Exchange typed JSON messages with other processes of the system."""
 
-    def __init__(self, key: str, timeout: float) -> None:
+    def __init__(
+        self, key: str, timeout: float, report: Report = ignore
+    ) -> None:
         self._headers = {PEER_HEADER: key}
-        self._clients = Clients(timeout)
+        self._clients = Clients(timeout, report, MAX_MESSAGE_BYTES)
 
     def ask(
         self,
@@ -96,13 +116,20 @@
     """Read a whole response body."""
     try:
         return Ok(read_framed(response))
+    except AnswerTooLargeError as large:
+        detail = f'{large.part} beyond {large.limit} bytes'
+        kind = FailureKind.UNKNOWN
+        return Err(Failure(kind, large.step, large.peer, detail))
     except Exception as error:  # the library raises many kinds
         detail = f'{type(error).__name__}: {error}'
         return Err(Failure(FailureKind.UNKNOWN, 'read body', '', detail))
 
 
 def events(response: HTTPSocketPoolResponse) -> Iterator[bytes]:
-    """Read whole server-sent events; a cut connection raises."""
+    """Read whole server-sent events; a cut connection raises.
+
+    So does an event beyond the limit; how many there are is not bounded.
+    """
     while True:
         event = response.readline(b'\n\n')
         if not event:
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/engine.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/engine.py
@@ -6,9 +6,9 @@
 import gevent
 import msgspec
 from bendlead_store import Failure, clock
-from geventhttpclient.response import HTTPSocketPoolResponse
 from result import Result
 
+from bendlead_node._common.limited import LimitedResponse, Report, ignore
 from bendlead_node._common.upstream import Clients, read_body
 from bendlead_node._common.web import JSON_TYPE
 
@@ -26,9 +26,10 @@
 class Engine:
     """Send requests to the one engine this process stands before."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, report: Report = ignore) -> None:
+        """Speak to an address; ``report`` is told of answers beyond limits."""
         self._address = address
-        self._clients = Clients(_ENGINE_SECONDS)
+        self._clients = Clients(_ENGINE_SECONDS, report)
         self._yields: deque[float] = deque(maxlen=_YIELDS_KEPT)
 
     def send(
@@ -37,7 +38,7 @@
         path: str,
         body: bytes,
         headers: Mapping[str, str],
-    ) -> Result[HTTPSocketPoolResponse, Failure]:
+    ) -> Result[LimitedResponse, Failure]:
         """Send one request and wait for the head of the answer."""
         return self._clients.send(method, self._address, path, body, headers)
 
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/item.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/item.py
@@ -7,9 +7,10 @@
 
 import msgspec
 from bendlead_schema.messages import GrantedItem, ItemReport
-from geventhttpclient.response import HTTPSocketPoolResponse
 from result import Err
 
+from bendlead_node._common.limited import AnswerTooLargeError, LimitedResponse
+from bendlead_node._common.limits import MAX_BODY_BYTES
 from bendlead_node._common.upstream import abandon, events, read_body
 from bendlead_node._common.web import JSON_TYPE
 from bendlead_node._endpoint.engine import BATCH_PRIORITY, Engine
@@ -73,13 +74,13 @@
         self.request = _new_name()
         self.state = ItemState.WAITING
         self.report: ItemReport | None = None
-        self._pieces: list[str] = []
+        self._text = bytearray()
         self._tokens = 0
         self._finish = 'stop'
         self._finished = False
         self._model = ''
         self._last_id = b''
-        self._response: HTTPSocketPoolResponse | None = None
+        self._response: LimitedResponse | None = None
 
     @property
     def tokens(self) -> int:
@@ -122,20 +123,26 @@
                 if self._take(event):
                     return self._completed()
                 note()
-        except Exception:  # the library raises many kinds
-            return self._cut_short()
-        return self._cut_short()
+                self._check_size(self._response)
+        except Exception as error:  # the library raises many kinds
+            return self._cut_short(_state_after(error))
+        return self._cut_short(ItemState.CUT)
 
     def _stop(self, state: ItemState) -> None:
         self.state = state
         if self._response is not None:
             abandon(self._response)
 
-    def _cut_short(self) -> ItemState:
+    def _cut_short(self, state: ItemState) -> ItemState:
         if self._finished:
             # Every token is here; only the closing event is not.
             return self._completed()
-        return self._ended(ItemState.CUT)
+        return self._ended(state)
+
+    def _check_size(self, response: LimitedResponse) -> None:
+        # The result of an item is kept as a whole.
+        if len(self._text) > MAX_BODY_BYTES:
+            raise response.give_up('body', MAX_BODY_BYTES)
 
     def _ended(self, state: ItemState) -> ItemState:
         # A stop closes the stream, which looks like a failure here.
@@ -143,7 +150,7 @@
             self.state = state
         return self.state
 
-    def _refused(self, response: HTTPSocketPoolResponse) -> ItemState:
+    def _refused(self, response: LimitedResponse) -> ItemState:
         status = response.status_code
         body = read_body(response).unwrap_or(b'{}').decode()
         if status in _AWAY:
@@ -179,14 +186,14 @@
         for choice in chunk.choices:
             piece = choice.delta.content if choice.delta else choice.text
             if piece:
-                self._pieces.append(piece)
+                self._text += piece.encode()
                 self._tokens += 1
             if choice.finish_reason:
                 self._finished = True
                 self._finish = choice.finish_reason
 
     def _completed(self) -> ItemState:
-        text = ''.join(self._pieces)
+        text = self._text.decode()
         choice = {'index': 0, 'finish_reason': self._finish}
         if self.granted.path == '/v1/completions':
             choice['text'] = text
@@ -222,6 +229,12 @@
         )
 
 
+def _state_after(error: Exception) -> ItemState:
+    # It would be as large at the next engine, so its runs are bounded.
+    large = isinstance(error, AnswerTooLargeError)
+    return ItemState.FAILED if large else ItemState.CUT
+
+
 def _new_name() -> str:
     return f'item-{uuid.uuid4().hex}'
 
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/process.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/process.py
@@ -14,7 +14,11 @@
 
 from bendlead_node._common.config import ConfigTable
 from bendlead_node._common.peer_gate import PeerGate
-from bendlead_node._common.telemetry import Journal, Metrics
+from bendlead_node._common.telemetry import (
+    Journal,
+    Metrics,
+    answer_reporter,
+)
 from bendlead_node._common.upstream import PeerClient
 from bendlead_node._common.web import (
     Answer,
@@ -53,9 +57,10 @@
         self._journal = Journal(settings.node)
         self._metrics = Metrics()
         self._config = ConfigTable()
-        self._peers = PeerClient(settings.peer_key, _PEER_SECONDS)
+        report = answer_reporter(self._journal, self._metrics)
+        self._peers = PeerClient(settings.peer_key, _PEER_SECONDS, report)
         self._known = list(settings.peers)
-        self._engine = Engine(self._stands_before.address)
+        self._engine = Engine(self._stands_before.address, report)
         limit = _batch_limit(self._stands_before)
         self._admission = Admission(
             self._stands_before.capacity,
--- a/packages/bendlead-node/src/bendlead_node/_entry/dispatch.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/dispatch.py
@@ -10,7 +10,11 @@
 from geventhttpclient.response import HTTPSocketPoolResponse
 from result import Err, Ok, Result
 
-from bendlead_node._common.telemetry import Journal, Metrics
+from bendlead_node._common.telemetry import (
+    Journal,
+    Metrics,
+    answer_reporter,
+)
 from bendlead_node._common.upstream import (
     DIGEST_HEADER,
     PEER_HEADER,
@@ -101,7 +105,7 @@
         self._members = members
         self._suspects = suspects
         self._router = router
-        self._clients = Clients(timeout)
+        self._clients = Clients(timeout, answer_reporter(journal, metrics))
         self._peer_key = peer_key
         self._journal = journal
         self._metrics = metrics
--- a/packages/bendlead-node/src/bendlead_node/_entry/process.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/process.py
@@ -19,7 +19,11 @@
 
 from bendlead_node._common.config import ConfigTable
 from bendlead_node._common.peer_gate import PeerGate
-from bendlead_node._common.telemetry import Journal, Metrics
+from bendlead_node._common.telemetry import (
+    Journal,
+    Metrics,
+    answer_reporter,
+)
 from bendlead_node._common.upstream import PeerClient
 from bendlead_node._common.web import (
     Answer,
@@ -71,7 +75,11 @@
         self._metrics = Metrics()
         self._config = ConfigTable()
         self._members = Members(settings.node, settings.suspect_after)
-        self._peers = PeerClient(settings.peer_key, _PEER_SECONDS)
+        self._peers = PeerClient(
+            settings.peer_key,
+            _PEER_SECONDS,
+            answer_reporter(self._journal, self._metrics),
+        )
         self._store = open_store(settings.store)
         self._writes_per_second = settings.store.writes_per_second
         self._relay = Relay(
