Own face: keep a recorded stream up to the limit of a body

Cause: an entry keeps all events of a recorded stream until its end, to store them with the last one. Each event has a limit, their number has none.

Ruled out: ending the stream at the limit, since a long answer is sound and its caller reads it as it comes; a record without an answer, since a resend with the same key would wait for it, or run the request again.

--- a/packages/bendlead-node/src/bendlead_node/_entry/process.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/process.py
@@ -174,7 +174,13 @@
             self._suspects,
         )
         runner = f'{self._settings.node}/{self._incarnation}'
-        recorder = Recorder(self._shards, dispatcher, runner, self._journal)
+        recorder = Recorder(
+            self._shards,
+            dispatcher,
+            runner,
+            self._journal,
+            answer_reporter(self._journal, self._metrics),
+        )
         online = OnlineApi(
             self._config,
             self._gate,
--- a/packages/bendlead-node/src/bendlead_node/_entry/recording.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/recording.py
@@ -21,6 +21,8 @@
 from bendlead_store import Failure, clock
 from result import Err, Ok, Result
 
+from bendlead_node._common.limited import AnswerTooLargeError, Report, ignore
+from bendlead_node._common.limits import MAX_BODY_BYTES
 from bendlead_node._common.telemetry import Journal
 from bendlead_node._common.web import Answer, CallError
 from bendlead_node._entry.dispatch import Dispatcher, OnlineRequest
@@ -40,6 +42,23 @@
     body: str
 
 
+class _KeptAnswer:
+    """Events of a stream, none of them once they go beyond the limit."""
+
+    def __init__(self) -> None:
+        self.body = bytearray()
+        self.beyond = False
+
+    def add(self, event: bytes) -> None:
+        """Keep one more event."""
+        size = len(self.body) + len(event)
+        self.beyond = self.beyond or size > MAX_BODY_BYTES
+        if self.beyond:
+            self.body.clear()
+        else:
+            self.body += event
+
+
 class Recorder:
     """Run recorded requests once and replay their answers."""
 
@@ -49,11 +68,14 @@
         dispatcher: Dispatcher,
         runner: str,
         journal: Journal,
+        report: Report = ignore,
     ) -> None:
+        """Prepare records; ``report`` is told of answers beyond limits."""
         self._shards = shards
         self._dispatcher = dispatcher
         self._runner = runner
         self._journal = journal
+        self._report = report
         self.running: set[str] = set()
 
     def name(self, team: str, key: str) -> str:
@@ -182,18 +204,34 @@
         stream: Iterable[bytes],
     ) -> Iterator[bytes]:
         # The last event leaves after the record of the whole is durable.
-        sent: list[bytes] = []
+        kept = _KeptAnswer()
+        last = b''
         try:
             for event in stream:
-                if sent:
-                    yield sent[-1]
-                sent.append(event)
+                if last:
+                    yield last
+                last = event
+                kept.add(event)
         finally:
-            if not sent or b'[DONE]' not in sent[-1]:
+            if b'[DONE]' not in last:
                 self.running.discard(request.request)
-        body = b''.join(sent)
-        self._complete(request, Answer(answer.status, body, answer.headers))
-        yield sent[-1]
+        whole = Answer(answer.status, bytes(kept.body), answer.headers)
+        self._complete(
+            request, self._too_large(request) if kept.beyond else whole
+        )
+        yield last
+
+    def _too_large(self, request: OnlineRequest) -> Answer:
+        """Return what is recorded of a stream that its caller got whole."""
+        name = request.request
+        error = AnswerTooLargeError('record', name, 'stream', MAX_BODY_BYTES)
+        self._report(error)
+        return CallError(
+            HTTPStatus.BAD_GATEWAY,
+            'answer_not_recorded',
+            f'the request has run; its answer is not kept: {error}',
+            ErrorOutcome.complete,
+        ).answer()
 
     def _complete(self, request: OnlineRequest, answer: Answer) -> Answer:
         stored = StoredAnswer(
--- a/tests/test_own_face_endless.py
+++ b/tests/test_own_face_endless.py
@@ -16,9 +16,10 @@
     events,
     read_body,
 )
-from bendlead_node._common.web import CallError
+from bendlead_node._common.web import Answer, CallError
 from bendlead_node._endpoint.engine import Engine
 from bendlead_node._endpoint.item import BatchItem, ItemState
+from bendlead_node._entry import recording
 from bendlead_node._entry.dispatch import Dispatcher, OnlineRequest
 from bendlead_node._entry.members import Members
 from bendlead_node._entry.routing import Router
@@ -27,9 +28,12 @@
     EndpointHeartbeat,
     GrantedItem,
     NoWork,
+    RequestPhase,
+    RequestView,
 )
 from geventhttpclient.response import HTTPParseError
 from parameterized import parameterized
+from result import Ok
 
 from tests.gateway_standins import ScriptedPeer
 from tests.test_dispatch import Unsuspected
@@ -302,6 +306,64 @@
         self.assertLess(self.sent, _MOST_BYTES)
 
 
+class RecordedStreamTest(EndlessCase):
+    """A recorded stream is passed on whole, and kept up to the limit."""
+
+    def record(self, events):
+        """Run a recorded request with these events; return its record."""
+        commands = []
+
+        def call(_shard, command, *_timeout):
+            commands.append(command)
+            view = RequestView(
+                request='0000-r',
+                team='t',
+                fingerprint='f',
+                path='/v1/completions',
+                repeatable=True,
+                phase=RequestPhase.completed,
+                created=False,
+                body=command.body,
+            )
+            return Ok(view)
+
+        self.reported = []
+        answers = mock.Mock(run=lambda _request: Answer(200, iter(events)))
+        shards = mock.Mock(count=1, call=call)
+        with mock.patch.object(recording, 'shard_of', lambda *_names: 0):
+            recorder = recording.Recorder(
+                shards, answers, 'e', Journal('e'), self.reported.append
+            )
+            request = mock.Mock(
+                request='0000-r', path='/v1/completions', body=b'{}'
+            )
+            answer = recorder._run_created(request)
+            self.got = 0
+            for event in answer.body:
+                self.got += len(event)
+        self.assertFalse(recorder.running)
+        return commands[-1]
+
+    def test_beyond(self):
+        event = b'data: ' + b'a' * 992 + b'\n\n'
+        # Each event is made as it is read.
+        stream = (bytes(bytearray(event)) for _number in range(40_000))
+        commands = []
+        peak = self.peak(lambda: commands.append(self.record(stream)))
+        self.assertEqual(40_000_000, self.got)
+        self.assertLess(peak, 2 * _BODY_BYTES)
+        self.assertEqual(502, commands[0].status)
+        self.assertIn('answer_not_recorded', commands[0].body)
+        (error,) = self.reported
+        self.assertEqual(_BODY_BYTES, error.limit)
+
+    def test_within(self):
+        command = self.record([b'data: a\n\n', b'data: [DONE]\n\n'])
+        self.assertEqual(200, command.status)
+        self.assertIn('a\\n\\ndata: [DONE]', command.body)
+        self.assertFalse(self.reported)
+
+
 class ItemTest(EndlessCase):
     """A batch item whose answer has no end has failed at its engine."""
 
