Ledger: grant items that were cut off often apart from each other

Cause: an item that crashes each engine takes along the items that run beside it. All are cut off at the same moment, pause for the same 2 s from the third cut on, and the next endpoint that asks gets all of them, since it asks until no item is left. So sound items meet it again each time.

Change: an endpoint gets two items that were cut off three times or more 0.15 s apart; engines crash 0.08 to 0.11 s behind the begin of such a run.

SharedEngineTest failed before with 3, 6 and 9 engines. ManyCutItemsTest guards the price: 64 sound items that were cut off three times are granted to one endpoint within 20 s.

Items that wait at an endpoint for room may still begin together.

--- a/packages/bendlead-ledger/src/bendlead_ledger/_jobs.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_jobs.py
@@ -42,7 +42,7 @@
 from bendlead_ledger._ids import ShardId
 from bendlead_ledger._input import BatchLine, ChunkReader
 from bendlead_ledger._results import ResultPacker
-from bendlead_ledger._runs import RunTable
+from bendlead_ledger._runs import EndpointGaps, RunTable
 from bendlead_ledger._state import ItemStatus, JobState, ShardState
 
 #: Code of a refusal: another process owns the shard.
@@ -53,6 +53,9 @@
 #: many engines an item costs that does crash them.
 _CUTS_UNTIL_PAUSE = 3
 _CUT_PAUSE_SECONDS = 2.0
+#: Time between two such items at one endpoint. Engines crash as they begin to
+#: run an item, so one that crashes them does not take the others along.
+_CUT_GAP_SECONDS = 0.15
 _REFUSAL_CODES = {
     FailureKind.CONFLICT: NOT_OWNER,
     FailureKind.UNKNOWN: 'unknown',
@@ -97,6 +100,7 @@
         self._order = order
         self._runs = RunTable(settings.lease)
         self._cursors: dict[str, _Cursor] = defaultdict(_Cursor)
+        self._gaps = EndpointGaps(_CUT_GAP_SECONDS)
 
     def submit(self, command: SubmitJob) -> Reply:
         """Accept a job, or return the one accepted earlier under its id."""
@@ -163,7 +167,9 @@
         for job in self._order.ranked(self._state.jobs.values()):
             if job.accepted.path not in command.paths:
                 continue
-            positions = self._next_positions(job, command.limit)
+            positions = self._next_positions(
+                job, command.limit, command.endpoint
+            )
             if positions:
                 return self._grant_items(job, command.endpoint, positions)
         return NoWork()
@@ -248,9 +254,11 @@
             return None
         return job
 
-    def _next_positions(self, job: JobState, limit: int) -> list[int]:
+    def _next_positions(
+        self, job: JobState, limit: int, endpoint: str
+    ) -> list[int]:
         positions: list[int] = []
-        for position in self._candidates(job):
+        for position in self._candidates(job, endpoint):
             alone = position in job.attempts
             if alone and positions:
                 self._cursors[job.accepted.job].returned.append(position)
@@ -258,14 +266,22 @@
             positions.append(position)
             if alone or len(positions) >= limit:
                 break
+        if any(_is_cut_often(job, position) for position in positions):
+            self._gaps.begin(endpoint, clock.uptime())
         return positions
 
-    def _candidates(self, job: JobState) -> Iterator[int]:
+    def _is_held(self, job: JobState, position: int, endpoint: str) -> bool:
+        now = clock.uptime()
+        cursor = self._cursors[job.accepted.job]
+        if cursor.paused_until.get(position, 0) > now:
+            return True
+        return _is_cut_often(job, position) and self._gaps.holds(endpoint, now)
+
+    def _candidates(self, job: JobState, endpoint: str = '') -> Iterator[int]:
         leased = self._runs.leased(job.accepted.job)
         cursor = self._cursors[job.accepted.job]
-        now = clock.uptime()
         for position in list(cursor.returned):
-            if cursor.paused_until.get(position, 0) > now:
+            if self._is_held(job, position, endpoint):
                 continue
             cursor.returned.remove(position)
             cursor.paused_until.pop(position, None)
@@ -331,7 +347,7 @@
         self._committer.commit([record])
         paused_until = clock.uptime() + _CUT_PAUSE_SECONDS
         for position in positions:
-            if job.cuts.get(position, 0) >= _CUTS_UNTIL_PAUSE:
+            if _is_cut_often(job, position):
                 self._cursors[job_id].paused_until[position] = paused_until
 
 
@@ -364,6 +380,10 @@
     )
 
 
+def _is_cut_often(job: JobState, position: int) -> bool:
+    return job.cuts.get(position, 0) >= _CUTS_UNTIL_PAUSE
+
+
 def _phase(job: JobState) -> JobPhase:
     if job.cancelled_at:
         return JobPhase.cancelled
--- a/packages/bendlead-ledger/src/bendlead_ledger/_runs.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_runs.py
@@ -88,3 +88,20 @@
         self._runs[run_id] = run
         self.leased(job).update(run.positions)
         return run
+
+
+class EndpointGaps:
+    """Time for which an endpoint gets no further item of some kind."""
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+        self._until: dict[str, float] = {}
+
+    def begin(self, endpoint: str, now: float) -> None:
+        """Begin the gap of an endpoint; forget those that have ended."""
+        later = {name: end for name, end in self._until.items() if end > now}
+        self._until = later | {endpoint: now + self._seconds}
+
+    def holds(self, endpoint: str, now: float) -> bool:
+        """Return whether the gap of an endpoint has not ended."""
+        return self._until.get(endpoint, 0) > now
