Own face: engines that are away cost a request none of its attempts

Cause: a request has four attempts, and each endpoint process whose engine had ended took one, as it refuses and goes on saying that it is there. Ruled out: news of the ends that come late; the refusals name the engine. Change: such a refusal says so in a header; the endpoint is passed over for 1 s, and the attempt is not counted, nor is one where nothing listens. A request asks each endpoint once at most, and the retry budget holds. Full engines are asked four times, as before.

--- a/packages/bendlead-node/src/bendlead_node/_common/web.py
+++ b/packages/bendlead-node/src/bendlead_node/_common/web.py
@@ -17,6 +17,9 @@
 JSON_TYPE: Final = 'application/json'
 #: The code of a refusal by an endpoint that is leaving.
 LEAVING: Final = 'leaving'
+ENGINE_AWAY_HEADER: Final = 'X-Bendlead-Engine-Away'
+#: The code of a refusal by an endpoint whose engine nothing can reach.
+ENGINE_AWAY: Final = 'engine_unreachable'
 _BACKLOG = 1024
 
 
@@ -74,6 +77,8 @@
         }
         if self.code == LEAVING:
             headers[LEAVING_HEADER] = 'yes'
+        if self.code == ENGINE_AWAY:
+            headers[ENGINE_AWAY_HEADER] = 'yes'
         if self.retry_after:
             headers['Retry-After'] = f'{self.retry_after:.0f}'
         body = msgspec.json.encode(ErrorBody(detail))
--- a/packages/bendlead-node/src/bendlead_node/_endpoint/online.py
+++ b/packages/bendlead-node/src/bendlead_node/_endpoint/online.py
@@ -17,7 +17,7 @@
     events,
     read_body,
 )
-from bendlead_node._common.web import Answer, Call, CallError
+from bendlead_node._common.web import ENGINE_AWAY, Answer, Call, CallError
 from bendlead_node._endpoint.admission import Admission
 from bendlead_node._endpoint.controller import BatchLimit
 from bendlead_node._endpoint.ends import EngineEnds
@@ -144,7 +144,7 @@
     if failure.had_no_effect:
         return CallError(
             HTTPStatus.SERVICE_UNAVAILABLE,
-            'engine_unreachable',
+            ENGINE_AWAY,
             str(failure),
             retry_after=1,
         )
--- a/packages/bendlead-node/src/bendlead_node/_entry/dispatch.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/dispatch.py
@@ -24,6 +24,7 @@
     read_body,
 )
 from bendlead_node._common.web import (
+    ENGINE_AWAY_HEADER,
     JSON_TYPE,
     LEAVING_HEADER,
     OUTCOME_HEADER,
@@ -179,8 +180,9 @@
         budget = self._budgets.setdefault(request.service, RetryBudget())
         budget.deposit()
         refused: Failure | None = None
-        for attempt in range(_ATTEMPTS):
-            if attempt and not budget.withdraw():
+        attempts = 0
+        while attempts < _ATTEMPTS:
+            if refused and not budget.withdraw():
                 self._note_no_budget(request)
                 break
             self._suspects.check(request)
@@ -192,6 +194,8 @@
             if isinstance(tried, Ok):
                 return tried.ok_value
             refused = tried.err_value
+            # Engines that have ended are tried once each, and load nobody.
+            attempts += refused.kind is not FailureKind.NOT_DONE
             self._note_refused(request, peer, refused)
         raise self._given_up(request, refused)
 
@@ -255,6 +259,9 @@
         outcome = response.get(OUTCOME_HEADER)
         if outcome in _FAILED_KINDS:
             peer.sent -= 1
+            if response.get(ENGINE_AWAY_HEADER) is not None:
+                self._router.away(peer)
+                return _refused(peer, response, FailureKind.NOT_DONE)
             self._router.refused(peer)
             # Known from the refusal, not only from the next heartbeat.
             leaving = response.get(LEAVING_HEADER) is not None
--- a/packages/bendlead-node/src/bendlead_node/_entry/routing.py
+++ b/packages/bendlead-node/src/bendlead_node/_entry/routing.py
@@ -11,6 +11,7 @@
 _EJECT_AFTER = 3
 _EJECT_SECONDS = 5.0
 _FULL_SECONDS = 0.25
+_AWAY_SECONDS = 1.0
 _FAR_PENALTY = 1.0
 
 
@@ -50,6 +51,11 @@
         again = clock.uptime() + _FULL_SECONDS
         peer.ejected_until = max(peer.ejected_until, again)
 
+    def away(self, peer: EndpointPeer) -> None:
+        """Pass over an endpoint whose engine has ended until it may be back."""
+        again = clock.uptime() + _AWAY_SECONDS
+        peer.ejected_until = max(peer.ejected_until, again)
+
     def failed(self, peer: EndpointPeer) -> None:
         """Note a failure; eject an endpoint that fails again and again."""
         peer.failures += 1
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -4,7 +4,7 @@
 import unittest
 
 from bendlead_node._common.telemetry import Journal, Metrics
-from bendlead_node._common.web import LEAVING, CallError
+from bendlead_node._common.web import ENGINE_AWAY, LEAVING, CallError
 from bendlead_node._entry.budget import RetryBudget
 from bendlead_node._entry.dispatch import Dispatcher, OnlineRequest
 from bendlead_node._entry.members import Members
@@ -146,6 +146,32 @@
             self.dispatcher.run(self.request())
         self.assertLessEqual(clients.calls.count('a'), 1)
 
+    @parameterized.expand(
+        [
+            ('engine away', refusal(ENGINE_AWAY)),
+            ('nothing listens', lost(FailureKind.NOT_DONE)),
+        ]
+    )
+    def test_one_engine_of_many_is_left(self, _name, answer) -> None:
+        """Guards against attempts spent on engines that have ended."""
+        for _fleet in range(20):
+            self.setUp()
+            self.prepare({**dict.fromkeys('abcdefg', answer), 'z': GOOD})
+            self.assertEqual(200, self.dispatcher.run(self.request()).status)
+
+    def test_engines_that_are_away_are_passed_over(self) -> None:
+        away = dict.fromkeys('abcdefg', refusal(ENGINE_AWAY))
+        clients = self.prepare({**away, 'z': GOOD})
+        for _request in range(50):
+            self.dispatcher.run(self.request())
+        self.assertLessEqual(len(clients.calls), 50 + 7)
+
+    def test_full_engines_are_asked_four_times(self) -> None:
+        clients = self.prepare(dict.fromkeys('abcdefg', refusal('overloaded')))
+        with self.assertRaises(CallError):
+            self.dispatcher.run(self.request())
+        self.assertEqual(4, len(clients.calls))
+
     @parameterized.expand(
         [
             ('refused', refusal('overloaded'), ErrorOutcome.not_run, 4),
