--- a/review/5/case.py
+++ b/review/5/case.py
@@ -19,11 +19,11 @@
 from fleet import Fleet, free_port, run_case  # noqa: E402
 
 CLIENTS = 4
-BODY = b'0123456789abcdef' * 250_000
+BODY = b'0123456789abcdef' * 261_888
 #: Bytes a second that a client's link carries: 15 Mbit/s.
 LINK_BYTES = 1_875_000
 _STEP_SECONDS = 0.01
-_WINDOW_BYTES = 65_536
+_WINDOW_BYTES = 16_384
 
 
 class PlainEngine(Engine):
