--- a/review/5/case.py
+++ b/review/5/case.py
@@ -2,7 +2,7 @@
 
 An engine answers plain requests without a length: the answer ends with its
 connection. The entry has the whole answer and is passing it on over links of
-15 Mbit/s when its process is killed.
+15 Mbit/s when its process is killed: once all clients have a part of theirs.
 """
 
 import asyncio
@@ -55,11 +55,13 @@
         await fleet.start(configuration(3, plain))
         await asyncio.sleep(2)
         entry = fleet.entries[0]
+        begun = [asyncio.Event() for _client in range(CLIENTS)]
         asking = [
-            asyncio.ensure_future(ask(entry.clients, number, record))
-            for number in range(CLIENTS)
+            asyncio.ensure_future(ask(entry.clients, number, record, event))
+            for number, event in enumerate(begun)
         ]
-        await asyncio.sleep(0.2)
+        for event in begun:
+            await event.wait()
         if trouble:
             entry.signal(signal.SIGKILL)
             record.note('killed', entry=entry.name)
@@ -69,7 +71,7 @@
     return '; '.join(broken)
 
 
-async def ask(address, number, record):
+async def ask(address, number, record, begun):
     """Make one request; return how its answer broke the rule, if it did."""
     host, port = address.rsplit(':', 1)
     sock = socket.socket()
@@ -89,12 +91,15 @@
         began = time.monotonic()
         while part := await loop.sock_recv(sock, 16_384):
             received += part
+            if len(received) > _WINDOW_BYTES:
+                begun.set()
             # As fast as the link carries it.
             ahead = len(received) / LINK_BYTES - (time.monotonic() - began)
             await asyncio.sleep(max(0, ahead))
     except OSError as error:
         end = type(error).__name__
     finally:
+        begun.set()
         sock.close()
     head, blank, body = received.partition(b'\r\n\r\n')
     named = head.lower()
