Review: truncated items recorded as completed behind a cut

A script shows MIXED broken: where an engine crashes and starts again behind a short cut, its answers without a length count as complete, since the address takes connections.

--- a/review/standins2/engines.py
+++ b/review/standins2/engines.py
@@ -55,19 +55,27 @@
         self._fleet.store.set('servers', self.name, dict(self._told))
         self._fleet.record.note('engine-up', engine=self.name, **self._told)
 
+    def announce(self, address):
+        """Tell the store another address, as that of a link."""
+        self._told['address'] = address
+
     async def crash(self, seconds):
         """Crash, and come back after some seconds."""
+        self._fleet.record.note('engine-crashes', engine=self.name)
+        await self.end_process()
+        await asyncio.sleep(seconds)
+        await self.start()
+
+    async def end_process(self):
+        """End as a process does; the entry lapses some seconds later."""
         name = self.name
-        self._fleet.record.note('engine-crashes', engine=name)
-        await self.stop()
+        await self.stop(reset=False)
 
         async def lapse():
             await asyncio.sleep(LAPSE_SECONDS)
             self._fleet.store.remove('servers', name)
 
         self._lapsing = asyncio.ensure_future(lapse())
-        await asyncio.sleep(seconds)
-        await self.start()
 
     async def serve(self, request, writer):
         item = request.find('x-attempt-id', '')
