--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,13 +1,15 @@
-"""Truncated results of items whose engine crashed and started again unseen.
+"""Texts of items joined from runs that did not continue one another.
 
-Engines answer items without a length or chunks: the stream ends with its
-connection. The link to one engine is cut for a second, and behind the cut the
-engine crashes and starts again.
+A release begins: the first engine of the new version has started. One of the
+five of the old version crashes while it runs items of a job and is back within
+three seconds; the new engine is full meanwhile. Later the store machine that
+holds the job is killed.
 """
 
 import asyncio
 import json
 import pathlib
+import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -15,105 +17,91 @@
 
 from engines import Engine, configuration, route  # noqa: E402
 from fleet import Fleet, call, encode_job, free_port, run_case  # noqa: E402
-from link import Link  # noqa: E402
 
-JOB = '2f41e09b52d6a3f8'
-ITEMS = 30
-EVENTS = 40
-
-
-class UnframedEngine(Engine):
-    """Streams whose end is the end of their connection."""
-
-    async def run(self, run, request, marks, writer):
-        """Stream the events behind Last-Event-Id, then close."""
-        _item, after = self.runs[run]
-        head = ['HTTP/1.1 200 OK', *(f'{name}: {text}' for name, text in marks)]
-        head += ['X-Response-Seal: s', 'Content-Type: text/event-stream']
-        head += ['Connection: close', '', '']
-        await asyncio.sleep(self.first)
-        writer.write('\r\n'.join(head).encode())
-        for number in range((after or 0) + 1, EVENTS + 1):
-            writer.write(f'id: {number}\ndata: r{run}.{number}\n\n'.encode())
-            await writer.drain()
-            await asyncio.sleep(0.15)
-        return False
+JOB = '7c41e09b52d6a3f8'
+ITEMS = 35
+#: Events of each item; every third one is short.
+EVENTS = [60 if number % 3 else 24 for number in range(ITEMS)]
 
 
 async def main(record, trouble):
     """Play the case; return what broke the rule, empty if nothing did."""
     fleet = Fleet(record)
-    links = []
-    for number in range(1, 7):
-        own = f'127.0.3.{number}:{free_port()}'
-        link = Link(f'127.0.4.{number}:{free_port()}', own)
-        links.append(link)
-        engine = UnframedEngine(fleet, f'e{number}', own)
-        engine.announce(link.address)
-        fleet.engines.append(engine)
+    old = [
+        Engine(fleet, f'old{number}', f'127.0.3.{number}:{free_port()}')
+        for number in range(1, 6)
+    ]
+    new = Engine(fleet, 'new', f'127.0.3.6:{free_port()}', version='v2')
+    fleet.engines = old
     try:
-        for link in links:
-            await link.start()
         await fleet.start(configuration(3, route('batch')))
-        await asyncio.sleep(2)
-        await submit(fleet, record)
-        await asyncio.sleep(2.0)
-        if trouble:
-            await crash_behind_cut(links[0], fleet.engines[0], record)
-        texts = await read_all(fleet, record)
+        await asyncio.sleep(3)
+        return await play(fleet, record, trouble, old, new)
     finally:
+        await new.stop()
         await fleet.stop()
-        for link in links:
-            await link.stop()
-    broken = []
-    for item, text in texts:
-        numbers = [int(line.partition('.')[2]) for line in text.split('\n')]
-        if numbers != list(range(1, EVENTS + 1)):
-            fault = (
-                f'item {item} is completed with {len(numbers)} of {EVENTS} '
-                'events'
-            )
-            record.note('broken', fault=fault)
-            broken.append(fault)
-    return '; '.join(broken[:3])
-
-
-async def crash_behind_cut(link, engine, record):
-    """Cut the link; the engine crashes behind it and starts again."""
-    link.cut()
-    record.note('cut', link=link.address)
-    await asyncio.sleep(0.2)
-    record.note('engine-crashes', engine=engine.name)
-    await engine.end_process()
-    await asyncio.sleep(0.5)
-    await engine.start()
-    await asyncio.sleep(0.3)
-    link.heal()
-    record.note('healed', link=link.address)
 
 
-async def submit(fleet, record):
-    """Submit the job until it is accepted."""
+async def play(fleet, record, trouble, old, new):
+    """Submit a job, bring about the disruptions, and read all results."""
+    entry = fleet.entries[0]
     items = [
         (
-            f'{number:02x}d2907c14da6f38',
+            f'{number:02x}b2907c14da6f38',
             f'/jobs/{number}',
-            {'X-Model': 'm', 'X-Token-Usage': f'250,{EVENTS}'},
+            {'X-Model': 'm', 'X-Token-Usage': f'250,{EVENTS[number]}'},
             b'body',
-            250 + EVENTS,
+            250 + EVENTS[number],
         )
         for number in range(ITEMS)
     ]
 
-    async def once():
+    async def submit():
         status, _headers, _body = await call(
-            fleet.entries[0].clients, 'POST', '/jobs/2f41e0',
+            entry.clients, 'POST', '/jobs/7c41e0',
             [('X-Attempt-Id', JOB)], encode_job(items),
         )
         record.note('submitted', status=status)
         return status == 202
 
-    await fleet.wait_for(once, 15, 'a 202')
+    await fleet.wait_for(submit, 15, 'a 202')
+    await asyncio.sleep(1.0)
+    # Other callers have taken its slots.
+    new.full = True
+    await new.start()
+    if trouble:
+        await old[0].crash(2.4)
+        await asyncio.sleep(1.5)
+        new.full = False
+        await asyncio.sleep(2.0)
+        kill_holder(fleet, record)
+    else:
+        new.full = False
+    texts = await read_all(fleet, record)
+    for engine in (*old, new):
+        record.note('refused', engine=engine.name, requests=engine.refused)
+    runs = {}
+    for engine in (*old, new):
+        runs.update(engine.runs)
+    broken = [fault for item, text in texts for fault in find_faults(item, text, runs)]
+    for fault in broken:
+        record.note('broken', fault=fault)
+    return '; '.join(broken[:3])
+
+
+def kill_holder(fleet, record):
+    """Kill the store machine's process that last wrote under a condition."""
+    heads = [
+        shown
+        for (kind, name), shown in fleet.store._objects.items()
+        if kind == 'ledger' and name.endswith('.head')
+    ]
+    latest = max(heads, key=lambda head: head['metadata']['revision'])
+    holder = latest['specification']['owner']
+    for owner in fleet.owners:
+        if owner.name == holder:
+            owner.signal(signal.SIGKILL)
+            record.note('killed', owner=holder)
 
 
 async def read_all(fleet, record):
@@ -121,7 +109,7 @@
     texts = []
     position = 0
 
-    async def once():
+    async def read():
         nonlocal position
         status, _headers, body = await call(
             fleet.entries[1].clients, 'GET',
@@ -132,17 +120,35 @@
             return False
         shown = json.loads(body)
         for result in shown['results']:
-            text = result['text'].replace('\n', ',')
-            record.note(
-                'result', item=result['id'], state=result['state'], text=text
-            )
+            record.note('result', at=position, **result)
             if result['state'] == 'completed':
                 texts.append((result['id'], result['text']))
         position = shown['next_token']
         return position == ITEMS
 
-    await fleet.wait_for(once, 60, 'all results')
+    await fleet.wait_for(read, 60, 'all results')
     return texts
 
 
+def find_faults(item, text, runs):
+    """Return where a text breaks ORDER."""
+    faults = []
+    previous = None
+    for line in text.split('\n'):
+        run, number = (int(part) for part in line[1:].split('.'))
+        if previous is not None:
+            if number != previous[1] + 1:
+                faults.append(f'event {number} behind event {previous[1]}')
+            elif run != previous[0] and runs[run][1] != previous[1]:
+                faults.append(
+                    f'item {runs[run][0]}: behind event {previous[1]} of run '
+                    f'{previous[0]} the text goes on with run {run}, which was '
+                    f'requested with Last-Event-Id {runs[run][1]}'
+                )
+        previous = (run, number)
+    if previous is None or previous[1] != EVENTS[int(item[:2], 16)]:
+        faults.append(f'item {item}: text ends with {previous}')
+    return faults
+
+
 run_case(main, FOLDER)
