--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,9 +1,9 @@
 """Texts of items joined from runs that did not continue one another.
 
-A release begins: the first engine of the new version has started. One of the
-five of the old version crashes while it runs items of a job and is back within
-three seconds; the new engine is full meanwhile. Later the store machine that
-holds the job is killed.
+A release begins: the first engine of the new version has started. Two of the
+five of the old version crash, one after the other, while they run items of a
+job, and are back within three seconds; the new engine is full meanwhile. Later
+the store machine that holds the job is killed.
 """
 
 import asyncio
@@ -20,6 +20,7 @@
 
 JOB = '7c41e09b52d6a3f8'
 ITEMS = 35
+OTHER_JOBS = 10
 #: Events of each item; every third one is short.
 EVENTS = [60 if number % 3 else 24 for number in range(ITEMS)]
 
@@ -65,12 +66,15 @@
         return status == 202
 
     await fleet.wait_for(submit, 15, 'a 202')
+    others = asyncio.ensure_future(submit_others(fleet, record))
     await asyncio.sleep(1.0)
     # Other callers have taken its slots.
     new.full = True
     await new.start()
     if trouble:
+        again = asyncio.ensure_future(crash_later(old[1], 0.3, 2.4))
         await old[0].crash(2.4)
+        await again
         await asyncio.sleep(1.5)
         new.full = False
         await asyncio.sleep(2.0)
@@ -78,6 +82,7 @@
     else:
         new.full = False
     texts = await read_all(fleet, record)
+    await others
     for engine in (*old, new):
         record.note('refused', engine=engine.name, requests=engine.refused)
     runs = {}
@@ -89,6 +94,32 @@
     return '; '.join(broken[:3])
 
 
+async def submit_others(fleet, record):
+    """Submit small jobs of other clients, some three a second."""
+    await asyncio.sleep(3.5)
+    for number in range(OTHER_JOBS):
+        name = f'9f41e09b52d6a3{number:02x}'
+        item = (
+            f'f{number:03x}907c14da6f38',
+            f'/jobs/other/{number}',
+            {'X-Model': 'm', 'X-Token-Usage': '250,3'},
+            b'body',
+            253,
+        )
+        status, _headers, _body = await call(
+            fleet.entries[number % 2].clients, 'POST', f'/jobs/o{number}',
+            [('X-Attempt-Id', name)], encode_job([item]), seconds=2,
+        )
+        record.note('submitted', job=name, status=status)
+        await asyncio.sleep(0.35)
+
+
+async def crash_later(engine, pause, seconds):
+    """Crash an engine after a pause."""
+    await asyncio.sleep(pause)
+    await engine.crash(seconds)
+
+
 def kill_holder(fleet, record):
     """Kill the store machine's process that last wrote under a condition."""
     heads = [
