Ledger: know by its chain of runs which run a saved text is of

Cause: a record of progress that starts over replaced the saved text only if its version differed. Where a run at another version had made no event, or engines state no version, the start was ignored, and a later record that began just behind the last saved event was appended to the text of the run before.

Ruled out: events kept in memory as an item starts over (without a takeover the texts are sound); a version or an event number as the identity of a run.

Change: each chain of runs has a random id, written with its events; the first events of another chain replace the saved ones. Records without one (of the release before) are not used; records of this release leave the old version empty, so that the release before starts such items over.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owned_job.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owned_job.py
@@ -3,11 +3,18 @@
 import math
 from collections.abc import Iterator, Sequence
 
-from bendlead_ledger import BEFORE_FIRST, DirectJobState, SavedProgress
+from bendlead_ledger import (
+    BEFORE_FIRST,
+    ChainId,
+    DirectJobState,
+    SavedProgress,
+    new_chain_id,
+)
 from bendlead_schema.records import (
     DirectProgress,
     DirectResult,
     ItemFailures,
+    RunChain,
 )
 from bendlead_store import clock
 from gevent.event import Event
@@ -47,6 +54,8 @@
     last_event: int | None = None
     #: Version of the engines that made the events, empty if unknown.
     version: EngineVersion = EngineVersion('')
+    #: Runs that made the events: each continues the one before.
+    chain: ChainId = field(default_factory=new_chain_id)
     failures: int = 0
     finished: bool = False
     not_before: float = 0
@@ -99,6 +108,7 @@
             [saved.text],
             saved.last_event,
             EngineVersion(saved.version),
+            saved.chain,
             failures,
             _saved_failures=failures,
             _restored=True,
@@ -201,7 +211,7 @@
             last_event=self.last_event - len(self.texts) + end,
             text='\n'.join(self.texts[self._saved_texts : end]),
             spent=self.run_seconds,
-            version=self.version,
+            chain=RunChain(id=self.chain, version=self.version),
         )
         # Replace the texts by the joined one, which the shard state shares.
         saved = self.texts[: self._saved_texts]
@@ -212,6 +222,7 @@
 
     def _start_over(self) -> None:
         """Drop the events: those of two versions do not fit together."""
+        self.chain = new_chain_id()
         self.texts = []
         self.last_event = None
         self._saved_texts = 0
--- a/packages/bendlead-ledger/src/bendlead_ledger/__init__.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/__init__.py
@@ -16,11 +16,13 @@
 )
 from bendlead_ledger._grants import GrantOrder, TeamPolicy
 from bendlead_ledger._ids import (
+    ChainId,
     JobId,
     RequestId,
     ShardId,
     digest,
     job_id,
+    new_chain_id,
     request_id,
     shard_of,
     unique_id,
@@ -40,6 +42,7 @@
 __all__ = (
     'BEFORE_FIRST',
     'NOT_OWNER',
+    'ChainId',
     'ChunkReader',
     'Committer',
     'DirectJobState',
@@ -62,6 +65,7 @@
     'file_lines',
     'head_key',
     'job_id',
+    'new_chain_id',
     'open_shard',
     'pack_items',
     'read_owner',
--- a/packages/bendlead-ledger/src/bendlead_ledger/_direct.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_direct.py
@@ -2,7 +2,8 @@
 
 Results keep the order of their records, so that a position always refers to
 the same result on every node. Progress of an item is accepted only if it starts
-right after the last event that was saved.
+right after the last event that was saved of the same chain of runs, or if it
+begins a new chain.
 """
 
 import base64
@@ -16,10 +17,12 @@
     DirectProgress,
     DirectResult,
     ItemFailures,
+    RunChain,
 )
-from msgspec import Struct, field
+from msgspec import UNSET, Struct, field
 
 from bendlead_ledger import _codec
+from bendlead_ledger._ids import ChainId
 
 #: Items of this compressed size or more are stored in separate objects.
 _INLINE_BYTES = 48_000
@@ -32,6 +35,8 @@
     """Events saved in the log of an item that has no result yet."""
 
     last_event: int = BEFORE_FIRST
+    #: Runs that made the events.
+    chain: ChainId = ChainId('')
     #: Version of the engines that made the events, empty if unknown.
     version: str = ''
     #: Total time for which runs of the item have used slots.
@@ -46,17 +51,18 @@
     def extend(self, progress: DirectProgress) -> bool:
         """Append events that follow the last one; return whether they did.
 
-        An item that starts over at another version replaces what it had.
+        The first events of another chain of runs replace those saved.
         """
-        version = progress.version or ''
-        if progress.after == BEFORE_FIRST and version != self.version:
+        if progress.chain is UNSET:
+            # Of an earlier release, whose events may be of several chains.
+            return False
+        chain = ChainId(progress.chain.id)
+        if progress.after == BEFORE_FIRST and chain != self.chain:
             self._texts.clear()
-            self.version = version
-        elif progress.after != self.last_event:
+            self.chain = chain
+            self.version = progress.chain.version
+        elif (progress.after, chain) != (self.last_event, self.chain):
             return False
-        elif version != self.version:
-            # Written by a process that does not know versions.
-            self.version = ''
         self.last_event = progress.last_event
         self.run_seconds = progress.spent
         self._texts.append(progress.text)
@@ -151,7 +157,7 @@
                     last_event=saved.last_event,
                     text=saved.text,
                     spent=saved.run_seconds,
-                    version=saved.version,
+                    chain=RunChain(id=saved.chain, version=saved.version),
                 )
                 for item, saved in self.saved_progress.items()
             ],
--- a/packages/bendlead-ledger/src/bendlead_ledger/_ids.py
+++ b/packages/bendlead-ledger/src/bendlead_ledger/_ids.py
@@ -8,12 +8,15 @@
 JobId = NewType('JobId', str)
 RequestId = NewType('RequestId', str)
 RunId = NewType('RunId', str)
+#: Runs of an item that each continue the one before.
+ChainId = NewType('ChainId', str)
 ShardId = NewType('ShardId', int)
 
 JOB_PREFIX = 'batch_'
 REQUEST_PREFIX = 'chatcmpl-'
 _SHARD_DIGITS = 4
 _HEXADECIMAL = 16
+_CHAIN_DIGITS = 16
 
 
 def unique_id() -> str:
@@ -21,6 +24,11 @@
     return uuid.uuid4().hex
 
 
+def new_chain_id() -> ChainId:
+    """Return a random id for the next chain of runs of an item."""
+    return ChainId(unique_id()[:_CHAIN_DIGITS])
+
+
 def digest(*parts: str) -> str:
     """Return a 128-bit hash of the texts as hexadecimal digits."""
     return xxhash.xxh3_128_hexdigest('\0'.join(parts).encode())
--- a/packages/bendlead-schema/src/bendlead_schema/_generated/records.py
+++ b/packages/bendlead-schema/src/bendlead_schema/_generated/records.py
@@ -5,7 +5,7 @@
 
 from typing import Annotated, Any, TypeAlias
 
-from msgspec import Meta, Struct, UnsetType, field
+from msgspec import UNSET, Meta, Struct, UnsetType, field
 
 Model: TypeAlias = Any
 
@@ -301,6 +301,34 @@
     text: str
 
 
+class RunChain(Struct, kw_only=True):
+    """
+    Identify runs of an item that each continue the one before.
+    """
+
+    id: Annotated[str, Meta(description='Unique among the chains of an item.')]
+    version: Annotated[
+        str, Meta(description='Version of the engines of the runs; empty if unknown.')
+    ]
+
+
+class DirectJobEnded(Struct, kw_only=True, tag_field='kind', tag='direct-job-ended'):
+    """
+    End a direct job; nothing of it is run afterwards.
+    """
+
+    job: str
+
+
+class ItemFailures(Struct, kw_only=True):
+    """
+    Count the runs of an item that its engine failed.
+    """
+
+    item: str
+    failures: Annotated[int, Meta(ge=1)]
+
+
 class DirectProgress(Struct, kw_only=True):
     """
     Hold events of an item that has no result yet.
@@ -332,28 +360,20 @@
         Annotated[
             str,
             Meta(
-                description='Version of the engines that made the events; empty if unknown.'
+                description='Written by earlier releases alone, which restart an item where it is empty.'
             ),
         ]
         | UnsetType
     ) = ''
-
-
-class DirectJobEnded(Struct, kw_only=True, tag_field='kind', tag='direct-job-ended'):
-    """
-    End a direct job; nothing of it is run afterwards.
-    """
-
-    job: str
-
-
-class ItemFailures(Struct, kw_only=True):
-    """
-    Count the runs of an item that its engine failed.
-    """
-
-    item: str
-    failures: Annotated[int, Meta(ge=1)]
+    chain: (
+        Annotated[
+            RunChain,
+            Meta(
+                description='Runs that made the events; absent in records of earlier releases.'
+            ),
+        ]
+        | UnsetType
+    ) = UNSET
 
 
 class DirectResultsRecorded(
