Ends: ask the engine that answered, not its address, whether it runs on

Cause: an answer without a length counted as whole if its engine's address took a connection. An engine that has crashed and started again takes it as well, and so does anything in front of it.

Ruled out: the list of engines as the witness, which is seconds late; sharing a check that was sent before an answer ended, since a crash may lie between.

Change: a health check with the id of the engine; only that engine's answer, or a refusal, makes the end a whole one. Not known is broken.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/catalog.py
@@ -70,6 +70,11 @@
         """Return the limits for client connections and requests."""
         return self.current.limits if self.current else ClientLimits()
 
+    def health_path(self, service: ServiceName) -> str | None:
+        """Return the path of the health checks of a service, if configured."""
+        found = self.current.services.get(service) if self.current else None
+        return found.health_path if found else None
+
     @property
     def requires_key(self) -> bool:
         """Return whether callers must send the key of a team."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
@@ -7,6 +7,7 @@
 
 from bendlead_gateway._fleet.balancer import Balancer
 from bendlead_gateway._fleet.catalog import ConfigurationHolder, EngineList
+from bendlead_gateway._fleet.end_check import EndCheck
 from bendlead_gateway._fleet.health import EngineHealth
 from bendlead_gateway._fleet.loads import LoadTable
 from bendlead_gateway._fleet.pace import PaceTable, StreamPace
@@ -63,6 +64,12 @@
             log,
             metrics,
         )
+        self._ends = EndCheck(
+            self.suspects.crash_detector.has_crashed,
+            self.configuration.health_path,
+            dialect,
+            log,
+        )
         self.balancer = Balancer(
             self.engines,
             self.loads,
@@ -89,6 +96,11 @@
             warming=self.engines.warming(engine),
         )
 
+    @property
+    def ends(self) -> EndCheck:
+        """Return the check of engines whose answers end unmarked."""
+        return self._ends
+
     @property
     def reachability(self) -> Reachability:
         """Return the probes of silent engines."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -257,7 +257,7 @@
             run.engine,
             connection,
             head,
-            self._fleet.suspects.crash_detector,
+            self._fleet.ends,
             splitter,
         )
         for part in body.parts(_IO_TIMEOUT_SECONDS):
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/answer_body.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/answer_body.py
@@ -24,8 +24,8 @@
 class EndDetection(Protocol):
     """Detection of engines that have ended."""
 
-    def has_ended(self, engine: Engine) -> bool:
-        """Return whether an engine refuses connections, after a pause."""
+    def runs_on(self, engine: Engine) -> bool:
+        """Return whether an engine surely still runs, after a pause."""
 
 
 class AnswerBody:
@@ -34,8 +34,8 @@
     Its parts end normally only if the answer is complete. A stream must not
     stop inside an event. An answer without a length or chunks ends with its
     connection, which also happens when its engine crashes or stops; such an
-    answer counts as complete if its engine still accepts connections
-    afterwards, and a stream only if it has an event.
+    answer counts as complete if its engine surely runs on afterwards, under the
+    same id, and a stream only if it has an event.
     """
 
     def __init__(
@@ -77,5 +77,7 @@
     def _confirm_end(self, closed: CloseDelimitedError) -> None:
         if self._events is not None and self._empty:
             raise ResponseError('response ended before an event') from closed
-        if self._ends.has_ended(self._engine):
-            raise ResponseError('engine ended as it responded') from closed
+        if not self._ends.runs_on(self._engine):
+            raise ResponseError(
+                'engine may have ended as it responded'
+            ) from closed
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -88,7 +88,7 @@
         self._engine = engine
         self._connection = connection
         self._suspects = fleet.suspects
-        self._ends = fleet.suspects.crash_detector
+        self._ends = fleet.ends
         self._parts_cleared = False
         self._health = fleet.health
         self._silence = SilenceWatch(exchange, engine, fleet, log)
--- a/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_detector.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_suspects/crash_detector.py
@@ -16,7 +16,6 @@
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._suspects.digest import RequestDigest
-from bendlead_gateway._suspects.end_check import EndCheck
 from bendlead_gateway.types import (
     Engine,
     EngineId,
@@ -109,7 +108,6 @@
         self._abandoned: dict[
             _Incarnation, dict[RequestDigest, tuple[float, _Parts]]
         ] = {}
-        self._check = EndCheck()
         self.on_crash: OnCrash = ignore_crash
 
     def record_broken(self, engine: Engine, broken: BrokenResponse) -> None:
@@ -161,15 +159,10 @@
             if digest in crash.digests:
                 crash.probed.wait(_AWAIT_PROBE_SECONDS)
 
-    def has_ended(self, engine: Engine) -> bool:
-        """Return whether an engine refuses connections, after a pause.
-
-        It may have crashed, or stopped as planned in the middle of a response.
-        """
+    def has_crashed(self, engine: Engine) -> bool:
+        """Return whether a crash of an engine has been confirmed lately."""
         crash = self._possible.get(_incarnation(engine))
-        if crash is not None and crash.confirmed:
-            return True
-        return self._check.has_ended(engine)
+        return crash is not None and crash.confirmed
 
     def _is_running(
         self, crash: _PossibleCrash, broken: BrokenResponse
--- a/packages/bendlead-gateway/src/bendlead_gateway/_types/engines.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_types/engines.py
@@ -47,6 +47,7 @@
     ``misdirected`` is true if another engine now has the address.
     ``closing`` is true if the engine closes the connection afterwards.
     ``idle_seconds`` is the engine's keep-alive timeout, if given.
+    ``engine`` is the id of the engine that responds, if given.
     """
 
     request: RequestId | None
@@ -54,3 +55,4 @@
     misdirected: bool
     closing: bool
     idle_seconds: float | None
+    engine: EngineId | None = None
--- a/packages/bendlead-gateway/src/bendlead_gateway/dialect.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/dialect.py
@@ -91,6 +91,9 @@
     ) -> list[tuple[str, str]]:
         """Return the headers of a batch item's request to an engine."""
 
+    def health_headers(self, engine: Engine) -> list[tuple[str, str]]:
+        """Return the headers of a health check that is for one engine."""
+
     def engine_answer(self, status: int, headers: Headers) -> EngineAnswer:
         """Decode the status and headers of an engine's response."""
 
--- a/tests/gateway_cases.py
+++ b/tests/gateway_cases.py
@@ -95,6 +95,8 @@
     def _start_engine(self, number, answer):
         def script(sock):
             request = peer.read_request(sock)
+            if peer.answer_health(sock, request):
+                return
             if callable(answer):
                 answer(sock, request)
             elif answer:
@@ -103,7 +105,7 @@
                 # The engine does not respond.
                 gevent.sleep(5)
 
-        peer = ScriptedPeer([script] * 4)
+        peer = ScriptedPeer([script] * 8)
         self.addCleanup(peer.close)
         self.engines.append(peer)
         self.store.set('servers', f'i-{number}', engine(peer.address))
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -19,6 +19,9 @@
 _END_SECONDS = 2.0
 _END_ATTEMPTS = 3
 
+#: Default path of engines' health checks.
+_HEALTH_CHECK = b'GET /health '
+
 Script = Callable[[socket.socket], None]
 
 
@@ -32,6 +35,8 @@
         self._sock.listen(64)
         self.address = f'127.0.0.1:{self._sock.getsockname()[1]}'
         self.requests: list[bytes] = []
+        #: How an engine answers a health check; None closes the connection.
+        self.health: Callable[[bytes], bytes] | None = state_expected_engine
         self._task = gevent.spawn(self._accept)
 
     def run(self, scripts: Sequence[Script]) -> None:
@@ -61,9 +66,17 @@
                 length = int(text)
         while len(body) < length:
             body += sock.recv(65536)
-        self.requests.append(head + b'\r\n\r\n' + body)
+        if not data.startswith(_HEALTH_CHECK):
+            self.requests.append(head + b'\r\n\r\n' + body)
         return data
 
+    def answer_health(self, sock: socket.socket, request: bytes) -> bool:
+        """Answer a request if it is a health check; return whether it is."""
+        checks = request.startswith(_HEALTH_CHECK)
+        if checks and self.health is not None:
+            sock.sendall(self.health(request))
+        return checks
+
     def _accept(self) -> None:
         for script in self._scripts:
             sock, _peer = self._sock.accept()
@@ -79,6 +92,18 @@
             sock.close()
 
 
+def state_engine(name: bytes, status: bytes = b'200 OK') -> bytes:
+    """Return a response to a health check that states an engine."""
+    fields = b'X-Instance-Id: %b\r\nContent-Length: 0\r\n' % name
+    return b'HTTP/1.1 %b\r\n%b\r\n' % (status, fields)
+
+
+def state_expected_engine(request: bytes) -> bytes:
+    """Answer a health check as the engine that is asked for."""
+    expected = request.partition(b'X-Expect-Instance: ')[2]
+    return state_engine(expected.partition(b'\r\n')[0])
+
+
 class TaskTracker:
     """Ends all tasks started since it was made, those of nodes included.
 
--- a/tests/test_gateway_broken_answers.py
+++ b/tests/test_gateway_broken_answers.py
@@ -23,6 +23,8 @@
     event,
     eventually,
     route,
+    state_engine,
+    state_expected_engine,
 )
 
 _HEAD = b'HTTP/1.1 200 OK\r\nX-Response-Seal: s1\r\n\r\n'
@@ -62,6 +64,32 @@
 _LEAVING = [('draining',), ('gone',)]
 
 
+def misdirect(_request):
+    """Answer a health check as another engine does."""
+    return b'HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n'
+
+
+def refuse(_request):
+    """Answer a health check as a full engine does."""
+    return (
+        b'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+    )
+
+
+#: Who answers at the address of an engine that ended behind a whole event.
+_OTHERS = [
+    ('started_again', misdirect),
+    ('ignores_expectation', lambda _request: state_engine(b'i-other')),
+    ('states_no_engine', lambda _request: b'HTTP/1.1 200 OK\r\n\r\n'),
+    (
+        'is_no_engine',
+        lambda _request: b'HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n',
+    ),
+    ('says_nothing', lambda _request: b''),
+    ('closes', None),
+]
+
+
 class BrokenAnswerCase(EntryCase):
     """Starts engines that close connections, and some that then crash."""
 
@@ -157,6 +185,7 @@
         asking = [self.send_request(path) for path in ('/x/2', '/x/1')]
         eventually(lambda: self.count_engine_requests() == 2)
         gevent.sleep(_PAUSE_SECONDS)
+        self.engines[0].health = None
         crash.set()
         for connection in asking:
             with self.assertRaises(ResponseError):
@@ -301,6 +330,47 @@
         self.assertEqual(1, self.count_engine_requests())
 
 
+class OtherEngineTest(BrokenAnswerCase):
+    """The address of an engine that ended takes connections again.
+
+    Guards against answers that look whole as somebody else accepts there.
+    """
+
+    def start_again(self, answers, changed, health):
+        """Have another engine, or something else, take the address."""
+        self.start_preferring_first(changed, answers)
+        self.engines[0].health = health
+
+    @parameterized.expand(_OTHERS)
+    def test_stream_looks_broken(self, _name, health):
+        self.start_again([closing(_FIRST)], route('streaming'), health)
+        with self.assertRaises(ResponseError):
+            self.read(self.send_request())
+
+    @parameterized.expand(_OTHERS)
+    def test_resumable_stream_goes_on(self, _name, health):
+        changed = route('streaming', resumable=True, timeout_ms=4000)
+        self.start_again([closing(_FIRST), _TAIL], changed, health)
+        request = self.send_request(timeout_ms=4000)
+        self.assertEqual(_WHOLE, self.read(request)[1])
+        self.assertIn(b'Last-Event-Id: 1', self.engines[1].requests[0])
+
+    @parameterized.expand(_OTHERS)
+    def test_plain_answer_is_replaced(self, _name, health):
+        sound = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+        changed = route('safe', timeout_ms=4000)
+        self.start_again([closing(b'bo'), sound], changed, health)
+        request = self.send_request(timeout_ms=4000)
+        self.assertEqual(b'ok', self.read(request)[1])
+
+    @parameterized.expand(
+        [('states_itself', state_expected_engine), ('is_full', refuse)]
+    )
+    def test_same_engine(self, _name, health):
+        self.start_again([closing(_WHOLE)], route('streaming'), health)
+        self.assertEqual(_WHOLE, self.read(self.send_request())[1])
+
+
 class PlainAnswerTest(BrokenAnswerCase):
     """The end of a plain answer shows no cut."""
 
@@ -379,7 +449,20 @@
     def test_text_of_a_leaving_engine_that_stops_is_whole(self, how):
         self.check_text([closing(_FIRST)], crashes=True, leaves=how)
 
-    def check_text(self, answers, *, crashes=False, leaves=None):
+    @parameterized.expand(_OTHERS)
+    def test_text_of_an_engine_that_was_replaced_is_whole(self, _name, health):
+        """Guards against truncated items that are listed as completed."""
+        self.check_text([closing(_FIRST)], health=health)
+        self.assertIn(b'Last-Event-Id: 1', self.requests[-1])
+
+    def check_text(
+        self,
+        answers,
+        *,
+        crashes=False,
+        leaves=None,
+        health=state_expected_engine,
+    ):
         """Have an item answered so, and at last by a sound engine."""
         config = configuration(1, route('batch', max_attempts=3))
         self.store.set('config', 'main', config)
@@ -389,6 +472,8 @@
         def script_of(peer):
             def script(sock):
                 request = peer.read_request(sock)
+                if peer.answer_health(sock, request):
+                    return
                 if request:
                     self.requests.append(request)
                     if leaves and len(self.requests) == 1:
@@ -403,6 +488,7 @@
         peers = [ScriptedPeer([]) for _peer in range(2)]
         for peer in peers:
             peer.run([script_of(peer)] * 9)
+            peer.health = health
             self.addCleanup(peer.close)
         self.requests = []
         self.store.set('servers', 'i-1', engine(peers[0].address))
