Items, plain answers: limit what is kept of answers, one by one and in all

Callers saw: the process that had called a faulty engine ran out of memory, and the jobs and requests of others on that machine ended with it.

Cause: limits stood on each read and on each answer that is kept as a whole, not on the events that a batch item collects, and not on the sum of answers held.

Change: the text of an item is limited so that its result fits a value of the object service; above an eighth of a process's memory, texts and plain answers that hold more than the mean are given up or passed on.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -48,6 +48,8 @@
 #: Share of the memory for request bodies; each body is copied when it is
 #: assembled and again when it is sent.
 _BODIES_MEMORY_SHARE = 0.25
+#: The same for plain answers, which are also sent in one piece.
+_ANSWERS_MEMORY_SHARE = 0.125
 _OVERLOAD_CHECK_SECONDS = 0.1
 _RETRY_AFTER_HEADERS = (('Retry-After', '0.2'),)
 
@@ -112,6 +114,9 @@
         self._client_server.body_budget.max_bytes = int(
             settings.memory * _BODIES_MEMORY_SHARE
         )
+        self.fleet.answers.max_bytes = int(
+            settings.memory * _ANSWERS_MEMORY_SHARE
+        )
         self.request_queue.report = self.log.task_failed
         self._overload = OverloadDetector()
         self._sheds_connections = False
--- a/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_fleet/fleet.py
@@ -17,6 +17,7 @@
 from bendlead_gateway._fleet.watcher import Follower, Watcher
 from bendlead_gateway._health.evaluator import LocalNode
 from bendlead_gateway._health.shared import SharedHealth
+from bendlead_gateway._http.answer_budget import AnswerBudget
 from bendlead_gateway._log import Log
 from bendlead_gateway._metrics import Metrics
 from bendlead_gateway._suspects.suspects import Suspects
@@ -64,6 +65,7 @@
             log,
             metrics,
         )
+        self._answers = AnswerBudget()
         self._ends = EndCheck(
             self.suspects.crash_detector.has_crashed,
             self.configuration.health_path,
@@ -96,6 +98,11 @@
             warming=self.engines.warming(engine),
         )
 
+    @property
+    def answers(self) -> AnswerBudget:
+        """Return the memory limit for plain answers."""
+        return self._answers
+
     @property
     def ends(self) -> EndCheck:
         """Return the check of engines whose answers end unmarked."""
--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/limits.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/limits.py
@@ -21,5 +21,8 @@
 MAX_UNFRAMED_BYTES = 4_194_304
 #: One event of a stream.
 MAX_EVENT_BYTES = 1_048_576
+#: Text of a batch item: its result has to fit a value of the object service.
+MAX_ITEM_TEXT_BYTES = 524_288
+MAX_ITEM_EVENTS = 16_384
 #: Time from the first to the last byte of one event.
 MAX_EVENT_SECONDS = 1.0
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -8,7 +8,12 @@
 
 from bendlead_gateway._fleet.fleet import Fleet
 from bendlead_gateway._health.observation import FailureKind
+from bendlead_gateway._http.answer_budget import TextBudget
 from bendlead_gateway._http.client import HttpConnection, ResponseHead
+from bendlead_gateway._http.limits import (
+    MAX_ITEM_EVENTS,
+    MAX_ITEM_TEXT_BYTES,
+)
 from bendlead_gateway._jobs.item_states import ItemReason
 from bendlead_gateway._jobs.owned_job import ITEM_METHOD, OwnedJob, Progress
 from bendlead_gateway._jobs.owned_shard import OwnedShard
@@ -107,9 +112,12 @@
 class ItemExecutor:
     """Execute runs: connect, send the request, collect the events."""
 
-    def __init__(self, dialect: Dialect, fleet: Fleet, log: Log) -> None:
+    def __init__(
+        self, dialect: Dialect, fleet: Fleet, texts: TextBudget, log: Log
+    ) -> None:
         self._dialect = dialect
         self._fleet = fleet
+        self._texts = texts
         self._log = log
 
     def execute(self, run: ItemRun) -> ItemOutcome | None:
@@ -266,12 +274,32 @@
             run.last_output_at = clock.uptime()
             self.record_progress(run)
             for event in splitter.feed(part):
-                _append_event(run.progress, event)
+                self._append_event(run.progress, event)
         if not run.progress.texts:
             raise RunFailedError('response has no events')
 
+    def _append_event(self, progress: Progress, event: StreamEvent) -> None:
+        _check_order(progress, event)
+        size = _encoded_size(event) + 1
+        grown = progress.text_bytes + size
+        too_large = (
+            event.number > MAX_ITEM_EVENTS
+            or grown > MAX_ITEM_TEXT_BYTES
+            or self._texts.is_over(grown, size)
+        )
+        if too_large:
+            # The events before are of the same output.
+            progress.start_over()
+            raise RunFailedError(
+                f'output too large: event {event.number}, {grown} bytes'
+            )
+        progress.last_event = event.number
+        progress.progressed_at = clock.uptime()
+        progress.texts.append(event.text)
+        progress.text_bytes = grown
+
 
-def _append_event(progress: Progress, event: StreamEvent) -> None:
+def _check_order(progress: Progress, event: StreamEvent) -> None:
     previous = progress.last_event
     if event.number is None:
         raise RunFailedError('event without an event number')
@@ -280,18 +308,12 @@
         raise RunFailedError(
             f'event {event.number} received after event {previous}'
         )
-    if not _is_encodable(event.text):
-        raise RunFailedError(f'event {event.number} is not UTF-8')
-    progress.last_event = event.number
-    progress.progressed_at = clock.uptime()
-    progress.texts.append(event.text)
 
 
-def _is_encodable(text: str) -> bool:
-    """Return whether the text can be encoded as UTF-8."""
+def _encoded_size(event: StreamEvent) -> int:
+    """Return the size of an event's text as UTF-8."""
     try:
-        text.encode()
-    except UnicodeEncodeError:
+        return len(event.text.encode())
+    except UnicodeEncodeError as invalid:
         # The decoder keeps invalid bytes as surrogates.
-        return False
-    return True
+        raise RunFailedError(f'event {event.number} is not UTF-8') from invalid
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owned_job.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/owned_job.py
@@ -52,6 +52,8 @@
     item: JobItem
     texts: list[str] = field(default_factory=list)
     last_event: int | None = None
+    #: Size of the texts as UTF-8, with a line feed for each.
+    text_bytes: int = 0
     #: Version of the engines that made the events, empty if unknown.
     version: EngineVersion = EngineVersion('')
     #: Runs that made the events: each continues the one before.
@@ -107,6 +109,7 @@
             item,
             [saved.text],
             saved.last_event,
+            len(saved.text.encode()),
             EngineVersion(saved.version),
             saved.chain,
             failures,
@@ -177,7 +180,8 @@
     def begin_run(self, version: EngineVersion) -> None:
         """Start timing a run, from the start if the version is another."""
         if self.texts and (not version or version != self.version):
-            self._start_over()
+            # Events of two versions do not fit together.
+            self.start_over()
         self.version = version
         self.reason = ItemReason.OWNERSHIP
         self._run_started_at = clock.uptime()
@@ -220,10 +224,11 @@
         self._saved_event = record.last_event
         return record
 
-    def _start_over(self) -> None:
-        """Drop the events: those of two versions do not fit together."""
+    def start_over(self) -> None:
+        """Drop the events, those of earlier runs too."""
         self.chain = new_chain_id()
         self.texts = []
+        self.text_bytes = 0
         self.last_event = None
         self._saved_texts = 0
         self._saved_event = BEFORE_FIRST
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/runner.py
@@ -84,7 +84,7 @@
         self._manager = manager
         self._fleet = fleet
         self._loads = fleet.loads
-        self._executor = ItemExecutor(dialect, fleet, log)
+        self._executor = ItemExecutor(dialect, fleet, manager.texts, log)
         self._log = log
         self._metrics = metrics
         self._durations = ItemDurations()
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/shard_manager.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/shard_manager.py
@@ -1,6 +1,6 @@
 """Ownership of job shards by this process."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 import gevent
 from bendlead_ledger import Owner, ShardId, read_owner
@@ -9,6 +9,7 @@
 from result import Err, Result
 
 from bendlead_gateway._fleet.peers import PeerTable
+from bendlead_gateway._http.answer_budget import TextBudget
 from bendlead_gateway._jobs.grace_period import OwnerGracePeriod
 from bendlead_gateway._jobs.owned_shard import OwnedShard, take_over_shard
 from bendlead_gateway._jobs.shards import (
@@ -74,6 +75,7 @@
         self._paused_until = 0.0
         self._grace_period = OwnerGracePeriod(store)
         self.owned: dict[int, OwnedShard] = {}
+        self.texts = TextBudget(self._text_sizes)
 
     def epochs(self) -> dict[int, int]:
         """Return the epoch of each owned shard."""
@@ -121,6 +123,13 @@
             if not owned.busy:
                 self._give_up(shard, 'handed over')
 
+    def _text_sizes(self) -> Iterator[int]:
+        """Yield the size of the text of each item that has one."""
+        for owned in self.owned.values():
+            for job in owned.jobs.values():
+                sizes = (progress.text_bytes for progress in job.unfinished)
+                yield from filter(None, sizes)
+
     def _save(self, owned_shards: Sequence[OwnedShard]) -> None:
         """Save the progress of items for the next owner to resume from."""
         gevent.joinall(
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -7,6 +7,7 @@
 from bendlead_store import clock
 
 from bendlead_gateway._fleet.fleet import Fleet
+from bendlead_gateway._http.answer_budget import HeldAnswer
 from bendlead_gateway._http.client import (
     HttpConnection,
     ResponseError,
@@ -89,6 +90,7 @@
         self._connection = connection
         self._suspects = fleet.suspects
         self._ends = fleet.ends
+        self._answers = fleet.answers
         self._parts_cleared = False
         self._health = fleet.health
         self._silence = SilenceWatch(exchange, engine, fleet, log)
@@ -139,8 +141,17 @@
         """
         timeout = self._exchange.read_timeout
         parts = self._parts(self._body(head), timeout, timeout)
+        held = HeldAnswer(self._answers)
         try:
-            body, whole = _read_start(parts, head.framing)
+            self._relay_held(head, parts, held)
+        finally:
+            held.end()
+
+    def _relay_held(
+        self, head: ResponseHead, parts: Iterator[bytes], held: HeldAnswer
+    ) -> None:
+        try:
+            body, whole = _read_start(parts, head.framing, held)
         except ResponseError as error:
             raise UnknownOutcomeError(
                 f'incomplete response: {error}'
@@ -149,15 +160,20 @@
         if whole:
             self._answer(head, body)
         else:
-            self._relay_large(head, body, parts)
+            self._relay_large(head, body, parts, held)
 
     def _relay_large(
-        self, head: ResponseHead, start: bytes, parts: Iterator[bytes]
+        self,
+        head: ResponseHead,
+        start: bytes,
+        parts: Iterator[bytes],
+        held: HeldAnswer,
     ) -> None:
         responder = self._exchange.responder
         headers = end_to_end_headers(head.headers)
         responder.start(head.status, head.reason, headers, length=None)
         responder.write(start)
+        held.release()
         try:
             for part in parts:
                 responder.write(part)
@@ -292,7 +308,9 @@
         )
 
 
-def _read_start(parts: Iterator[bytes], framing: Framing) -> tuple[bytes, bool]:
+def _read_start(
+    parts: Iterator[bytes], framing: Framing, held: HeldAnswer
+) -> tuple[bytes, bool]:
     """Read what is kept of a plain response; return whether that is all.
 
     Raises ``ResponseTooLargeError`` if a larger one can't be passed on.
@@ -300,14 +318,14 @@
     unframed = framing is Framing.CONNECTION
     limit = MAX_UNFRAMED_BYTES if unframed else MAX_RETRIED_BYTES
     read = []
-    size = 0
     for part in parts:
         read.append(part)
-        size += len(part)
-        if size > limit and unframed:
+        held.add(len(part))
+        too_large = held.size > limit or held.is_over
+        if too_large and unframed:
             raise ResponseTooLargeError(
-                f'response without length of more than {limit} bytes'
+                f'response without length too large: {held.size} bytes'
             )
-        if size > limit:
+        if too_large:
             return b''.join(read), False
     return b''.join(read), True
--- a/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_owner.py
@@ -25,6 +25,9 @@
 _DRAIN_SECONDS = 1.5
 _DRAIN_POLL_SECONDS = 0.05
 _EXPIRY_INTERVAL_SECONDS = 30.0
+#: Share of the memory for the texts of items without a result, which are
+#: copied when they are saved and when they are recorded.
+_TEXTS_MEMORY_SHARE = 0.125
 #: Longest time without a call to the object service while shards are owned,
 #: so that its outages are noticed.
 _PROBE_AFTER_SECONDS = 1.0
@@ -58,6 +61,9 @@
             self.log,
             self.metrics,
         )
+        self._shard_manager.texts.max_bytes = int(
+            settings.memory * _TEXTS_MEMORY_SHARE
+        )
         self._owed_items = OwedItems(
             self._shard_manager,
             lambda: self._runner.latest_round_at,
