HTTP clients: a status outside 100 to 599 is no answer

Callers saw: requests that waited out their time behind an answer with status 000, 001 or 099; clients got 600 and 999 as answers (own face too); a write that the object service answered so counted as refused.

Cause: the reader compared a status with 200 alone.

Change: such an answer is broken at once, in both HTTP clients. A request that may not be repeated gets 502, since one that was sent may have run.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
@@ -20,7 +20,10 @@
 from bendlead_gateway.types import Headers
 
 _READ_BYTES = 65_536
+#: Statuses of the protocol; what has another one is no answer.
+_MIN_STATUS = 100
 _MIN_FINAL_STATUS = 200
+_MAX_STATUS = 599
 #: A socket timeout of 0 would make the socket non-blocking.
 _MIN_TIMEOUT_SECONDS = 0.001
 
@@ -269,11 +272,14 @@
             head = self._response_parser.current.head
             if head is None:
                 self._receive_head(overhead)
-            elif head.status < _MIN_FINAL_STATUS:
+            elif _MIN_FINAL_STATUS <= head.status <= _MAX_STATUS:
+                return head
+            elif _MIN_STATUS <= head.status < _MIN_FINAL_STATUS:
                 self._response_parser.drop_current()
                 overhead.began_at = clock.uptime()
             else:
-                return head
+                self._reusable = False
+                raise ResponseError(f'invalid status {head.status:03}')
 
     def read_parts(
         self, head: ResponseHead, timeout: float, within: float = math.inf
--- a/packages/bendlead-node/src/bendlead_node/_common/limited.py
+++ b/packages/bendlead-node/src/bendlead_node/_common/limited.py
@@ -15,6 +15,9 @@
 from bendlead_node._common.limits import MAX_EVENT_BYTES, MAX_OVERHEAD_BYTES
 
 _LINE_END = b'\r\n'
+#: Statuses of the protocol; what has another one is no answer.
+_MIN_STATUS = 100
+_MAX_STATUS = 599
 
 
 class AnswerTooLargeError(OSError):
@@ -36,6 +39,10 @@
     """Report nothing."""
 
 
+class InvalidStatusError(OSError):
+    """An answer has a status that the protocol does not know."""
+
+
 class LimitedResponse(HTTPSocketPoolResponse):
     """Response that is given up where a part of it passes its limit."""
 
@@ -159,7 +166,7 @@
             self._report(error)
             return error
 
-        return LimitedResponse(
+        response = LimitedResponse(
             sock,
             self._connection_pool,
             give_up,
@@ -167,3 +174,8 @@
             block_size=self.block_size,
             method=method,
         )
+        if _MIN_STATUS <= response.status_code <= _MAX_STATUS:
+            return response
+        sock.close()
+        response.release()
+        raise InvalidStatusError(f'status {response.status_code:03}')
--- a/tests/test_own_face_cut_heads.py
+++ b/tests/test_own_face_cut_heads.py
@@ -209,6 +209,13 @@
             received = self.ask('DELETE')
             self.assertEqual((status, b''), (received.status, received.body))
 
+    @parameterized.expand([(0,), (1,), (99,), (600,), (999,)])
+    def test_status_that_is_none(self, status):
+        """Guards against clients that get it as an answer."""
+        self.start(_PLAIN.replace(b'200', b'%03d' % status))
+        self.assertEqual(502, self.ask('POST').status)
+        self.assertEqual(1, len(self.engine.requests))
+
     def test_cut_stream_is_not_done(self):
         self.start(_STREAM, stream=True)
         for end in _ENDS:
