Planned stops: refuse queued requests that the end of the process may cut

Callers would see: a request that was queued before the end of acceptance is sent late and cut with 504 at the end of the grace, also one that may not be repeated.

Cause: the queue did not know when its process ends.

Ruled out by a test that passed before: bodies that end behind the end of acceptance are refused, not sent.

Change: once new work ends, those whose deadline lies behind the end are refused as not run. Test: failed before (200 for 503), passes; the one whose deadline lies before the end is served as before.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_entry.py
@@ -184,6 +184,7 @@
         self._client_server.close_after_responses()
         gevent.sleep(stop.accept_seconds_left)
         self._client_server.stop_accepting()
+        self.request_queue.refuse_beyond(stop.ends_at)
         self.log.event('clients-refused', busy=self._client_server.busy)
         while stop.seconds_left > 0:
             self._client_server.close_idle()
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/request_queue.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/request_queue.py
@@ -1,5 +1,6 @@
 """Queue of requests that wait for a free slot of an engine."""
 
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -54,6 +55,8 @@
         self._metrics = metrics
         self._now = now
         self.report: Report = print_failure
+        #: When the process ends (uptime, s), once it takes no new work.
+        self._ends_at = math.inf
         #: By name of the route.
         self._retry_detectors: dict[str, RetryDetector] = {}
         self._policies: dict[ServiceName, QueuePolicy] = {}
@@ -72,6 +75,13 @@
         """Return whether a queued request goes before a new one."""
         return self._policy_of(service).is_ahead_of(share_use)
 
+    def refuse_beyond(self, ends_at: float) -> None:
+        """Refuse those that may not be finished as the process ends.
+
+        Another process can serve them, as no engine has run them.
+        """
+        self._ends_at = ends_at
+
     def record_finished(self, service: ServiceName) -> None:
         """Record that a request of this process has freed its slot."""
         self._policy_of(service).record_finished()
@@ -165,6 +175,8 @@
             queued.share_use = self._shares.share_use(
                 self._team_named(queued.team)
             )
+        for late in self._find_late(policy):
+            self._wake(policy, late, 'process ends before its deadline')
         for unlikely in policy.expired():
             self._wake(policy, unlikely, 'no slot expected before its deadline')
         wait = self._wait_of(service)
@@ -172,6 +184,13 @@
         if released is not None:
             self._wake(policy, released, None)
 
+    def _find_late(self, policy: QueuePolicy) -> list[QueuedRequest]:
+        return [
+            queued
+            for queued in policy.queued
+            if queued.send_by + queued.target > self._ends_at
+        ]
+
     def _wake(
         self, policy: QueuePolicy, queued: QueuedRequest, reason: str | None
     ) -> None:
--- a/tests/test_gateway_waiting_room.py
+++ b/tests/test_gateway_waiting_room.py
@@ -16,6 +16,7 @@
 )
 from bendlead_gateway._scheduling.team_shares import ShareUse
 from bendlead_gateway.types import TeamName
+from gevent import socket
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from parameterized import parameterized
@@ -170,14 +171,20 @@
 class WaitingRoomTest(EntryCase):
     """Queued requests of a running entry."""
 
-    def begin(self):
+    def begin(self, timeout_ms=2000, **changed):
         """Start an entry with one engine whose slots are all in use."""
-        self.start(route('safe'), answers=[_PLAIN])
+        self.start(
+            route('safe', timeout_ms=timeout_ms), answers=[_PLAIN], **changed
+        )
         fleet = self.entry.fleet
         fleet.pace.run_seconds = 1.0
         fleet.loads.own.online['i-0'] += 14
         # A first attempt sets the usual timeout of clients.
-        self.read(self.send_request())
+        self.read(self.send_request(timeout_ms=timeout_ms))
+        self.record_finished()
+
+    def record_finished(self):
+        """Have the queue expect that slots come free soon."""
         for _slot in range(20):
             self.entry.request_queue.record_finished('s1')
 
@@ -267,3 +274,47 @@
         self.entry._client_server.abort_requests()
         head, _body = self.read(asking)
         self.assertEqual(503, head.status)
+
+    @parameterized.expand(
+        [
+            ('deadline_behind_the_end', 0, 3900, 503),
+            ('deadline_before_the_end', 1.0, 2500, 200),
+        ]
+    )
+    def test_queued_across_the_end_of_acceptance(
+        self, _name, sent_at, patience, status
+    ):
+        """Guards against requests that are sent late and cut at the end.
+
+        New work ends 2.0 s after the signal, the process after 3.6 s.
+        """
+        self.begin(5000, grace=4)
+        stopping = gevent.spawn(self.entry.shut_down)
+        gevent.sleep(sent_at)
+        self.record_finished()
+        asking = self.send_request(timeout_ms=patience)
+        eventually(lambda: self.waiting() == 1)
+        with gevent.Timeout(3):
+            gevent.spawn_later(2.3 - sent_at, self.free)
+            head, _body = self.read(asking)
+        self.assertEqual(status, head.status)
+        self.assertEqual(status == 200, self.count_engine_requests() == 1)
+        stopping.get(timeout=3)
+
+    def test_body_that_ends_behind_the_end_of_acceptance(self):
+        """Its request is refused, since no engine has run it."""
+        self.start(route('unsafe'), answers=[_PLAIN], grace=2)
+        host, port = self.entry.settings.clients_address.split(':')
+        client = socket.create_connection((host, int(port)))
+        self.addCleanup(client.close)
+        client.sendall(
+            b'POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: i\r\n'
+            b'Content-Length: 2\r\n\r\na'
+        )
+        gevent.sleep(0.1)
+        stopping = gevent.spawn(self.entry.shut_down)
+        gevent.sleep(1.2)
+        client.sendall(b'b')
+        self.assertIn(b'HTTP/1.1 503 ', client.recv(65536))
+        self.assertEqual(0, self.count_engine_requests())
+        stopping.get(timeout=3)
