Answers: skip what has no id where the engine names its answers

Cause: an answer without X-Attempt-Id counted as that of the request in progress, in two copies of one loop.

Ruled out: refusing all answers without an id, as the protocol would allow; an engine that never states one has no earlier answer that such bytes could follow.

Change: one reader for items and requests; once an answer on a connection has named its request, those without a name are skipped.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/client.py
@@ -214,6 +214,8 @@
         self._response_parser = _ResponseParser()
         self._reusable = True
         self._request_count = 0
+        #: Whether an answer has named the request that it belongs to.
+        self.names_requests = False
 
     @property
     def used(self) -> bool:
--- a/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_jobs/item_run.py
@@ -1,5 +1,6 @@
 """One run of a batch item on an engine."""
 
+from functools import partial
 from http import HTTPStatus
 
 import gevent
@@ -7,6 +8,7 @@
 from msgspec import Struct
 
 from bendlead_gateway._fleet.fleet import Fleet
+from bendlead_gateway._fleet.own_answer import read_own_head
 from bendlead_gateway._health.observation import FailureKind
 from bendlead_gateway._http.answer_budget import TextBudget
 from bendlead_gateway._http.client import HttpConnection, ResponseHead
@@ -26,7 +28,14 @@
     outlasts_suspicion,
 )
 from bendlead_gateway.dialect import Dialect
-from bendlead_gateway.types import Engine, ItemOutcome, PromptPart, Route
+from bendlead_gateway.types import (
+    Engine,
+    EngineAnswer,
+    ItemId,
+    ItemOutcome,
+    PromptPart,
+    Route,
+)
 
 #: Timeout of each read and write on a connection to an engine.
 _IO_TIMEOUT_SECONDS = 2.0
@@ -204,16 +213,21 @@
         connection.send(
             ITEM_METHOD, item.path, headers, item.body, _IO_TIMEOUT_SECONDS
         )
-        until = clock.uptime() + _IO_TIMEOUT_SECONDS
-        while True:
-            head = connection.read_head(until - clock.uptime())
-            answer = self._dialect.engine_answer(head.status, head.headers)
-            if answer.request in {None, item.item}:
-                run.response_started = True
-                run.response_started_at = clock.uptime()
-                return head
-            connection.skip_response(head, until - clock.uptime())
-            connection.disable_reuse()
+        head = read_own_head(
+            connection,
+            item.item,
+            self._dialect,
+            _IO_TIMEOUT_SECONDS,
+            partial(self._log_surplus, item.item),
+        )
+        run.response_started = True
+        run.response_started_at = clock.uptime()
+        return head
+
+    def _log_surplus(self, item: ItemId, answer: EngineAnswer) -> None:
+        self._log.event(
+            'surplus-answer', request=item, belongs_to=answer.request or '-'
+        )
 
     def _read_response(
         self, run: ItemRun, connection: HttpConnection, head: ResponseHead
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/attempt.py
@@ -1,11 +1,13 @@
 """Send a request to one engine and relay its response."""
 
+from functools import partial
 from http import HTTPStatus
 
 import gevent
 from bendlead_store import clock
 
 from bendlead_gateway._fleet.fleet import Fleet
+from bendlead_gateway._fleet.own_answer import read_own_head
 from bendlead_gateway._health.failure_kinds import (
     classify_error,
     classify_missing_response,
@@ -36,7 +38,7 @@
 from bendlead_gateway._streams.origins import StreamOrigins
 from bendlead_gateway._suspects.crash_detector import BrokenResponse
 from bendlead_gateway.dialect import Dialect
-from bendlead_gateway.types import Engine
+from bendlead_gateway.types import Engine, EngineAnswer, RequestId
 
 #: Ends of an attempt that are reported where they are raised.
 _REPORTED = (NotRunError, UnknownOutcomeError, BrokenStreamError)
@@ -242,19 +244,19 @@
 
         The timeout (s) is for all of them.
         """
-        until = clock.uptime() + (timeout or exchange.read_timeout)
-        while True:
-            head = connection.read_head(until - clock.uptime())
-            answer = self._dialect.engine_answer(head.status, head.headers)
-            if answer.request in {None, exchange.facts.request}:
-                return head
-            self._log.event(
-                'surplus-answer',
-                request=exchange.facts.request,
-                belongs_to=answer.request,
-            )
-            connection.skip_response(head, until - clock.uptime())
-            connection.disable_reuse()
+        request = exchange.facts.request
+        return read_own_head(
+            connection,
+            request,
+            self._dialect,
+            timeout or exchange.read_timeout,
+            partial(self._log_surplus, request),
+        )
+
+    def _log_surplus(self, request: RequestId, answer: EngineAnswer) -> None:
+        self._log.event(
+            'surplus-answer', request=request, belongs_to=answer.request or '-'
+        )
 
     def _read_refusal(
         self, connection: HttpConnection, head: ResponseHead
