Plain answers: state the length of those that came without one

Cause: it went out as it came, ended by its connection, though the entry has all of it by then.

Ruled out: a reset in place of the close, which loses what the client has not read yet and does nothing where the entry is killed.

--- a/packages/bendlead-gateway/src/bendlead_gateway/_http/messages.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_http/messages.py
@@ -122,18 +122,6 @@
         self._write_head(self._head(status, reason, headers), b'')
         self.finished = True
 
-    def answer_until_close(
-        self, status: int, reason: str, headers: Headers, body: bytes
-    ) -> None:
-        """Send a response that ends with the connection.
-
-        It tells the client no more than that nothing follows the body.
-        """
-        self._keep_alive = False
-        self.started = True
-        self._write_head(self._head(status, reason, headers), body)
-        self.finished = True
-
     def start(
         self,
         status: int,
--- a/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
+++ b/packages/bendlead-gateway/src/bendlead_gateway/_online/relay.py
@@ -190,10 +190,6 @@
             if length is not None:
                 headers.append(('Content-Length', length))
             responder.answer_without_body(head.status, head.reason, headers)
-        elif head.framing is Framing.CONNECTION:
-            responder.answer_until_close(
-                head.status, head.reason, headers, body
-            )
         else:
             responder.start(head.status, head.reason, headers, len(body))
             responder.write(body)
