Soak: engines answer health checks, and die between events too

Answers without a length stood inside an event at all times, since an engine that was killed between two of them could not be told from one that had finished. It can now, so they stand between events, but for those that a running engine breaks off.

--- a/testing/src/bendlead_testing/gateway_soak/engine_process.py
+++ b/testing/src/bendlead_testing/gateway_soak/engine_process.py
@@ -43,6 +43,7 @@
 _FIRST_SECONDS = 0.03
 _QUEUE = 16
 #: Paths whose answers are no streams.
+_HEALTH_PATH = '/health'
 _PLAIN_PATHS = (Kind.ONCE.value, Kind.SAFE.value, '/version-')
 #: An engine that can't tell the store that it leaves gives up after this (s).
 _TELL_SECONDS = 8.0
@@ -223,6 +224,9 @@
             responder.answer(200)
             gevent.spawn(self._stand_still, float(request.body))
             return
+        if request.path == _HEALTH_PATH:
+            self._answer_health(headers, responder)
+            return
         name = headers.get('x-attempt-id', '')
         facts = {
             'request': name,
@@ -249,6 +253,17 @@
         finally:
             self._queued -= 1
 
+    def _answer_health(
+        self, headers: dict[str, str], responder: Responder
+    ) -> None:
+        """Answer as for a request: as another engine, or for want of room."""
+        if headers.get('x-expect-instance', self._name) != self._name:
+            responder.answer(421)
+        elif self._queued >= _QUEUE:
+            responder.answer(503, [('X-Not-Executed', '1')])
+        else:
+            responder.answer(200, [('X-Instance-Id', self._name)])
+
     def _wait_and_run(
         self,
         name: str,
@@ -352,23 +367,24 @@
     ) -> str:
         """Answer without a length or chunks.
 
-        But for its end, the stream always stands inside an event, so that an
-        engine that is killed breaks off inside one.
+        An engine that runs on breaks off inside an event; one that is killed
+        most often between two.
         """
-        responder.answer_until_close(200, 'OK', self._marks(name), b'')
+        responder.close_after()
+        responder.started = responder.finished = True
+        head = responder._head(200, 'OK', self._marks(name))
+        responder._write_head(head, b'')
         broken = random.random() < _BAD_SHARE
         cut = after + (total - after) // 2 if broken else total
-        end = b''
         for number in range(after + 1, cut + 1):
             text = marked_text(name, number, self._asked.version)
-            responder._send(end + f'id: {number}\ndata: {text}\n'.encode())
-            end = b'\n'
+            end = '' if broken and number == cut else '\n'
+            responder._send(f'id: {number}\ndata: {text}\n{end}'.encode())
             gevent.sleep(_EVENT_SECONDS * self._asked.pace)
         if broken:
             if random.random() < _BAD_SHARE:
                 _reset(responder)
             return 'broken-off-unframed'
-        responder._send(end)
         self._journal.note('unframed', request=name)
         return 'done'
 
